--- /dev/null
+++ b/bench/whole_test.go
@@ -0,0 +1,105 @@
+package bench_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"mustardvane.org/vane/bench"
+	"mustardvane.org/vane/fake/engine"
+	"mustardvane.org/vane/trace"
+)
+
+// fast are options of engines that answer quickly.
+func fast() []engine.Option {
+	return []engine.Option{engine.WithSpeed(4_000_000, 200*time.Microsecond), engine.WithCache(4000, 64)}
+}
+
+// start starts a fleet with workspaces w1 and w2 and closes it after the test.
+func start(t *testing.T, opts ...bench.Option) *bench.Fleet {
+	t.Helper()
+	is := is.New(t)
+	opts = append([]bench.Option{bench.WithEngines(3, fast()...)}, opts...)
+	f, err := bench.Start(t.Context(), opts...)
+	is.NoErr(err)
+	t.Cleanup(f.Close)
+	is.NoErr(f.Apply(t.Context(), bench.DefaultFleet("w1", "w2")))
+	return f
+}
+
+// shape is a short trace of two workspaces.
+func shape(n int) trace.Shape {
+	return trace.Shape{
+		Seed: 7, Requests: n, Rate: 400, Model: bench.Model, MaxTokens: 12,
+		Tenants: []trace.Tenant{{Name: "w1", Share: 1}, {Name: "w2", Share: 1}},
+	}
+}
+
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	rep := f.Drive(t.Context(), trace.Generate(shape(60)), nil)
+	is.Equal(rep.Wrong, nil)                // every answer has the right words in order
+	is.Equal(rep.Reasons, map[string]int{}) // nothing is refused
+	is.Equal(rep.Complete, 60)
+	is.True(rep.HitRate > 0) // prefixes are found in caches
+}
+
+func TestPlainAnswer(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	reqs := trace.Generate(shape(4))
+	for i := range reqs {
+		reqs[i].Stream = false
+	}
+	rep := f.Drive(t.Context(), reqs, nil)
+	is.Equal(rep.Complete, 4)
+}
+
+// TestDrainCutsNothing stops a node under load. Its callers ask for entry
+// addresses before each request, as the platform's callers do.
+func TestDrainCutsNothing(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(2))
+	c := bench.NewCaller()
+	defer c.Close()
+	reqs := trace.Generate(shape(120))
+	results := make(chan bench.Result, len(reqs))
+	begun := make(chan struct{})
+	for i, r := range reqs {
+		go func() {
+			time.Sleep(time.Duration(r.AtMS) * time.Millisecond)
+			if i == len(reqs)/4 {
+				close(begun)
+			}
+			addrs, err := c.Entries(context.Background(), f.Nodes[1].Addr())
+			if err != nil || len(addrs) == 0 {
+				results <- bench.Result{Reason: fmt.Sprint("no entries: ", err)}
+				return
+			}
+			results <- c.Send(context.Background(), addrs[i%len(addrs)], bench.KeyOf(r.Workspace), r)
+		}()
+	}
+	<-begun
+	is.NoErr(f.Nodes[0].Drain(t.Context()))
+	for range reqs {
+		r := <-results
+		is.Equal(r.Reason, "")
+		is.True(r.Complete)
+	}
+}
+
+func TestNoGoroutineIsLeft(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	is := is.New(t)
+	f, err := bench.Start(t.Context(), bench.WithEngines(2, fast()...))
+	is.NoErr(err)
+	is.NoErr(f.Apply(t.Context(), bench.DefaultFleet("w1", "w2")))
+	rep := f.Drive(t.Context(), trace.Generate(shape(10)), nil)
+	is.Equal(rep.Complete, 10)
+	f.Close()
+}
--- /dev/null
+++ b/budget/local.go
@@ -0,0 +1,124 @@
+package budget
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	vane "mustardvane.org/vane"
+)
+
+// Terms are the rate and the burst of a workspace.
+type Terms struct {
+	Rate  float64 // tokens a second
+	Burst float64 // tokens
+}
+
+// Local is a limiter for a fleet of one node. It is safe for concurrent use.
+type Local struct {
+	terms func(workspace string) (Terms, bool)
+
+	mu      sync.Mutex
+	buckets map[string]*Bucket
+}
+
+var _ vane.Limiter = (*Local)(nil)
+
+// NewLocal returns a limiter that asks terms for the workspaces' budgets.
+func NewLocal(terms func(workspace string) (Terms, bool)) *Local {
+	return &Local{terms: terms, buckets: make(map[string]*Bucket)}
+}
+
+// Reserve implements vane.Limiter.
+func (l *Local) Reserve(ctx context.Context, ws string, tokens int) (vane.Reservation, error) {
+	n := float64(tokens)
+	for {
+		m, wait, err := l.try(ws, n)
+		if err != nil {
+			return nil, err
+		}
+		if wait == 0 {
+			return &localReservation{l: l, ws: ws, mark: m, tokens: n}, nil
+		}
+		if end, ok := ctx.Deadline(); ok && time.Until(end) < wait {
+			return nil, overRate(ws, tokens, wait)
+		}
+		if !sleep(ctx, wait) {
+			return nil, overRate(ws, tokens, wait)
+		}
+	}
+}
+
+// overRate refuses a request for which the tokens come too late.
+func overRate(ws string, tokens int, wait time.Duration) *vane.Refusal {
+	return vane.Refuse(vane.ReasonLimitRate, "workspace %s is over its rate: %d tokens are free in %s; send more slowly or ask for a higher rate",
+		ws, tokens, wait.Round(time.Millisecond)).WithRetryAfter(wait)
+}
+
+// overBurst refuses a request that can never be served.
+func overBurst(ws string, tokens int, most float64) *vane.Refusal {
+	return vane.Refuse(vane.ReasonLimitBurst, "the request takes %d tokens, workspace %s may take %.0f at once; shorten the prompt or max_tokens, or ask for a higher burst",
+		tokens, ws, most)
+}
+
+// try takes the tokens, or says how long to wait.
+func (l *Local) try(ws string, n float64) (Mark, time.Duration, error) {
+	t, ok := l.terms(ws)
+	if !ok {
+		return 0, 0, vane.Refuse(vane.ReasonLimitUnavailable, "workspace %s has no budget; ask the operator for one", ws)
+	}
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, ok := l.buckets[ws]
+	if !ok {
+		b = NewBucket(now, t.Rate, t.Burst)
+		l.buckets[ws] = b
+	}
+	if b.Rate() != t.Rate || b.Capacity() != t.Burst {
+		b.Set(now, t.Rate, t.Burst)
+	}
+	if m, ok := b.Take(now, n); ok {
+		return m, 0, nil
+	}
+	wait, ok := b.Wait(now, n)
+	if !ok {
+		return 0, 0, overBurst(ws, int(n), b.Capacity())
+	}
+	return 0, wait, nil
+}
+
+// localReservation is a Take that can be settled.
+type localReservation struct {
+	l      *Local
+	ws     string
+	mark   Mark
+	tokens float64
+	once   sync.Once
+}
+
+// Settle implements vane.Reservation.
+func (r *localReservation) Settle(used int) {
+	r.once.Do(func() {
+		r.l.mu.Lock()
+		defer r.l.mu.Unlock()
+		b, now := r.l.buckets[r.ws], time.Now()
+		if over := float64(used) - r.tokens; over > 0 {
+			b.Force(now, over)
+			return
+		}
+		b.Refund(now, r.mark, r.tokens-float64(used))
+	})
+}
+
+// sleep waits d; it returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cmd/vanectl/main.go
@@ -0,0 +1,58 @@
+// Command vanectl is the operators' tool: it applies configurations and explains
+// what the nodes do.
+//
+// Exit codes: 0 done, 1 refused or not in force, 2 wrong command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitRefused = 1
+	exitUsage   = 2
+)
+
+func main() {
+	os.Exit(run(os.Args, os.Stdout, os.Stderr))
+}
+
+// run executes the command line and returns the exit code.
+func run(args []string, stdout, stderr io.Writer) int {
+	cmd := command()
+	cmd.Writer, cmd.ErrWriter = stdout, stderr
+	err := cmd.Run(context.Background(), args)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(stderr, "vanectl:", err)
+	if c, ok := err.(cli.ExitCoder); ok {
+		return c.ExitCode()
+	}
+	return exitUsage
+}
+
+// command describes the command line.
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "vanectl",
+		Usage: "state targets and learn whether they are met",
+		Description: "Examples:\n  vanectl --platform http://10.0.0.5:7000 apply --file fleet.yaml --wait\n" +
+			"  vanectl --nodes 10.0.0.7:8081,10.0.0.8:8081 status\n  vanectl --nodes 10.0.0.7:8081 why 1f0c…",
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "platform", Usage: "`URL` of the platform", Sources: cli.EnvVars("VANE_PLATFORM")},
+			&cli.StringSliceFlag{Name: "nodes", Usage: "admin `ADDRESSES` of nodes", Sources: cli.EnvVars("VANE_NODES")},
+		},
+		Commands: []*cli.Command{
+			applyCommand(), getCommand(), statusCommand(), entriesCommand(), timelineCommand(), whyCommand(), keyCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/config/service.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	vane "mustardvane.org/vane"
+)
+
+// Bounds of the watch loop.
+const (
+	watchRetryMin = 100 * time.Millisecond
+	watchRetryMax = 2 * time.Second
+)
+
+// Service holds the configuration in force on this node. Its task watches the
+// platform; other tasks may offer revisions that they got from peers. A
+// revision that is not higher than the one in force is ignored, so that neither
+// a stale read nor a late message can take a change back.
+type Service struct {
+	st    vane.Store
+	rec   vane.Recorder
+	cur   atomic.Pointer[View]
+	heard atomic.Int64 // monotonic nanoseconds of the platform's last answer
+	start time.Time
+
+	mu       sync.Mutex
+	onChange []func(*View)
+}
+
+// NewService returns a service that reads from st.
+func NewService(st vane.Store, rec vane.Recorder) *Service {
+	s := &Service{st: st, rec: rec, start: time.Now()}
+	s.cur.Store(NewView(&Fleet{}, 0))
+	s.heard.Store(-1)
+	return s
+}
+
+// Current returns the view in force. Its revision is zero before the first
+// configuration arrived.
+func (s *Service) Current() *View { return s.cur.Load() }
+
+// Confirmed returns how long ago the platform last answered a watch or a list,
+// and false if it never did.
+func (s *Service) Confirmed(now time.Time) (time.Duration, bool) {
+	h := s.heard.Load()
+	if h < 0 {
+		return 0, false
+	}
+	return now.Sub(s.start) - time.Duration(h), true
+}
+
+// OnChange registers f to be called after each change. Register before Run.
+func (s *Service) OnChange(f func(*View)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onChange = append(s.onChange, f)
+}
+
+// Offer puts a configuration in force if its revision is higher than the
+// current one. It says whether it did.
+func (s *Service) Offer(rev uint64, value []byte) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rev <= s.cur.Load().Revision {
+		return false, nil
+	}
+	f, err := DecodeFleet(value)
+	if err != nil {
+		return false, err
+	}
+	v := NewView(f, rev)
+	s.cur.Store(v)
+	s.rec.Record(vane.Event{What: vane.EventConfigInForce, Subject: FleetKey, Have: float64(rev)})
+	for _, fn := range s.onChange {
+		fn(v)
+	}
+	return true, nil
+}
+
+// Run watches the platform until ctx ends. It is ready at once: a node that
+// starts while the platform is down takes its configuration from peers.
+func (s *Service) Run(ctx context.Context, ready func()) error {
+	ready()
+	after, listed := uint64(0), false
+	wait := watchRetryMin
+	for ctx.Err() == nil {
+		b, err := s.next(ctx, after, listed)
+		if err != nil {
+			listed = listed && vane.KindOf(err) != vane.KindCompacted
+			pause(ctx, wait)
+			wait = min(2*wait, watchRetryMax)
+			continue
+		}
+		s.heard.Store(int64(time.Since(s.start)))
+		wait = watchRetryMin
+		listed, after = true, max(after, b.Revision)
+		s.take(b)
+	}
+	return nil
+}
+
+// next lists first and watches afterwards.
+func (s *Service) next(ctx context.Context, after uint64, listed bool) (vane.Batch, error) {
+	if !listed {
+		return s.st.List(ctx, FleetKey)
+	}
+	return s.st.Watch(ctx, FleetKey, after)
+}
+
+// take puts the newest configuration of a batch in force.
+func (s *Service) take(b vane.Batch) {
+	for _, o := range b.Objects {
+		if o.Key != FleetKey || o.Deleted {
+			continue
+		}
+		if _, err := s.Offer(o.Version, o.Value); err != nil {
+			klog.ErrorS(err, "configuration ignored", "revision", o.Version)
+		}
+	}
+}
+
+// pause waits about d, jittered by half, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,205 @@
+package config
+
+import (
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	vane "mustardvane.org/vane"
+)
+
+// Settings are what one node reads when it starts.
+type Settings struct {
+	Node     NodeSettings     `yaml:"node"`
+	Listen   ListenSettings   `yaml:"listen"`
+	TLS      TLSSettings      `yaml:"tls"`
+	Platform PlatformSettings `yaml:"platform"`
+	Peers    PeerSettings     `yaml:"peers"`
+	Callers  CallerSettings   `yaml:"callers"`
+	Drain    DrainSettings    `yaml:"drain"`
+	Log      LogSettings      `yaml:"log"`
+}
+
+// NodeSettings name the node and say where it stands.
+type NodeSettings struct {
+	Name       string `yaml:"name"`        // unique in the fleet
+	DataCentre string `yaml:"data_centre"` // data centre of the host
+	Region     string `yaml:"region"`      // region of the data centre
+}
+
+// ListenSettings are the node's addresses, each an IP number and a port.
+type ListenSettings struct {
+	Callers   string `yaml:"callers"`   // HTTP for callers
+	Admin     string `yaml:"admin"`     // HTTP for operators
+	Peers     string `yaml:"peers"`     // UDP and TCP for other nodes
+	Advertise string `yaml:"advertise"` // address given to callers; default is listen.callers
+}
+
+// TLSSettings name PEM files. Files are read again when they change.
+type TLSSettings struct {
+	Callers CertSettings `yaml:"callers"` // for the callers' listener
+	Peers   CertSettings `yaml:"peers"`   // for mutual TLS between nodes
+}
+
+// CertSettings name the files of one certificate.
+type CertSettings struct {
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+	CA   string `yaml:"ca"`
+}
+
+// Enabled says whether a certificate is configured.
+func (c CertSettings) Enabled() bool { return c.Cert != "" }
+
+// PlatformSettings say how the platform is reached.
+type PlatformSettings struct {
+	URL     string        `yaml:"url"`
+	Timeout time.Duration `yaml:"timeout"` // for one call other than a watch
+}
+
+// PeerSettings say how the nodes talk to each other.
+type PeerSettings struct {
+	Seeds  []string `yaml:"seeds"`  // peer addresses to join through
+	Secret string   `yaml:"secret"` // shared by all nodes; signs stream positions
+}
+
+// CallerSettings bound what a caller may send and how slowly.
+type CallerSettings struct {
+	MaxBody       int64         `yaml:"max_body_bytes"`
+	MaxHeader     int           `yaml:"max_header_bytes"`
+	HeaderTimeout time.Duration `yaml:"header_timeout"` // to send the header
+	BodyTimeout   time.Duration `yaml:"body_timeout"`   // to send the body
+	WriteTimeout  time.Duration `yaml:"write_timeout"`  // for one event to be taken
+	KeyFreshness  time.Duration `yaml:"key_freshness"`  // how long keys are accepted without fresh word
+}
+
+// DrainSettings say how a planned stop proceeds.
+type DrainSettings struct {
+	EntriesTTL time.Duration `yaml:"entries_ttl"` // time to live of an answer of /v1/entries
+	MaxWait    time.Duration `yaml:"max_wait"`    // longest wait for streams to end
+}
+
+// LogSettings say what is logged.
+type LogSettings struct {
+	Verbosity int `yaml:"verbosity"` // klog verbosity, 0 to 5
+}
+
+// DefaultSettings returns the values that hold when a field is left out.
+func DefaultSettings() Settings {
+	return Settings{
+		Platform: PlatformSettings{Timeout: time.Second},
+		Callers: CallerSettings{
+			MaxBody: 8 << 20, MaxHeader: 64 << 10,
+			HeaderTimeout: 5 * time.Second, BodyTimeout: 30 * time.Second, WriteTimeout: 30 * time.Second,
+			KeyFreshness: 5 * time.Second,
+		},
+		Drain: DrainSettings{EntriesTTL: 5 * time.Second, MaxWait: 2 * time.Minute},
+	}
+}
+
+// ReadSettings reads and checks the settings file.
+func ReadSettings(file string) (Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, vane.Errorf(vane.KindNotFound, "config.settings", "name a readable settings file with --config", "cannot read %s", file).WithCause(err)
+	}
+	return ParseSettings(file, b)
+}
+
+// ParseSettings reads settings from b; file is used in messages only.
+func ParseSettings(file string, b []byte) (Settings, error) {
+	s := DefaultSettings()
+	d, err := decode(file, b, &s)
+	if err != nil {
+		return Settings{}, err
+	}
+	if s.Listen.Advertise == "" {
+		s.Listen.Advertise = s.Listen.Callers
+	}
+	if err := s.check(d); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// check verifies all fields that the decoder can't.
+func (s Settings) check(d *document) error {
+	for _, f := range []struct{ path, value, remedy string }{
+		{"$.node.name", s.Node.Name, "give the node a name that no other node has"},
+		{"$.node.data_centre", s.Node.DataCentre, "name the data centre of the host"},
+		{"$.platform.url", s.Platform.URL, "write the platform's URL, for example http://10.0.0.5:7000"},
+		{"$.peers.secret", s.Peers.Secret, "write at least 16 characters, the same on all nodes"},
+	} {
+		if f.value == "" {
+			return d.bad(f.path, "a value is required", f.remedy)
+		}
+	}
+	if len(s.Peers.Secret) < minSecret {
+		return d.bad("$.peers.secret", "at least 16 characters are required", "write a longer secret, the same on all nodes")
+	}
+	if u, err := url.Parse(s.Platform.URL); err != nil || u.Host == "" {
+		return d.bad("$.platform.url", "not a URL", "write the platform's URL, for example http://10.0.0.5:7000")
+	}
+	if err := s.checkAddrs(d); err != nil {
+		return err
+	}
+	return s.checkBounds(d)
+}
+
+// minSecret is the shortest shared secret in bytes.
+const minSecret = 16
+
+// checkAddrs verifies the node's own addresses and its seeds.
+func (s Settings) checkAddrs(d *document) error {
+	addrs := []struct{ path, value string }{
+		{"$.listen.callers", s.Listen.Callers},
+		{"$.listen.admin", s.Listen.Admin},
+		{"$.listen.peers", s.Listen.Peers},
+		{"$.listen.advertise", s.Listen.Advertise},
+	}
+	for _, seed := range s.Peers.Seeds {
+		addrs = append(addrs, struct{ path, value string }{"$.peers.seeds", seed})
+	}
+	for _, a := range addrs {
+		host, _, err := net.SplitHostPort(a.value)
+		if err != nil || net.ParseIP(host) == nil {
+			return d.bad(a.path, "an IP number with a port is required", "write for example 10.0.0.7:8080")
+		}
+	}
+	return nil
+}
+
+// checkBounds verifies sizes and durations.
+func (s Settings) checkBounds(d *document) error {
+	for _, f := range []struct {
+		path     string
+		value    time.Duration
+		min, max time.Duration
+	}{
+		{"$.platform.timeout", s.Platform.Timeout, 10 * time.Millisecond, time.Minute},
+		{"$.callers.header_timeout", s.Callers.HeaderTimeout, 100 * time.Millisecond, time.Minute},
+		{"$.callers.body_timeout", s.Callers.BodyTimeout, 100 * time.Millisecond, 10 * time.Minute},
+		{"$.callers.write_timeout", s.Callers.WriteTimeout, 100 * time.Millisecond, 10 * time.Minute},
+		{"$.callers.key_freshness", s.Callers.KeyFreshness, time.Second, time.Minute},
+		{"$.drain.entries_ttl", s.Drain.EntriesTTL, 100 * time.Millisecond, 5 * time.Minute},
+		{"$.drain.max_wait", s.Drain.MaxWait, time.Second, time.Hour},
+	} {
+		if f.value < f.min || f.value > f.max {
+			return d.bad(f.path, "must lie between "+f.min.String()+" and "+f.max.String(), "write a duration in that range")
+		}
+	}
+	if s.Callers.MaxBody < 1<<10 || s.Callers.MaxBody > 1<<30 {
+		return d.bad("$.callers.max_body_bytes", "must lie between 1024 and 1073741824", "write a size in bytes in that range")
+	}
+	if s.Callers.MaxHeader < 1<<10 || s.Callers.MaxHeader > 1<<20 {
+		return d.bad("$.callers.max_header_bytes", "must lie between 1024 and 1048576", "write a size in bytes in that range")
+	}
+	if s.TLS.Callers.Enabled() && s.TLS.Callers.Key == "" {
+		return d.bad("$.tls.callers.key", "a certificate needs its key", "name the PEM file of the key")
+	}
+	if s.TLS.Peers.Enabled() && (s.TLS.Peers.Key == "" || s.TLS.Peers.CA == "") {
+		return d.bad("$.tls.peers", "mutual TLS needs cert, key and ca", "name all three PEM files")
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/config"
+	"mustardvane.org/vane/prefix"
+	"mustardvane.org/vane/queue"
+	"mustardvane.org/vane/route"
+	"mustardvane.org/vane/stream"
+)
+
+// defaultTarget is the first-token target of a class that states none.
+const defaultTarget = 820 * time.Millisecond
+
+// chat serves POST /v1/chat/completions.
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	c := s.begin(r)
+	ws, v, err := s.authorize(c, r)
+	if err != nil {
+		s.refuse(w, c, err)
+		return
+	}
+	body, err := s.readBody(w, r)
+	if err != nil {
+		s.refuse(w, c, err)
+		return
+	}
+	req, err := parseChat(body)
+	if err != nil {
+		s.refuse(w, c, err)
+		return
+	}
+	if err := s.serveChat(w, r, c, ws, v, req, body); err != nil {
+		s.refuse(w, c, err)
+	}
+}
+
+// turn is what a chat request holds while it runs.
+type turn struct {
+	job  *route.Job
+	res  vane.Reservation
+	pass *queue.Pass
+	fp   uint64
+	used int
+}
+
+// serveChat runs a checked chat request. An error that it returns has not been
+// answered yet.
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, c *call, ws config.Workspace, v *config.View, req *chat, body []byte) error {
+	prompt := prefix.Cut(ws.Name, req.model, req.msgs, s.piece)
+	if err := checkModel(v, req, prompt); err != nil {
+		return err
+	}
+	t := &turn{fp: prefix.Fingerprint(ws.Name, body)}
+	resume, err := s.resume(r, c, ws.Name, t.fp, req.stream)
+	if err != nil {
+		return err
+	}
+	if err := s.Suspect.Check(ws.Name, t.fp); err != nil {
+		return err
+	}
+	class := v.Fleet.ClassOf(ws)
+	target := time.Duration(class.FirstToken)
+	if target <= 0 {
+		target = defaultTarget
+	}
+	if err := s.admit(r.Context(), c, t, prompt.Tokens+req.maxTokens, target); err != nil {
+		return err
+	}
+	defer s.leave(t)
+	t.job = s.newJob(c, t, req, prompt, class, target, resume)
+	if req.stream {
+		return s.streamed(w, r, c, t, req)
+	}
+	return s.plain(w, r, c, t, req)
+}
+
+// resume reads the position from which a repeated request goes on.
+func (s *Server) resume(r *http.Request, c *call, ws string, fp uint64, streamed bool) (int, error) {
+	last := r.Header.Get("Last-Event-ID")
+	if last == "" {
+		return 0, nil
+	}
+	if !streamed {
+		return 0, vane.Refuse(vane.ReasonResumeInvalid, "only a stream can be resumed; send stream true or leave Last-Event-ID out")
+	}
+	id, next, err := s.Signer.Open(last, ws, fp)
+	if err != nil {
+		return 0, err
+	}
+	c.id = id
+	return next, nil
+}
+
+// admit takes the tokens from the budget and waits for a fair turn.
+func (s *Server) admit(ctx context.Context, c *call, t *turn, tokens int, target time.Duration) error {
+	deadline := c.begin.Add(target)
+	lctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	res, err := s.Limiter.Reserve(lctx, c.workspace, tokens)
+	if err != nil {
+		return err
+	}
+	pass, err := s.Gate.Enter(ctx, c.workspace, float64(tokens), deadline)
+	if err != nil {
+		res.Settle(0)
+		return err
+	}
+	t.res, t.pass = res, pass
+	s.metrics.wait.Observe(pass.Wait.Seconds())
+	if pass.Wait > target/10 {
+		s.Rec.Record(vane.Event{
+			What: vane.EventWaited, Reason: vane.ReasonQueueDeadline, Workspace: c.workspace, Request: c.requestID(),
+			Have: pass.Wait.Seconds(), Want: target.Seconds(),
+		})
+	}
+	return nil
+}
+
+// leave gives back what the request held.
+func (s *Server) leave(t *turn) {
+	t.res.Settle(t.used)
+	t.pass.Leave(0)
+}
+
+// newJob builds the job for package route.
+func (s *Server) newJob(c *call, t *turn, req *chat, prompt vane.Prompt, class config.Class, target time.Duration, resume int) *route.Job {
+	ws := c.workspace
+	return &route.Job{
+		ID: c.id, Workspace: ws, Priority: class.Priority, Prompt: prompt, Model: req.model,
+		Token: s.Signer.Token(c.id, ws, t.fp), Resume: resume, WantUsage: req.wantUsage,
+		Target: target, Begin: c.begin, Fields: req.fields,
+		Notify: route.Notify{
+			Lost: func(u vane.Upstream) { s.Suspect.Lost(ws, t.fp, u) },
+			First: func(after time.Duration) {
+				s.metrics.first.WithLabelValues(class.Name).Observe(after.Seconds())
+				s.Gate.FirstToken(after, target)
+			},
+		},
+	}
+}
+
+// plain serves an answer in one piece.
+func (s *Server) plain(w http.ResponseWriter, r *http.Request, c *call, t *turn, req *chat) error {
+	ans, err := s.Router.Plain(r.Context(), t.job, req.maxTokens)
+	if err != nil {
+		t.used = usedAfter(err, t.job.Prompt.Tokens)
+		return err
+	}
+	t.used = spent(ans.Usage, t.job.Prompt.Tokens)
+	s.served(c, t, ans.Usage)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerRequestID, c.requestID())
+	_, err = w.Write(ans.Body)
+	if err != nil {
+		s.note(c, vane.Refuse(vane.ReasonCallerGone, "the caller left before the answer").WithExecution(vane.Ran))
+	}
+	return nil
+}
+
+// usedAfter returns the tokens that a failed request is charged.
+func usedAfter(err error, prompt int) int {
+	if asRefusal(err).Execution == vane.NotRun {
+		return 0
+	}
+	return prompt
+}
+
+// spent returns the tokens that an answer used. An engine that states nothing is
+// charged the estimate of the prompt.
+func spent(u stream.Usage, prompt int) int {
+	if u.Prompt+u.Generated > 0 {
+		return u.Prompt + u.Generated
+	}
+	return prompt
+}
+
+// streamed serves an answer event by event.
+func (s *Server) streamed(w http.ResponseWriter, r *http.Request, c *call, t *turn, req *chat) error {
+	ew := newEventWriter(w, c, s.bounds.WriteTimeout)
+	out, err := s.Router.Stream(r.Context(), t.job, ew, req.maxTokens)
+	t.used = spent(out.Usage, t.job.Prompt.Tokens+out.Relayed-t.job.Resume)
+	if err == nil {
+		s.served(c, t, out.Usage)
+		return nil
+	}
+	if !ew.begun {
+		t.used = usedAfter(err, t.job.Prompt.Tokens)
+		return err
+	}
+	ref := asRefusal(err)
+	s.note(c, ref)
+	s.Rec.Record(vane.Event{
+		What: vane.EventStreamBroken, Reason: ref.Reason, Workspace: c.workspace, Request: c.requestID(), Have: float64(out.Relayed),
+	})
+	ew.fail(detail(c, ref))
+	return nil
+}
+
+// served counts an answered request.
+func (s *Server) served(c *call, t *turn, u stream.Usage) {
+	s.Suspect.Answered(c.workspace, t.fp)
+	s.metrics.served.WithLabelValues(c.workspace).Inc()
+	s.metrics.tokens.WithLabelValues("prompt").Add(float64(u.Prompt))
+	s.metrics.tokens.WithLabelValues("generated").Add(float64(u.Generated))
+	if u.Cached > 0 {
+		s.metrics.tokens.WithLabelValues("cached").Add(float64(u.Cached))
+	}
+	s.Rec.Record(vane.Event{
+		What: vane.EventServed, Workspace: c.workspace, Request: hex.EncodeToString(c.id[:]),
+		Have: time.Since(c.begin).Seconds(), Want: t.job.Target.Seconds(),
+	})
+}
--- /dev/null
+++ b/entry/refuse.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	vane "mustardvane.org/vane"
+)
+
+// headerExecution says on each refusal whether the request may have run.
+const headerExecution = "Mustardvane-Execution"
+
+// headerRequestID names the request on each answer.
+const headerRequestID = "X-Request-Id"
+
+// errorBody is the body of a refusal.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+// errorDetail is a refusal in a form that chat clients understand.
+type errorDetail struct {
+	Type      string         `json:"type"`
+	Code      string         `json:"code"`
+	Message   string         `json:"message"`
+	Reason    vane.Reason    `json:"reason"`
+	Execution vane.Execution `json:"execution"`
+	RequestID string         `json:"request_id"`
+}
+
+// errorType returns the class of error that chat clients know.
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// asRefusal returns err as a refusal. An unexpected error says that the request
+// may have run, which is never untrue.
+func asRefusal(err error) *vane.Refusal {
+	var r *vane.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return vane.Refuse(vane.ReasonInternal, "unexpected failure; report the request id to the operator").
+		WithExecution(vane.MayHaveRun).WithCause(err)
+}
+
+// detail returns the body of a refusal.
+func detail(c *call, r *vane.Refusal) errorBody {
+	return errorBody{Error: errorDetail{
+		Type: errorType(r.Status()), Code: r.Reason.String(), Message: r.Message,
+		Reason: r.Reason, Execution: r.Execution, RequestID: c.requestID(),
+	}}
+}
+
+// note records a refusal on the time line, in the metrics and in the log.
+func (s *Server) note(c *call, r *vane.Refusal) {
+	took := time.Since(c.begin)
+	s.Rec.Record(vane.Event{
+		What: vane.EventRefused, Reason: r.Reason, Workspace: c.workspace, Request: c.requestID(),
+		Subject: r.Execution.String(), Have: took.Seconds(), Remedy: r.Message,
+	})
+	s.metrics.refused.WithLabelValues(r.Reason.String(), r.Execution.String()).Inc()
+	klog.V(2).InfoS("refused", "request_id", c.requestID(), "workspace", c.workspace,
+		"reason", r.Reason.String(), "execution", r.Execution.String(), "cause", r.Cause)
+}
+
+// refuse answers a request that was not served.
+func (s *Server) refuse(w http.ResponseWriter, c *call, err error) {
+	r := asRefusal(err)
+	s.note(c, r)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerExecution, r.Execution.String())
+	h.Set(headerRequestID, c.requestID())
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((r.RetryAfter+time.Second-1)/time.Second)))
+	}
+	if r.Reason == vane.ReasonKeyMissing || r.Reason == vane.ReasonKeyUnknown {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(r.Status())
+	_ = json.NewEncoder(w).Encode(detail(c, r))
+}
--- /dev/null
+++ b/fake/engine/admin.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	vane "mustardvane.org/vane"
+)
+
+// LoadReport is the answer of GET /v1/load.
+type LoadReport struct {
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	Slots       int    `json:"slots"`
+	Draining    bool   `json:"draining"`
+	Incarnation uint64 `json:"incarnation"`
+	Version     string `json:"version"`
+}
+
+// Order is the body of POST /v1/orders.
+type Order struct {
+	Kind    string `json:"kind"` // load_version or drain
+	Version string `json:"version"`
+	Fence   uint64 `json:"fence"`
+}
+
+// noteLoad remembers the load for the lagging report.
+func (e *Engine) noteLoad() {
+	running, waiting := e.batch.load()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads = append(e.loads, loadAt{at: time.Now(), load: vane.Load{Running: running, Waiting: waiting}})
+	if len(e.loads) > 256 {
+		e.loads = e.loads[1:]
+	}
+}
+
+// getLoad answers GET /v1/load with the load of a while ago.
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	running, waiting := e.batch.load()
+	e.mu.Lock()
+	rep := LoadReport{
+		Running: running, Waiting: waiting, Slots: e.slots, Draining: e.faults.Draining,
+		Incarnation: e.incarnation, Version: e.version,
+	}
+	if lag := time.Duration(e.faults.LoadLagMS) * time.Millisecond; lag > 0 {
+		rep.Running, rep.Waiting = 0, 0
+		for _, l := range e.loads {
+			if time.Since(l.at) >= lag {
+				rep.Running, rep.Waiting = l.load.Running, l.load.Waiting
+			}
+		}
+	}
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(rep)
+}
+
+// getEvents answers GET /v1/cache_events late and with gaps.
+func (e *Engine) getEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	f := e.Faults()
+	out := []CacheEvent{}
+	for _, ev := range e.cache.since(after, f.EventLag) {
+		if !e.chance(f.EventGaps) {
+			out = append(out, ev)
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// order answers POST /v1/orders. An order with an old fencing number is refused
+// unless the engine is one of those that ignore the number.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Fence < e.fence && !e.faults.SkipFence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	switch o.Kind {
+	case "load_version":
+		e.version = o.Version
+		e.cache.clear()
+	case "drain":
+		e.faults.Draining = true
+	default:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
--- /dev/null
+++ b/fake/engine/batch.go
@@ -0,0 +1,118 @@
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+)
+
+// batch hands out the engine's slots by priority, then by arrival, and lets one
+// prompt prefill at a time.
+type batch struct {
+	prefill chan struct{} // holds one token
+
+	mu      sync.Mutex
+	free    int
+	running int
+	seq     uint64
+	queue   waiters
+}
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	priority int
+	seq      uint64
+	ready    chan struct{}
+	index    int
+}
+
+func newBatch(slots int) *batch {
+	b := &batch{prefill: make(chan struct{}, 1), free: slots}
+	b.prefill <- struct{}{}
+	return b
+}
+
+// enter waits for a slot. It returns false if ctx ends first.
+func (b *batch) enter(ctx context.Context, priority int) bool {
+	b.mu.Lock()
+	if b.free > 0 {
+		b.free--
+		b.running++
+		b.mu.Unlock()
+		return true
+	}
+	b.seq++
+	w := &waiter{priority: priority, seq: b.seq, ready: make(chan struct{})}
+	heap.Push(&b.queue, w)
+	b.mu.Unlock()
+	select {
+	case <-w.ready:
+		return true
+	case <-ctx.Done():
+		return b.withdraw(w)
+	}
+}
+
+// withdraw takes a waiter out of the queue. A slot that was handed over in the
+// same moment is given back.
+func (b *batch) withdraw(w *waiter) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if w.index >= 0 {
+		heap.Remove(&b.queue, w.index)
+		return false
+	}
+	b.leaveLocked()
+	return false
+}
+
+// leave gives a slot back.
+func (b *batch) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaveLocked()
+}
+
+func (b *batch) leaveLocked() {
+	if len(b.queue) == 0 {
+		b.free++
+		b.running--
+		return
+	}
+	w := heap.Pop(&b.queue).(*waiter)
+	close(w.ready)
+}
+
+// load returns the requests in the batch and those that wait.
+func (b *batch) load() (running, waiting int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.running, len(b.queue)
+}
+
+// waiters is a heap by priority and arrival.
+type waiters []*waiter
+
+func (q waiters) Len() int { return len(q) }
+func (q waiters) Less(i, j int) bool {
+	if q[i].priority != q[j].priority {
+		return q[i].priority < q[j].priority
+	}
+	return q[i].seq < q[j].seq
+}
+func (q waiters) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+func (q *waiters) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*q)
+	*q = append(*q, w)
+}
+func (q *waiters) Pop() any {
+	old := *q
+	w := old[len(old)-1]
+	*q = old[:len(old)-1]
+	w.index = -1
+	return w
+}
--- /dev/null
+++ b/node/certs/doc.go
@@ -0,0 +1,8 @@
+// Package certs loads TLS certificates and reads them again when their files
+// change, so that they can be renewed without a restart.
+//
+// # Usage
+//
+//	r, err := certs.NewReloader("cert.pem", "key.pem")
+//	cfg := &tls.Config{GetCertificate: r.Certificate}
+package certs
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,226 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/budget"
+	"mustardvane.org/vane/claim"
+	"mustardvane.org/vane/config"
+	"mustardvane.org/vane/crash"
+	"mustardvane.org/vane/entry"
+	"mustardvane.org/vane/event"
+	"mustardvane.org/vane/hosts"
+	"mustardvane.org/vane/kernel"
+	"mustardvane.org/vane/place"
+	"mustardvane.org/vane/queue"
+	"mustardvane.org/vane/route"
+	"mustardvane.org/vane/store"
+	"mustardvane.org/vane/stream"
+)
+
+// Sizes of a node.
+const (
+	ringSize     = 8192 // events kept
+	firstLimit   = 64   // requests in flight before the gate has adapted
+	maxInFlight  = 1024
+	overcommit   = 2 // requests in flight for each slot of the upstreams
+	startTimeout = 10 * time.Second
+)
+
+// Names of the services.
+const (
+	serviceConfig = "config"
+	serviceHosts  = "hosts"
+	serviceEntry  = "entry"
+	serviceAdmin  = "admin"
+)
+
+// Node is one router process.
+type Node struct {
+	set    config.Settings
+	kernel *kernel.Kernel
+	reg    *prometheus.Registry
+	ring   *event.Ring
+	st     *store.Client
+	conf   *config.Service
+	dir    *hosts.Directory
+	placer vane.Placer
+	router *route.Router
+	gate   *queue.Gate
+	crash  *crash.Book
+	entry  *entry.Server
+	web    *web
+	admin  *web
+	piece  int
+}
+
+// Option changes a node under construction.
+type Option func(*Node)
+
+// WithPlacer replaces the choice of upstreams, for comparisons.
+func WithPlacer(p vane.Placer) Option { return func(n *Node) { n.placer = p } }
+
+// WithPiece sets the size in tokens of the engines' cached pieces.
+func WithPiece(tokens int) Option { return func(n *Node) { n.piece = tokens } }
+
+// New assembles a node from its settings. It opens no socket.
+func New(set config.Settings, opts ...Option) (*Node, error) {
+	n := &Node{set: set, kernel: kernel.New(), reg: prometheus.NewRegistry(), placer: place.New()}
+	for _, o := range opts {
+		o(n)
+	}
+	n.ring = event.NewRing(set.Node.Name, ringSize)
+	n.st = store.New(set.Platform.URL,
+		store.WithTimeout(set.Platform.Timeout),
+		store.WithMetrics(store.NewMetrics(n.reg)),
+		store.WithStateFunc(n.storeState),
+	)
+	n.conf = config.NewService(n.st, n.ring)
+	n.dir = hosts.New(n.st, n.placer, n.ring)
+	n.gate = queue.NewGate(queue.NewFair(queue.WithLimit(firstLimit)), maxInFlight)
+	n.dir.OnChange(n.resize)
+	n.router = route.New(n.placer, n.dir, n.ring, route.WithSecret(set.Peers.Secret))
+	n.crash = crash.NewBook(n.ring)
+	n.entry = n.newEntry()
+	return n, n.register()
+}
+
+// newEntry builds the callers' side.
+func (n *Node) newEntry() *entry.Server {
+	opts := []entry.Option{entry.WithBounds(n.set.Callers), entry.WithEntriesTTL(n.set.Drain.EntriesTTL)}
+	if n.piece > 0 {
+		opts = append(opts, entry.WithPiece(n.piece))
+	}
+	return entry.New(entry.Deps{
+		View:    n.conf.Current,
+		Fresh:   n.fresh,
+		Router:  n.router,
+		Gate:    n.gate,
+		Limiter: budget.NewLocal(n.terms),
+		Claims:  claim.NewBook(n.st, n.set.Node.Name, n.ring),
+		Suspect: n.crash,
+		Signer:  stream.NewSigner(n.set.Peers.Secret),
+		Rec:     n.ring,
+		Entries: n.entries,
+		Metrics: n.reg,
+	}, opts...)
+}
+
+// register adds the services to the kernel.
+func (n *Node) register() error {
+	n.web = newWeb(n.set.Listen.Callers, n.entry.Handler(), n.set.Callers, n.set.TLS.Callers)
+	n.admin = newWeb(n.set.Listen.Admin, n.adminHandler(), n.set.Callers, config.CertSettings{})
+	for _, s := range []struct {
+		name  string
+		svc   kernel.Service
+		needs []string
+	}{
+		{serviceConfig, n.conf, nil},
+		{serviceHosts, n.dir, nil},
+		{serviceEntry, n.web, []string{serviceConfig, serviceHosts}},
+		{serviceAdmin, n.admin, []string{serviceEntry}},
+	} {
+		if err := n.kernel.Add(s.name, s.svc, s.needs...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Start starts all services.
+func (n *Node) Start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := n.kernel.Start(ctx); err != nil {
+		return err
+	}
+	n.ring.Record(vane.Event{What: vane.EventStarted, Subject: n.web.Addr()})
+	klog.InfoS("node started", "node", n.set.Node.Name, "callers", n.web.Addr(), "admin", n.admin.Addr())
+	return nil
+}
+
+// Failed returns the channel on which the failure of a service arrives.
+func (n *Node) Failed() <-chan error { return n.kernel.Failed() }
+
+// Addr returns the callers' address that the node listens on.
+func (n *Node) Addr() string { return n.web.Addr() }
+
+// AdminAddr returns the operators' address that the node listens on.
+func (n *Node) AdminAddr() string { return n.admin.Addr() }
+
+// Ring returns the node's part of the time line.
+func (n *Node) Ring() *event.Ring { return n.ring }
+
+// View returns the configuration in force.
+func (n *Node) View() *config.View { return n.conf.Current() }
+
+// Drain stops the node without cutting a request: it leaves the lists of entry
+// addresses, serves until those lists have run out, waits for the requests in
+// flight, and stops.
+func (n *Node) Drain(ctx context.Context) error {
+	n.ring.Record(vane.Event{What: vane.EventDraining, Have: float64(n.entry.InFlight())})
+	klog.InfoS("node draining", "node", n.set.Node.Name, "in_flight", n.entry.InFlight())
+	n.leave()
+	wait(ctx, n.set.Drain.EntriesTTL)
+	n.web.quiet()
+	limit, cancel := context.WithTimeout(ctx, n.set.Drain.MaxWait)
+	defer cancel()
+	select {
+	case <-n.entry.Idle():
+	case <-limit.Done():
+		klog.InfoS("streams outlast the drain", "in_flight", n.entry.InFlight())
+	}
+	return n.Stop(ctx)
+}
+
+// leave takes the node out of the answers of GET /v1/entries.
+func (n *Node) leave() { n.entry.Leave() }
+
+// Stop stops all services at once.
+func (n *Node) Stop(ctx context.Context) error {
+	n.ring.Record(vane.Event{What: vane.EventStopped})
+	err := n.kernel.Stop(ctx)
+	n.router.Close()
+	n.st.Close()
+	klog.InfoS("node stopped", "node", n.set.Node.Name)
+	return err
+}
+
+// terms returns the budget of a workspace.
+func (n *Node) terms(ws string) (budget.Terms, bool) {
+	w, ok := n.conf.Current().Workspace(ws)
+	return budget.Terms{Rate: w.Rate, Burst: w.Burst}, ok
+}
+
+// resize adapts the bound on requests in flight to the upstreams.
+func (n *Node) resize(ups []vane.Upstream) {
+	slots := 0
+	for _, u := range ups {
+		slots += u.Slots
+	}
+	n.gate.SetCap(min(maxInFlight, overcommit*slots))
+}
+
+// storeState records when the platform becomes reachable or unreachable.
+func (n *Node) storeState(up bool) {
+	what := vane.EventStoreDown
+	if up {
+		what = vane.EventStoreUp
+	}
+	n.ring.Record(vane.Event{What: what, Subject: n.set.Platform.URL})
+}
+
+// wait pauses for d or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/place/base.go
@@ -0,0 +1,160 @@
+package place
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	vane "mustardvane.org/vane"
+)
+
+// simple is what the baselines share: the usable upstreams of each model and
+// the own requests in flight.
+type simple struct {
+	mu       sync.Mutex
+	byModel  map[string][]vane.Upstream
+	rings    map[string]*ring
+	inflight map[string]int
+	draining map[string]bool
+}
+
+func newSimple() simple {
+	return simple{inflight: make(map[string]int), draining: make(map[string]bool)}
+}
+
+// Update implements vane.Placer.
+func (s *simple) Update(_ time.Time, ups []vane.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byModel = make(map[string][]vane.Upstream)
+	s.rings = make(map[string]*ring)
+	for _, u := range ups {
+		if u.Role == vane.RoleEngine {
+			s.byModel[u.Model] = append(s.byModel[u.Model], u)
+		}
+	}
+	for m, list := range s.byModel {
+		s.rings[m] = newRing(list)
+	}
+}
+
+// usable returns the upstreams that may be chosen. The lock is held.
+func (s *simple) usable(q vane.Query) []vane.Upstream {
+	var out []vane.Upstream
+	for _, u := range s.byModel[q.Model] {
+		if u.State == vane.UpstreamLive && !s.draining[u.Name] && !slices.Contains(q.Avoid, u.Name) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// Sent implements vane.Placer.
+func (s *simple) Sent(_ time.Time, _ vane.Query, p vane.Pick) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inflight[p.Upstream.Name]++
+}
+
+// First implements vane.Placer.
+func (s *simple) First(time.Time, vane.Query, vane.Pick, time.Duration) {}
+
+// Done implements vane.Placer.
+func (s *simple) Done(_ time.Time, _ vane.Query, p vane.Pick, _ int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inflight[p.Upstream.Name]--
+}
+
+// Failed implements vane.Placer.
+func (s *simple) Failed(time.Time, string) {}
+
+// Report implements vane.Placer.
+func (s *simple) Report(_ time.Time, name string, l vane.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Draining {
+		s.draining[name] = true
+	}
+}
+
+// RoundRobin is the baseline that takes upstreams in turn.
+type RoundRobin struct {
+	simple
+	next int
+}
+
+// NewRoundRobin returns the baseline without upstreams.
+func NewRoundRobin() *RoundRobin { return &RoundRobin{simple: newSimple()} }
+
+// Pick implements vane.Placer.
+func (r *RoundRobin) Pick(_ time.Time, q vane.Query) (vane.Pick, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ups := r.usable(q)
+	if len(ups) == 0 {
+		return vane.Pick{}, false
+	}
+	r.next++
+	return vane.Pick{Upstream: ups[r.next%len(ups)]}, true
+}
+
+// LeastLoaded is the baseline that takes the upstream with the fewest own
+// requests in flight.
+type LeastLoaded struct {
+	simple
+	next int
+}
+
+// NewLeastLoaded returns the baseline without upstreams.
+func NewLeastLoaded() *LeastLoaded { return &LeastLoaded{simple: newSimple()} }
+
+// Pick implements vane.Placer. Ties are broken in turn.
+func (l *LeastLoaded) Pick(_ time.Time, q vane.Query) (vane.Pick, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ups := l.usable(q)
+	if len(ups) == 0 {
+		return vane.Pick{}, false
+	}
+	l.next++
+	best := l.next % len(ups)
+	for i := range ups {
+		j := (l.next + i) % len(ups)
+		if l.inflight[ups[j].Name] < l.inflight[ups[best].Name] {
+			best = j
+		}
+	}
+	return vane.Pick{Upstream: ups[best]}, true
+}
+
+// PlainHash is the baseline of consistent hashing by the deepest shared level,
+// without regard to load.
+type PlainHash struct{ simple }
+
+// NewPlainHash returns the baseline without upstreams.
+func NewPlainHash() *PlainHash { return &PlainHash{simple: newSimple()} }
+
+// Pick implements vane.Placer.
+func (h *PlainHash) Pick(now time.Time, q vane.Query) (vane.Pick, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.rings[q.Model]
+	if r == nil {
+		return vane.Pick{}, false
+	}
+	key := uint64(now.UnixNano())
+	if shared := q.Prompt.Shared(); len(shared) > 0 {
+		key = shared[len(shared)-1].Hash
+	}
+	var pick vane.Pick
+	found := false
+	r.walk(key, nil, func(i int32) bool {
+		u := r.ups[i]
+		if u.State == vane.UpstreamLive && !h.draining[u.Name] && !slices.Contains(q.Avoid, u.Name) {
+			pick, found = vane.Pick{Upstream: u}, true
+		}
+		return !found
+	})
+	return pick, found
+}
--- /dev/null
+++ b/reason.go
@@ -0,0 +1,79 @@
+package vane
+
+//go:generate stringer -type=Reason,Execution,Kind,UpstreamState,UpstreamRole -linecomment -output=enums_string.go
+
+// Reason states why a request was refused, delayed or sent elsewhere. Its
+// String method gives the snake-case name that callers and operators see.
+type Reason int
+
+// The reasons of refusals, delays and reroutes.
+const (
+	ReasonNone             Reason = iota // none
+	ReasonBadRequest                     // bad_request
+	ReasonBodyTooLarge                   // body_too_large
+	ReasonKeyMissing                     // key_missing
+	ReasonKeyUnknown                     // key_unknown
+	ReasonKeyUnconfirmed                 // key_unconfirmed
+	ReasonRouteUnknown                   // route_unknown
+	ReasonMethod                         // method_not_allowed
+	ReasonModelUnknown                   // model_unknown
+	ReasonLimitRate                      // limit_rate
+	ReasonLimitBurst                     // limit_burst
+	ReasonLimitUnavailable               // limit_unavailable
+	ReasonQueueDeadline                  // queue_deadline
+	ReasonQueueFull                      // queue_full
+	ReasonNoUpstream                     // no_upstream
+	ReasonUpstreamFailed                 // upstream_failed
+	ReasonUpstreamEmpty                  // upstream_empty
+	ReasonUpstreamCrossed                // upstream_crossed
+	ReasonUpstreamRejected               // upstream_rejected
+	ReasonSuspectRequest                 // suspect_request
+	ReasonClaimConflict                  // claim_conflict
+	ReasonClaimPending                   // claim_pending
+	ReasonClaimUnknown                   // claim_unknown
+	ReasonClaimUnavailable               // claim_unavailable
+	ReasonClaimKeyMissing                // claim_key_missing
+	ReasonResumeInvalid                  // resume_invalid
+	ReasonLeaving                        // node_leaving
+	ReasonNotReady                       // node_not_ready
+	ReasonCallerGone                     // caller_gone
+	ReasonRetryBudget                    // retry_budget
+	ReasonInternal                       // internal
+)
+
+// Execution says whether a request can have run.
+type Execution int
+
+// The three states of a request that was not answered in full.
+const (
+	// NotRun means that no byte of the request can have reached an upstream.
+	NotRun Execution = iota // not_run
+	// MayHaveRun means that a byte may have reached an upstream and that its
+	// outcome is not known.
+	MayHaveRun // may_have_run
+	// Ran means that an upstream gave a final answer.
+	Ran // ran
+)
+
+// Kind classes an [Error] by what the caller of the failed function can do.
+type Kind int
+
+// The kinds of errors.
+const (
+	// KindInternal is a programming error.
+	KindInternal Kind = iota // internal
+	// KindInvalid is bad input; the same input fails again.
+	KindInvalid // invalid
+	// KindNotFound is a name that does not exist.
+	KindNotFound // not_found
+	// KindConflict is a conditional update that lost to another writer.
+	KindConflict // conflict
+	// KindUnavailable is a failure that a later retry may not meet.
+	KindUnavailable // unavailable
+	// KindUnknown is a write whose answer was lost; it may have taken effect.
+	KindUnknown // unknown_outcome
+	// KindFenced is an order that carried an old fencing number.
+	KindFenced // fenced
+	// KindCompacted is a watch revision that the platform no longer holds.
+	KindCompacted // compacted
+)
--- /dev/null
+++ b/route/plain.go
@@ -0,0 +1,131 @@
+package route
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/retry"
+)
+
+// Bounds of calls to plain services.
+const (
+	callTimeout   = 30 * time.Second
+	maxCallAnswer = 16 << 20 // bytes
+)
+
+// hopHeaders hold for one connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// Call is one request to a plain service.
+type Call struct {
+	RequestID  string
+	Workspace  string
+	Service    string
+	Method     string
+	Path       string // with the query
+	Header     http.Header
+	Body       []byte
+	Idempotent bool
+	Begin      time.Time
+}
+
+// Result is the whole answer of a plain service.
+type Result struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call sends the request to one instance after another until one answers. A call
+// that may not be repeated goes on to the next instance only if no connection to
+// the one before could be made.
+func (rt *Router) Call(ctx context.Context, c Call) (Result, error) {
+	ups := rt.dir.Service(c.Service)
+	if len(ups) == 0 {
+		return Result{}, vane.Refuse(vane.ReasonNoUpstream, "no live instance of service %q; retry later or check the list of hosts", c.Service).
+			WithRetryAfter(time.Second)
+	}
+	rt.budget.Fresh()
+	exec := vane.NotRun
+	for n, u := range ups {
+		res, ref := rt.callOnce(ctx, c, u)
+		if ref == nil {
+			return res, nil
+		}
+		exec = worst(exec, ref.Execution)
+		ref = ref.WithExecution(exec)
+		now := time.Now()
+		left := callTimeout - now.Sub(c.Begin)
+		v := retry.Decide(retry.Attempt{Number: n + 1, Execution: ref.Execution, Idempotent: c.Idempotent, Left: left}, rt.budget, now)
+		if !v.Again || n == len(ups)-1 || !pause(ctx, v.After) {
+			return Result{}, ref.WithRetryAfter(time.Second)
+		}
+		rt.rec.Record(vane.Event{
+			What: vane.EventRerouted, Reason: ref.Reason, Workspace: c.Workspace, Request: c.RequestID,
+			Subject: u.Name, Have: float64(n + 1), Want: retry.MaxAttempts,
+		})
+	}
+	return Result{}, vane.Refuse(vane.ReasonNoUpstream, "no instance of service %q answered", c.Service).WithExecution(exec)
+}
+
+// callOnce sends the call to one instance.
+func (rt *Router) callOnce(ctx context.Context, c Call, u vane.Upstream) (Result, *vane.Refusal) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var mark sentMark
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { mark.got.Store(true) }})
+	req, err := c.request(ctx, u)
+	if err != nil {
+		return Result{}, vane.Refuse(vane.ReasonBadRequest, "the request can't be forwarded; correct its path").WithCause(err)
+	}
+	client := rt.http
+	if !c.Idempotent {
+		client = rt.once
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Result{}, vane.Refuse(vane.ReasonUpstreamFailed, "instance %s of service %s did not answer", u.Name, c.Service).
+			WithExecution(mark.execution()).WithCause(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallAnswer+1))
+	if err != nil || len(body) > maxCallAnswer {
+		return Result{}, vane.Refuse(vane.ReasonUpstreamFailed, "the answer of instance %s broke off", u.Name).
+			WithExecution(vane.MayHaveRun).WithCause(err)
+	}
+	h := resp.Header.Clone()
+	dropHop(h)
+	return Result{Status: resp.StatusCode, Header: h, Body: body}, nil
+}
+
+// request builds the request to one instance.
+func (c Call) request(ctx context.Context, u vane.Upstream) (*http.Request, error) {
+	// The reader is wrapped so that the client library can't send the body a
+	// second time by itself.
+	var body io.Reader
+	if len(c.Body) > 0 {
+		body = struct{ io.Reader }{bytes.NewReader(c.Body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+u.Addr+c.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(c.Body))
+	req.Header = c.Header.Clone()
+	dropHop(req.Header)
+	req.Header.Set(headerRequestID, c.RequestID)
+	req.Header.Set(headerWorkspace, c.Workspace)
+	return req, nil
+}
+
+// dropHop removes the headers that hold for one connection only.
+func dropHop(h http.Header) {
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/route/probe.go
@@ -0,0 +1,62 @@
+package route
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/stream"
+)
+
+// probeTimeout bounds the question whether an upstream has crashed.
+const probeTimeout = 300 * time.Millisecond
+
+// brokeOff says whether the upstream cut the connection while it ran the job,
+// which is what a crash looks like.
+func brokeOff(ref *vane.Refusal) bool {
+	if ref.Execution == vane.NotRun || ref.Cause == nil || errors.Is(ref.Cause, errStalled) {
+		return false
+	}
+	k := stream.KindOf(ref.Cause)
+	return k == stream.KindBroken || k == stream.KindEmpty || k == stream.KindNone
+}
+
+// checkCrash asks an upstream that broke off whether it still lives. If it does
+// not, the job was running when it crashed.
+func (rt *Router) checkCrash(ctx context.Context, a *attempt, ref *vane.Refusal) {
+	if ctx.Err() != nil || a.job.Notify.Lost == nil || !brokeOff(ref) || rt.alive(ctx, a.pick.Upstream) {
+		return
+	}
+	rt.rec.Record(vane.Event{
+		What: vane.EventUpstreamCrashed, Reason: ref.Reason, Workspace: a.job.Workspace,
+		Request: a.job.RequestID(), Subject: a.pick.Upstream.Name, Have: float64(a.pick.Upstream.Incarnation),
+	})
+	a.job.Notify.Lost(a.pick.Upstream)
+}
+
+// alive says whether the upstream answers in the incarnation that it had.
+func (rt *Router) alive(ctx context.Context, u vane.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Addr+"/v1/load", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := rt.once.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var rep struct {
+		Incarnation uint64 `json:"incarnation"`
+	}
+	if json.NewDecoder(io.LimitReader(resp.Body, 1<<16)).Decode(&rep) != nil {
+		return false
+	}
+	return rep.Incarnation == u.Incarnation
+}
--- /dev/null
+++ b/store/metrics.go
@@ -0,0 +1,56 @@
+package store
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	vane "mustardvane.org/vane"
+)
+
+// Metrics are the counters of the calls to the platform.
+type Metrics struct{ m *metrics }
+
+// metrics holds the collectors.
+type metrics struct {
+	calls   *prometheus.CounterVec
+	seconds *prometheus.HistogramVec
+}
+
+// NewMetrics registers the collectors with r.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := newMetrics()
+	r.MustRegister(m.calls, m.seconds)
+	return &Metrics{m: m}
+}
+
+func newMetrics() *metrics {
+	return &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vane_platform_calls_total",
+			Help: "Calls to the platform by operation and outcome.",
+		}, []string{"op", "outcome"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "vane_platform_call_seconds",
+			Help:    "Duration of calls to the platform.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+		}, []string{"op"}),
+	}
+}
+
+// observe counts one call.
+func (m *metrics) observe(op string, a *answer, err error, d time.Duration) {
+	outcome := "ok"
+	switch {
+	case err != nil:
+		outcome = vane.KindOf(err).String()
+	case a.status == 404:
+		outcome = vane.KindNotFound.String()
+	case a.status == 412:
+		outcome = vane.KindConflict.String()
+	}
+	m.calls.WithLabelValues(op, outcome).Inc()
+	if op != "watch" {
+		m.seconds.WithLabelValues(op).Observe(d.Seconds())
+	}
+}
