Members, leases, fleet-wide budgets and key freshness between nodes

Cause: each node counted budgets alone, so three nodes let a workspace spend three times its rate; a node cut off from the platform had no word of others.

Change: a gossip state machine over UDP, gRPC between nodes, sharded leases in the platform with fencing numbers, and budgets as conserved shares: a node spends its share without asking, the lease holder's ledger never counts a share as free while it can be in use. A node takes its configuration from peers when the platform is down and refuses keys that nobody it hears can confirm.

Ruled out: time-limited slices granted by the holder. They stop within seconds when the platform is down, since no holder can renew its lease; shares live for ten minutes without either.

Seen on the way: nodes that started together refused for up to a second, because they learned of each other only in the next round; new members are now pinged at once and hints lead to the holder.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -262,7 +262,31 @@
 	if err != nil {
 		return err
 	}
-	return f.AwaitRevision(ctx, rev)
+	if err := f.AwaitRevision(ctx, rev); err != nil {
+		return err
+	}
+	return f.AwaitLeases(ctx)
+}
+
+// AwaitLeases waits until the nodes hold all leases between them.
+func (f *Fleet) AwaitLeases(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	for {
+		held, all := 0, 0
+		for _, n := range f.Nodes {
+			h, a := n.Leases()
+			held, all = held+h, a
+		}
+		if held == all {
+			return nil
+		}
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "bench: %d of %d leases are held", held, all)
+		}
+	}
 }
 
 // AwaitRevision waits until each node has the revision in force and is ready.
--- a/budget/bucket.go
+++ b/budget/bucket.go
@@ -2,17 +2,16 @@
 
 import "time"
 
-// maxPeaks bounds the memory of a bucket. With more peaks, refunds are rounded
-// down.
-const maxPeaks = 64
+// maxLows bounds the memory of a bucket. With more, refunds are rounded down.
+const maxLows = 64
 
 // Mark names a Take, so that a part of it can be refunded.
 type Mark uint64
 
-// peak is a local maximum of the level, reached just before the Take seq.
-type peak struct {
-	seq   Mark
-	level float64
+// low is a local minimum of the free room, reached just before the change seq.
+type low struct {
+	seq  Mark
+	room float64 // capacity less level
 }
 
 // Bucket is a token bucket with exact refunds. It is not safe for concurrent
@@ -23,7 +22,7 @@
 	level float64
 	at    time.Time
 	seq   Mark
-	peaks []peak // levels fall from front to back
+	lows  []low // room rises from front to back
 }
 
 // NewBucket returns a full bucket.
@@ -31,10 +30,10 @@
 	return &Bucket{rate: rate, cap: capacity, level: capacity, at: now}
 }
 
-// NewBucketAt returns a bucket with the given level, which may be negative.
-func NewBucketAt(now time.Time, rate, capacity, level float64) *Bucket {
+// NewEmptyBucket returns an empty bucket.
+func NewEmptyBucket(now time.Time, rate, capacity float64) *Bucket {
 	b := NewBucket(now, rate, capacity)
-	b.level = min(capacity, level)
+	b.level = 0
 	return b
 }
 
@@ -64,10 +63,21 @@
 // but never raised.
 func (b *Bucket) Set(now time.Time, rate, capacity float64) {
 	b.advance(now)
+	b.note()
 	b.rate, b.cap = rate, capacity
 	b.level = min(b.level, capacity)
 }
 
+// Add raises rate, capacity and level, as a transfer from another bucket does.
+// Negative amounts lower them; the level is cut to the capacity.
+func (b *Bucket) Add(now time.Time, rate, capacity, level float64) {
+	b.advance(now)
+	b.note()
+	b.rate = max(0, b.rate+rate)
+	b.cap = max(0, b.cap+capacity)
+	b.level = min(b.cap, b.level+level)
+}
+
 // Take takes n tokens if they are there.
 func (b *Bucket) Take(now time.Time, n float64) (Mark, bool) {
 	b.advance(now)
@@ -80,24 +90,26 @@
 // Force takes n tokens even if the level falls below zero.
 func (b *Bucket) Force(now time.Time, n float64) Mark {
 	b.advance(now)
-	b.seq++
-	b.push(peak{seq: b.seq, level: b.level})
+	m := b.note()
 	b.level -= n
-	return b.seq
+	return m
 }
 
-// push adds the newest peak and drops the older ones that it hides.
-func (b *Bucket) push(p peak) {
-	for len(b.peaks) > 0 && b.peaks[len(b.peaks)-1].level <= p.level {
-		b.peaks = b.peaks[:len(b.peaks)-1]
+// note remembers the free room just before a change.
+func (b *Bucket) note() Mark {
+	b.seq++
+	l := low{seq: b.seq, room: b.cap - b.level}
+	for len(b.lows) > 0 && b.lows[len(b.lows)-1].room >= l.room {
+		b.lows = b.lows[:len(b.lows)-1]
 	}
-	b.peaks = append(b.peaks, p)
-	if len(b.peaks) > maxPeaks {
-		// The oldest peak is moved to the place of the next one, which can only
-		// make refunds smaller.
-		b.peaks[1].level = b.peaks[0].level
-		b.peaks = b.peaks[1:]
+	b.lows = append(b.lows, l)
+	if len(b.lows) > maxLows {
+		// The oldest is moved to the place of the next one, which can only make
+		// refunds smaller.
+		b.lows[1].room = b.lows[0].room
+		b.lows = b.lows[1:]
 	}
+	return b.seq
 }
 
 // Refund gives back n tokens of the Take named by the mark, as if they had never
@@ -105,54 +117,54 @@
 // what was given back.
 func (b *Bucket) Refund(now time.Time, m Mark, n float64) float64 {
 	b.advance(now)
-	top := b.level
+	room := b.cap - b.level
 	i := b.after(m)
-	if i < len(b.peaks) {
-		top = max(top, b.peaks[i].level)
+	if i < len(b.lows) {
+		room = min(room, b.lows[i].room)
 	}
-	back := min(n, b.cap-top)
+	back := min(n, room)
 	if back <= 0 {
 		return 0
 	}
 	b.level += back
-	b.raise(i, back)
+	b.fill(i, back)
 	return back
 }
 
-// after returns the index of the first peak later than the Take m.
+// after returns the index of the first low later than the Take m.
 func (b *Bucket) after(m Mark) int {
-	for i, p := range b.peaks {
-		if p.seq > m {
+	for i, l := range b.lows {
+		if l.seq > m {
 			return i
 		}
 	}
-	return len(b.peaks)
+	return len(b.lows)
 }
 
-// raise lifts the peaks from index i on and drops the older ones they hide.
-func (b *Bucket) raise(i int, n float64) {
-	if i >= len(b.peaks) {
+// fill lowers the room from index i on and drops the older lows that this hides.
+func (b *Bucket) fill(i int, n float64) {
+	if i >= len(b.lows) {
 		return
 	}
-	for k := i; k < len(b.peaks); k++ {
-		b.peaks[k].level += n
+	for k := i; k < len(b.lows); k++ {
+		b.lows[k].room -= n
 	}
 	j := i
-	for j > 0 && b.peaks[j-1].level <= b.peaks[i].level {
+	for j > 0 && b.lows[j-1].room >= b.lows[i].room {
 		j--
 	}
-	b.peaks = append(b.peaks[:j], b.peaks[i:]...)
+	b.lows = append(b.lows[:j], b.lows[i:]...)
 }
 
 // Wait returns how long it takes until n tokens are there, and false if they
 // never will be.
 func (b *Bucket) Wait(now time.Time, n float64) (time.Duration, bool) {
 	b.advance(now)
-	if n > b.cap || b.rate <= 0 {
-		return 0, n <= b.level
-	}
 	if n <= b.level {
 		return 0, true
 	}
+	if n > b.cap || b.rate <= 0 {
+		return 0, false
+	}
 	return time.Duration((n-b.level)/b.rate*float64(time.Second)) + time.Microsecond, true
 }
--- /dev/null
+++ b/budget/exchange.go
@@ -0,0 +1,145 @@
+package budget
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mustardvane.org/vane/wire"
+)
+
+// kick starts the exchange of a shard unless one is running. The lock is held.
+func (s *Shares) kick(shard int) {
+	l := &s.lanes[shard]
+	if l.running || s.ctx.Err() != nil {
+		return
+	}
+	l.running = true
+	s.wg.Go(func() { s.runLane(shard) })
+}
+
+// runLane exchanges with the holder until nothing is needed any more.
+func (s *Shares) runLane(shard int) {
+	for {
+		s.mu.Lock()
+		req := s.collect(shard)
+		if len(req.Asks) == 0 {
+			s.lanes[shard].running = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		s.exchange(shard, req)
+		if !sleep(s.ctx, askPause) {
+			return
+		}
+	}
+}
+
+// collect builds the asks of a shard's holdings. The lock is held.
+func (s *Shares) collect(shard int) *wire.ExchangeRequest {
+	now := time.Now()
+	req := &wire.ExchangeRequest{Node: s.node, Incarnation: s.boot, Shard: uint32(shard)}
+	for _, h := range s.holdings {
+		if h.shard != shard {
+			continue
+		}
+		h.serve(now)
+		n := 0.0
+		for _, w := range h.waiters {
+			n += w.n
+		}
+		if n == 0 && !h.acc.Due(now) && h.acc.Extra(now) <= 0 && h.acc.back == 0 {
+			continue
+		}
+		req.Asks = append(req.Asks, h.acc.Ask(now, h.ws, min(n, h.acc.terms.Burst), s.lanes[shard].fence))
+	}
+	return req
+}
+
+// exchange sends the asks to the holder, or to peers if it does not answer.
+func (s *Shares) exchange(shard int, req *wire.ExchangeRequest) {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
+	defer cancel()
+	reply, err := s.ex.Exchange(ctx, req)
+	if err == nil && reply.GetHolder() && time.Since(sent) < askTimeout {
+		s.given(shard, sent, reply)
+		return
+	}
+	klog.V(2).InfoS("no holder answers", "shard", shard, "err", err, "hint", reply.GetHint())
+	s.mu.Lock()
+	s.lanes[shard].failed = true
+	s.mu.Unlock()
+	s.borrow(req)
+}
+
+// given takes the holder's answer. An answer of a holder that another one has
+// followed is void.
+func (s *Shares) given(shard int, sent time.Time, reply *wire.ExchangeReply) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := &s.lanes[shard]
+	if reply.GetFence() < l.fence {
+		return
+	}
+	l.fence, l.failed = reply.GetFence(), false
+	for _, g := range reply.GetGives() {
+		if h, ok := s.holdings[g.GetWorkspace()]; ok {
+			h.acc.Given(now, sent, g)
+			h.serve(now)
+		}
+	}
+}
+
+// borrow asks peers for what waiting requests need.
+func (s *Shares) borrow(req *wire.ExchangeRequest) {
+	ask := &wire.ExchangeRequest{Node: req.Node, Incarnation: req.Incarnation, Shard: req.Shard, Peer: true}
+	for _, a := range req.Asks {
+		if a.GetWant() > 0 {
+			ask.Asks = append(ask.Asks, &wire.Ask{Workspace: a.GetWorkspace(), Want: a.GetWant(), Tokens: a.GetTokens()})
+		}
+	}
+	if len(ask.Asks) == 0 {
+		return
+	}
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
+	defer cancel()
+	reply, err := s.ex.Borrow(ctx, ask)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range reply.GetGives() {
+		if h, ok := s.holdings[g.GetWorkspace()]; ok {
+			h.acc.Borrow(now, sent, g)
+			h.serve(now)
+		}
+	}
+}
+
+// Yield gives everything back to the holders, for a node that stops.
+func (s *Shares) Yield(ctx context.Context) {
+	for shard := range s.shards {
+		now := time.Now()
+		req := &wire.ExchangeRequest{Node: s.node, Incarnation: s.boot, Shard: uint32(shard)}
+		s.mu.Lock()
+		for _, h := range s.holdings {
+			if h.shard != shard {
+				continue
+			}
+			if a := h.acc.Yield(now, h.ws, s.lanes[shard].fence); a != nil {
+				req.Asks = append(req.Asks, a)
+			}
+		}
+		s.mu.Unlock()
+		if len(req.Asks) > 0 {
+			_, _ = s.ex.Exchange(ctx, req)
+		}
+	}
+}
--- /dev/null
+++ b/budget/hub.go
@@ -0,0 +1,230 @@
+package budget
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardvane.org/vane/lease"
+	"mustardvane.org/vane/wire"
+)
+
+// ShardOf returns the shard that a workspace's budget belongs to.
+func ShardOf(workspace string, shards int) int {
+	return int(xxhash.Sum64String(workspace) % uint64(shards))
+}
+
+// record is what a lease object holds for the next holder.
+type record struct {
+	// Ceilings bound what is given out, where it may be more than
+	// DefaultCeiling.
+	Ceilings map[string]float64 `json:"ceilings,omitempty"`
+	// Exact says that the holder has released the shard and that Out holds what
+	// is given out of each workspace's budget.
+	Exact bool               `json:"exact,omitempty"`
+	Out   map[string]float64 `json:"out,omitempty"`
+}
+
+// shard is the state of a held shard.
+type shard struct {
+	fence   uint64
+	before  record // of the holder before
+	fresh   bool   // there was no holder before
+	closed  bool   // the shard is being released; nothing is given out any more
+	ledgers map[string]*Ledger
+}
+
+// Hub keeps the ledgers of the shards that this node holds. It is safe for
+// concurrent use.
+type Hub struct {
+	shards int
+	terms  func(workspace string) (Terms, bool)
+	holds  func(shard int) (uint64, bool)
+	recall func(v Victim, workspace string)
+
+	mu   sync.Mutex
+	held map[int]*shard
+}
+
+// NewHub returns a hub. holds says whether the node holds a shard now; recall
+// asks a node to give a share back and must not wait.
+func NewHub(shards int, terms func(string) (Terms, bool), holds func(int) (uint64, bool), recall func(Victim, string)) *Hub {
+	return &Hub{shards: shards, terms: terms, holds: holds, recall: recall, held: make(map[int]*shard)}
+}
+
+// Take begins to hold a shard. r is the lease record of the holder before.
+func (h *Hub) Take(i int, fence uint64, r lease.Record) {
+	s := &shard{fence: fence, fresh: r.Holder == "", ledgers: make(map[string]*Ledger)}
+	_ = json.Unmarshal(r.Data, &s.before)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held[i] = s
+}
+
+// Lose ends holding a shard.
+func (h *Hub) Lose(i int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.held, i)
+}
+
+// Data returns the recovery record for a write of a shard's lease object.
+func (h *Hub) Data(i int, p lease.Purpose, before json.RawMessage) json.RawMessage {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var r record
+	s := h.held[i]
+	switch {
+	case p == lease.Acquire || s == nil:
+		_ = json.Unmarshal(before, &r)
+		r = r.inexact()
+	case p == lease.Release:
+		s.closed = true
+		r = s.final()
+	default:
+		r = s.ceilings()
+	}
+	b, _ := json.Marshal(r)
+	return b
+}
+
+// final returns the record of a holder that gives the shard up. It is exact if
+// every share that was ever given out is known.
+func (s *shard) final() record {
+	out := make(map[string]float64)
+	for ws, o := range s.before.bounds() {
+		out[ws] = o
+	}
+	for ws, l := range s.ledgers {
+		out[ws] = l.Out()
+	}
+	if s.fresh || s.before.Exact {
+		return record{Exact: true, Out: out}
+	}
+	return record{Ceilings: out}
+}
+
+// inexact returns the bounds that stay true while a next holder may already give
+// out shares up to DefaultCeiling.
+func (r record) inexact() record {
+	out := record{Ceilings: make(map[string]float64)}
+	for ws, c := range r.bounds() {
+		if c > DefaultCeiling {
+			out.Ceilings[ws] = c
+		}
+	}
+	return out
+}
+
+// bounds returns the bounds that a record states.
+func (r record) bounds() map[string]float64 {
+	if r.Exact {
+		return r.Out
+	}
+	return r.Ceilings
+}
+
+// ceilings returns the record of a holder that goes on.
+func (s *shard) ceilings() record {
+	r := s.before.inexact()
+	for ws, l := range s.ledgers {
+		delete(r.Ceilings, ws)
+		if c := l.Write(); c > DefaultCeiling {
+			r.Ceilings[ws] = c
+		}
+	}
+	return r
+}
+
+// Written notes that a lease object holds the value.
+func (h *Hub) Written(i int, value []byte) {
+	var rec lease.Record
+	var r record
+	if json.Unmarshal(value, &rec) != nil || json.Unmarshal(rec.Data, &r) != nil || rec.Released {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.held[i]
+	if s == nil {
+		return
+	}
+	for ws, l := range s.ledgers {
+		if c, ok := r.Ceilings[ws]; ok {
+			l.Written(c)
+		} else {
+			l.Written(DefaultCeiling)
+		}
+	}
+}
+
+// ledger returns the ledger of a workspace. The lock is held.
+func (s *shard) ledger(now time.Time, ws string, t Terms) *Ledger {
+	l, ok := s.ledgers[ws]
+	if ok {
+		l.SetTerms(now, t)
+		return l
+	}
+	switch {
+	case s.fresh:
+		l = NewLedger(now, t)
+	case s.before.Exact:
+		l = NewLedgerAfter(now, t, s.before.Out[ws])
+	default:
+		l = NewLedgerAfter(now, t, max(DefaultCeiling, s.before.Ceilings[ws]))
+	}
+	s.ledgers[ws] = l
+	return l
+}
+
+// Exchange serves the asks of one node.
+func (h *Hub) Exchange(now time.Time, r *wire.ExchangeRequest) *wire.ExchangeReply {
+	i := int(r.GetShard())
+	_, ok := h.holds(i)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.held[i]
+	if !ok || s == nil || s.closed {
+		return &wire.ExchangeReply{}
+	}
+	reply := &wire.ExchangeReply{Holder: true, Fence: s.fence}
+	for _, a := range r.GetAsks() {
+		t, known := h.terms(a.GetWorkspace())
+		if !known || ShardOf(a.GetWorkspace(), h.shards) != i {
+			continue
+		}
+		l := s.ledger(now, a.GetWorkspace(), t)
+		g := l.Exchange(now, r.GetNode(), r.GetIncarnation(), a)
+		reply.Gives = append(reply.Gives, g)
+		if lacking := a.GetWant() - g.GetShare(); lacking > minShare {
+			for _, v := range l.Recall(lacking, r.GetNode()) {
+				h.recall(v, a.GetWorkspace())
+			}
+		}
+	}
+	return reply
+}
+
+// Position is what operators see of one workspace's budget.
+type Position struct {
+	Workspace string  `json:"workspace"`
+	Out       float64 `json:"out"`    // bound on the share given out
+	Pool      float64 `json:"pool"`   // share in the pool
+	Tokens    float64 `json:"tokens"` // in the pool
+}
+
+// Positions returns the budgets that this node holds the ledgers of.
+func (h *Hub) Positions(now time.Time) []Position {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := []Position{}
+	for _, s := range h.held {
+		for ws, l := range s.ledgers {
+			share, tokens := l.Pool(now)
+			out = append(out, Position{Workspace: ws, Out: l.Out(), Pool: share, Tokens: tokens})
+		}
+	}
+	return out
+}
--- a/config/service.go
+++ b/config/service.go
@@ -30,6 +30,7 @@
 	start time.Time
 
 	mu       sync.Mutex
+	value    []byte // of the revision in force
 	onChange []func(*View)
 }
 
@@ -41,18 +42,23 @@
 	return s
 }
 
+// Encoded returns the revision in force and the form in which the platform keeps
+// it, for passing on to peers.
+func (s *Service) Encoded() (uint64, []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cur.Load().Revision, s.value
+}
+
 // Current returns the view in force. Its revision is zero before the first
 // configuration arrived.
 func (s *Service) Current() *View { return s.cur.Load() }
 
-// Confirmed returns how long ago the platform last answered a watch or a list,
-// and false if it never did.
-func (s *Service) Confirmed(now time.Time) (time.Duration, bool) {
+// Confirmed returns when the platform last answered a watch or a list, and false
+// if it never did. The revision in force was the newest one then.
+func (s *Service) Confirmed() (time.Time, bool) {
 	h := s.heard.Load()
-	if h < 0 {
-		return 0, false
-	}
-	return now.Sub(s.start) - time.Duration(h), true
+	return s.start.Add(time.Duration(h)), h >= 0
 }
 
 // OnChange registers f to be called after each change. Register before Run.
@@ -76,6 +82,7 @@
 	}
 	v := NewView(f, rev)
 	s.cur.Store(v)
+	s.value = value
 	s.rec.Record(vane.Event{What: vane.EventConfigInForce, Subject: FleetKey, Have: float64(rev)})
 	for _, fn := range s.onChange {
 		fn(v)
@@ -97,10 +104,10 @@
 			wait = min(2*wait, watchRetryMax)
 			continue
 		}
-		s.heard.Store(int64(time.Since(s.start)))
 		wait = watchRetryMin
 		listed, after = true, max(after, b.Revision)
 		s.take(b)
+		s.heard.Store(int64(time.Since(s.start)))
 	}
 	return nil
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -92,7 +92,7 @@
 		Callers: CallerSettings{
 			MaxBody: 8 << 20, MaxHeader: 64 << 10,
 			HeaderTimeout: 5 * time.Second, BodyTimeout: 30 * time.Second, WriteTimeout: 30 * time.Second,
-			KeyFreshness: 5 * time.Second,
+			KeyFreshness: 3 * time.Second,
 		},
 		Drain: DrainSettings{EntriesTTL: 5 * time.Second, MaxWait: 2 * time.Minute},
 	}
--- a/event/ring.go
+++ b/event/ring.go
@@ -32,6 +32,13 @@
 	c.last = max(c.last, remote)
 }
 
+// Exchange takes a reading of another node, or zero, and returns an own reading
+// to be sent.
+func (c *Clock) Exchange(remote uint64) uint64 {
+	c.Observe(remote)
+	return c.Next(time.Now())
+}
+
 // Ring keeps the newest events of one process. It is safe for concurrent use.
 type Ring struct {
 	host  string
--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -28,7 +28,7 @@
 	rec    vane.Recorder
 	http   *http.Client
 	mine   func(upstream string) bool
-	onLoad func(name string, l vane.Load)
+	onLoad func(name string, incarnation uint64, l vane.Load)
 
 	mu       sync.Mutex
 	ups      []vane.Upstream
@@ -49,7 +49,7 @@
 }
 
 // WithLoadFunc sets a function that is told each load report, to share it.
-func WithLoadFunc(f func(name string, l vane.Load)) Option {
+func WithLoadFunc(f func(name string, incarnation uint64, l vane.Load)) Option {
 	return func(d *Directory) { d.onLoad = f }
 }
 
@@ -59,7 +59,7 @@
 		st: st, placer: placer, rec: rec, draining: make(map[string]uint64), seen: make(map[string]uint64),
 		http:   &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 		mine:   func(string) bool { return true },
-		onLoad: func(string, vane.Load) {},
+		onLoad: func(string, uint64, vane.Load) {},
 	}
 	for _, o := range opts {
 		o(d)
@@ -250,7 +250,7 @@
 	d.Saw(u.Name, r.Incarnation)
 	l := vane.Load{Running: r.Running, Waiting: r.Waiting, Draining: r.Draining}
 	d.TakeLoad(u.Name, r.Incarnation, l)
-	d.onLoad(u.Name, l)
+	d.onLoad(u.Name, r.Incarnation, l)
 }
 
 // TakeLoad passes a load report to the placer.
--- /dev/null
+++ b/lease/keeper.go
@@ -0,0 +1,217 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/kernel"
+)
+
+// Bounds of the keeper.
+const (
+	tickEvery  = 100 * time.Millisecond
+	callLimit  = 2 * time.Second
+	boxSize    = 256
+	finalLimit = 3 * time.Second
+)
+
+// Shard is what the keeper publishes about one shard.
+type Shard struct {
+	Fence uint64
+	Until time.Time // valid before this time; zero if not held
+	Other string    // the holder that was read last, if it is another node
+}
+
+// Keeper is the task that keeps the leases of all shards.
+type Keeper struct {
+	prefix   string
+	st       vane.Store
+	rec      vane.Recorder
+	machines []*Machine
+	wanted   func(shard int) bool
+	onTake   func(shard int, fence uint64, r Record)
+	onLose   func(shard int)
+	onDone   func(shard int, value []byte)
+	box      *kernel.Mailbox[answer]
+	closing  chan chan struct{}
+
+	mu     sync.Mutex
+	shards []Shard
+}
+
+// answer is the platform's answer to an action of a shard.
+type answer struct {
+	shard int
+	act   Action
+	res   Result
+}
+
+// Config says how a keeper works.
+type Config struct {
+	Prefix string // of the object keys
+	Node   string
+	Boot   string // differs between lives of the node
+	Shards int
+	Times  Times
+	Wanted func(shard int) bool
+	OnTake func(shard int, fence uint64, r Record) // r is the record of the holder before
+	OnLose func(shard int)
+	Data   func(shard int, p Purpose, before json.RawMessage) json.RawMessage
+	OnDone func(shard int, value []byte) // a write of this node stands
+}
+
+// NewKeeper returns a keeper.
+func NewKeeper(st vane.Store, rec vane.Recorder, c Config) *Keeper {
+	k := &Keeper{
+		prefix: c.Prefix, st: st, rec: rec, wanted: c.Wanted, onTake: c.OnTake, onLose: c.OnLose, onDone: c.OnDone,
+		box: kernel.NewMailbox[answer](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}),
+	}
+	for i := range c.Shards {
+		k.machines = append(k.machines, NewMachine(c.Node, c.Times, WithBoot(c.Boot),
+			WithData(func(p Purpose, before json.RawMessage) json.RawMessage { return c.Data(i, p, before) })))
+	}
+	return k
+}
+
+// Key returns the key of a shard's lease object.
+func (k *Keeper) Key(shard int) string { return fmt.Sprintf("%s/%d", k.prefix, shard) }
+
+// Holds returns the fencing number of a shard, and whether this node holds it
+// now.
+func (k *Keeper) Holds(shard int) (uint64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.shards[shard]
+	return s.Fence, time.Now().Before(s.Until)
+}
+
+// Holder returns the node that held a shard when this node last read its lease,
+// or nothing.
+func (k *Keeper) Holder(shard int) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.shards[shard].Other
+}
+
+// Held returns the number of shards held.
+func (k *Keeper) Held() int {
+	n := 0
+	for i := range k.shards {
+		if _, ok := k.Holds(i); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Run implements kernel.Service.
+func (k *Keeper) Run(ctx context.Context, ready func()) error {
+	ready()
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	leaving := false
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var released chan struct{}
+	for {
+		select {
+		case a := <-k.box.C():
+			k.machines[a.shard].Done(time.Now(), a.act, a.res)
+			k.publish(a.shard)
+			if a.act.Kind == ActWrite && a.res.Err == nil {
+				k.onDone(a.shard, a.act.Value)
+			}
+		case <-tick.C:
+			k.tick(calls, &wg, leaving)
+		case released = <-k.closing:
+			leaving = true
+		case <-ctx.Done():
+			return nil
+		}
+		if released != nil && k.Held() == 0 && k.quiet() {
+			close(released)
+			released = nil
+		}
+	}
+}
+
+// quiet says whether no machine is releasing.
+func (k *Keeper) quiet() bool {
+	for _, m := range k.machines {
+		if m.phase == holding || m.phase == releasing {
+			return false
+		}
+	}
+	return true
+}
+
+// Release gives all leases up, so that others can take them at once. It waits
+// until that is done, or for a bounded time.
+func (k *Keeper) Release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, finalLimit)
+	defer cancel()
+	done := make(chan struct{})
+	select {
+	case k.closing <- done:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// tick lets all machines act.
+func (k *Keeper) tick(ctx context.Context, wg *sync.WaitGroup, leaving bool) {
+	now := time.Now()
+	for i, m := range k.machines {
+		act := m.Tick(now, !leaving && k.wanted(i))
+		k.publish(i)
+		if act.Kind == ActNone {
+			continue
+		}
+		wg.Go(func() { k.call(ctx, i, act) })
+	}
+}
+
+// call performs an action.
+func (k *Keeper) call(ctx context.Context, shard int, act Action) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	var r Result
+	if act.Kind == ActRead {
+		r.Object, r.Err = k.st.Get(ctx, k.Key(shard))
+	} else {
+		r.Object.Version, r.Err = k.st.Put(ctx, k.Key(shard), act.Want, act.Value)
+	}
+	_ = k.box.Put(context.WithoutCancel(ctx), answer{shard: shard, act: act, res: r})
+}
+
+// publish makes a shard's state available and reports what changed.
+func (k *Keeper) publish(i int) {
+	m := k.machines[i]
+	now := time.Now()
+	fence, held := m.Holds(now)
+	k.mu.Lock()
+	was := k.shards[i]
+	k.shards[i] = Shard{Other: m.Other()}
+	if held {
+		k.shards[i] = Shard{Fence: fence, Until: m.until}
+	}
+	k.mu.Unlock()
+	switch {
+	case held && m.Took():
+		k.rec.Record(vane.Event{What: vane.EventLeaseTaken, Subject: k.Key(i), Have: float64(fence)})
+		k.onTake(i, fence, m.Record())
+	case !held && !was.Until.IsZero():
+		k.rec.Record(vane.Event{What: vane.EventLeaseLost, Subject: k.Key(i), Have: float64(was.Fence)})
+		k.onLose(i)
+	}
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -4,12 +4,15 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/budget"
 	"mustardvane.org/vane/event"
+	"mustardvane.org/vane/wire"
 )
 
 // followWait is how long a reader of the time line waits for news.
@@ -17,15 +20,25 @@
 
 // Status is the answer of GET /v1/status.
 type Status struct {
-	Node       string           `json:"node"`
-	DataCentre string           `json:"data_centre"`
-	Ready      bool             `json:"ready"`
-	Leaving    bool             `json:"leaving"`
-	Revision   uint64           `json:"revision"` // configuration in force
-	Keys       KeyStatus        `json:"keys"`
-	InFlight   int              `json:"in_flight"`
-	Waiting    int              `json:"waiting"`
-	Upstreams  []UpstreamStatus `json:"upstreams"`
+	Node       string            `json:"node"`
+	DataCentre string            `json:"data_centre"`
+	Ready      bool              `json:"ready"`
+	Leaving    bool              `json:"leaving"`
+	Revision   uint64            `json:"revision"` // configuration in force
+	Keys       KeyStatus         `json:"keys"`
+	InFlight   int               `json:"in_flight"`
+	Waiting    int               `json:"waiting"`
+	Upstreams  []UpstreamStatus  `json:"upstreams"`
+	Members    []MemberStatus    `json:"members"`
+	Leases     int               `json:"leases"` // budget shards held
+	Budgets    []budget.Position `json:"budgets"`
+}
+
+// MemberStatus is another node as this one sees it.
+type MemberStatus struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Status     string `json:"status"`
 }
 
 // KeyStatus says whether the node accepts keys.
@@ -81,14 +94,23 @@
 	s := Status{
 		Node: n.set.Node.Name, DataCentre: n.set.Node.DataCentre, Ready: ready, Leaving: n.entry.Leaving(),
 		Revision: n.conf.Current().Revision, Keys: KeyStatus{Confirmed: confirmed, Why: why},
-		InFlight: running, Waiting: waiting, Upstreams: []UpstreamStatus{},
+		InFlight: running, Waiting: waiting, Upstreams: []UpstreamStatus{}, Members: []MemberStatus{},
+		Leases: n.keeper.Held(), Budgets: n.hub.Positions(time.Now()),
 	}
 	for _, u := range n.dir.All() {
 		s.Upstreams = append(s.Upstreams, UpstreamStatus{Name: u.Name, State: u.State, Model: u.Model, Version: u.Version})
 	}
+	for _, m := range n.peers.View().Members {
+		s.Members = append(s.Members, MemberStatus{Name: m.Name, DataCentre: m.DataCentre, Status: statusName(m.Status)})
+	}
 	return s
 }
 
+// statusName returns the short name of a member's status.
+func statusName(st wire.Status) string {
+	return strings.ToLower(strings.TrimPrefix(st.String(), "STATUS_"))
+}
+
 // timeline serves GET /v1/timeline. With follow it waits for news.
 func (n *Node) timeline(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
--- a/node/certs/reload.go
+++ b/node/certs/reload.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc/credentials"
 	"k8s.io/klog/v2"
 
 	vane "mustardvane.org/vane"
@@ -81,6 +82,24 @@
 	return r.get(), nil
 }
 
+// Mutual returns the two sides of mutual TLS between nodes. Certificates are
+// reloaded; the authority is read once.
+func Mutual(cert, key, ca string) (server, client credentials.TransportCredentials, err error) {
+	r, err := NewReloader(cert, key)
+	if err != nil {
+		return nil, nil, err
+	}
+	pool, err := Pool(ca)
+	if err != nil {
+		return nil, nil, err
+	}
+	server = credentials.NewTLS(&tls.Config{
+		GetCertificate: r.Certificate, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	})
+	client = credentials.NewTLS(&tls.Config{GetClientCertificate: r.ClientCertificate, RootCAs: pool, MinVersion: tls.VersionTLS13})
+	return server, client, nil
+}
+
 // Pool reads the certificates of an authority.
 func Pool(file string) (*x509.CertPool, error) {
 	b, err := os.ReadFile(file)
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,11 +17,16 @@
 	"mustardvane.org/vane/event"
 	"mustardvane.org/vane/hosts"
 	"mustardvane.org/vane/kernel"
+	"mustardvane.org/vane/lease"
+	"mustardvane.org/vane/member"
+	"mustardvane.org/vane/node/certs"
+	"mustardvane.org/vane/peer"
 	"mustardvane.org/vane/place"
 	"mustardvane.org/vane/queue"
 	"mustardvane.org/vane/route"
 	"mustardvane.org/vane/store"
 	"mustardvane.org/vane/stream"
+	"mustardvane.org/vane/wire"
 )
 
 // Sizes of a node.
@@ -38,6 +44,10 @@
 	serviceHosts  = "hosts"
 	serviceEntry  = "entry"
 	serviceAdmin  = "admin"
+	servicePeers  = "peers"
+	serviceSync   = "sync"
+	serviceLease  = "lease"
+	serviceBudget = "budget"
 )
 
 // Node is one router process.
@@ -53,10 +63,19 @@
 	router *route.Router
 	gate   *queue.Gate
 	crash  *crash.Book
+	peers  *peer.Service
+	keeper *lease.Keeper
+	hub    *budget.Hub
+	shares *budget.Shares
 	entry  *entry.Server
 	web    *web
 	admin  *web
 	piece  int
+	boot   uint64        // incarnation of this life
+	period time.Duration // of the members' pings
+
+	mu          sync.Mutex
+	behindSince time.Time // a newer configuration is known since then
 }
 
 // Option changes a node under construction.
@@ -70,7 +89,10 @@
 
 // New assembles a node from its settings. It opens no socket.
 func New(set config.Settings, opts ...Option) (*Node, error) {
-	n := &Node{set: set, kernel: kernel.New(), reg: prometheus.NewRegistry(), placer: place.New()}
+	n := &Node{
+		set: set, kernel: kernel.New(), reg: prometheus.NewRegistry(), placer: place.New(),
+		boot: uint64(time.Now().UnixMilli()), period: time.Second,
+	}
 	for _, o := range opts {
 		o(n)
 	}
@@ -81,11 +103,17 @@
 		store.WithStateFunc(n.storeState),
 	)
 	n.conf = config.NewService(n.st, n.ring)
-	n.dir = hosts.New(n.st, n.placer, n.ring)
+	n.dir = hosts.New(n.st, n.placer, n.ring, hosts.WithShare(n.polls), hosts.WithLoadFunc(n.tellLoad))
 	n.gate = queue.NewGate(queue.NewFair(queue.WithLimit(firstLimit)), maxInFlight)
 	n.dir.OnChange(n.resize)
 	n.router = route.New(n.placer, n.dir, n.ring, route.WithSecret(set.Peers.Secret))
-	n.crash = crash.NewBook(n.ring)
+	n.crash = crash.NewBook(n.ring, crash.WithShare(n.tellStrike, n.tellClear))
+	if err := n.newPeers(); err != nil {
+		return nil, err
+	}
+	n.hub = budget.NewHub(budgetShards, n.terms, func(i int) (uint64, bool) { return n.keeper.Holds(i) }, n.recall)
+	n.keeper = n.newKeeper()
+	n.shares = budget.NewShares(set.Node.Name, n.boot, budgetShards, n.terms, n)
 	n.entry = n.newEntry()
 	return n, n.register()
 }
@@ -101,7 +129,7 @@
 		Fresh:   n.fresh,
 		Router:  n.router,
 		Gate:    n.gate,
-		Limiter: budget.NewLocal(n.terms),
+		Limiter: n.shares,
 		Claims:  claim.NewBook(n.st, n.set.Node.Name, n.ring),
 		Suspect: n.crash,
 		Signer:  stream.NewSigner(n.set.Peers.Secret),
@@ -111,6 +139,37 @@
 	}, opts...)
 }
 
+// newPeers builds the side of the other nodes.
+func (n *Node) newPeers() error {
+	self := &wire.Member{
+		Name: n.set.Node.Name, Addr: n.set.Listen.Peers, Callers: n.set.Listen.Advertise,
+		DataCentre: n.set.Node.DataCentre, Incarnation: n.boot,
+	}
+	st := member.New(self, member.WithPeriod(n.period), member.WithSeeds(n.set.Peers.Seeds), member.WithChangeFunc(n.memberChanged))
+	st.SetClock(n.ring.Clock().Exchange)
+	st.OnRumour(n.hearLoad, n.hearStrike)
+	var opts []peer.Option
+	if n.set.TLS.Peers.Enabled() {
+		server, client, err := certs.Mutual(n.set.TLS.Peers.Cert, n.set.TLS.Peers.Key, n.set.TLS.Peers.CA)
+		if err != nil {
+			return err
+		}
+		opts = append(opts, peer.WithTLS(server, client))
+	}
+	n.peers = peer.New(st, n.set.Listen.Peers, n.set.Peers.Secret, n.period, opts...)
+	n.peers.Handle(peer.Handlers{Snapshot: n.snapshot, Exchange: n.exchange, Recall: func(r *wire.RecallRequest) { n.shares.Recall(r) }})
+	return nil
+}
+
+// memberChanged records what happens to other nodes.
+func (n *Node) memberChanged(c member.Change) {
+	what := map[wire.Status]vane.EventKind{
+		wire.Status_STATUS_ALIVE: vane.EventMemberAlive, wire.Status_STATUS_SUSPECT: vane.EventMemberSuspect,
+		wire.Status_STATUS_DEAD: vane.EventMemberDead, wire.Status_STATUS_LEAVING: vane.EventMemberLeft, wire.Status_STATUS_LEFT: vane.EventMemberLeft,
+	}[c.Member.Status]
+	n.ring.Record(vane.Event{What: what, Subject: c.Member.Name, Have: float64(c.Member.Incarnation)})
+}
+
 // register adds the services to the kernel.
 func (n *Node) register() error {
 	n.web = newWeb(n.set.Listen.Callers, n.entry.Handler(), n.set.Callers, n.set.TLS.Callers)
@@ -122,7 +181,11 @@
 	}{
 		{serviceConfig, n.conf, nil},
 		{serviceHosts, n.dir, nil},
-		{serviceEntry, n.web, []string{serviceConfig, serviceHosts}},
+		{servicePeers, n.peers, nil},
+		{serviceSync, &syncer{n}, []string{serviceConfig, serviceHosts, servicePeers}},
+		{serviceLease, n.keeper, []string{servicePeers, serviceSync}},
+		{serviceBudget, n.shares, []string{serviceLease}},
+		{serviceEntry, n.web, []string{serviceBudget}},
 		{serviceAdmin, n.admin, []string{serviceEntry}},
 	} {
 		if err := n.kernel.Add(s.name, s.svc, s.needs...); err != nil {
@@ -153,6 +216,9 @@
 // AdminAddr returns the operators' address that the node listens on.
 func (n *Node) AdminAddr() string { return n.admin.Addr() }
 
+// Leases returns the number of budget shards that the node holds, and of all.
+func (n *Node) Leases() (held, all int) { return n.keeper.Held(), budgetShards }
+
 // Ring returns the node's part of the time line.
 func (n *Node) Ring() *event.Ring { return n.ring }
 
@@ -175,11 +241,21 @@
 	case <-limit.Done():
 		klog.InfoS("streams outlast the drain", "in_flight", n.entry.InFlight())
 	}
+	n.handOver(ctx)
 	return n.Stop(ctx)
 }
 
 // leave takes the node out of the answers of GET /v1/entries.
-func (n *Node) leave() { n.entry.Leave() }
+func (n *Node) leave() {
+	n.entry.Leave()
+	n.peers.Leave()
+}
+
+// handOver gives budgets and leases to other nodes.
+func (n *Node) handOver(ctx context.Context) {
+	n.shares.Yield(ctx)
+	n.keeper.Release(ctx)
+}
 
 // Stop stops all services at once.
 func (n *Node) Stop(ctx context.Context) error {
--- /dev/null
+++ b/node/share.go
@@ -0,0 +1,230 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/budget"
+	"mustardvane.org/vane/crash"
+	"mustardvane.org/vane/lease"
+	"mustardvane.org/vane/member"
+	"mustardvane.org/vane/wire"
+)
+
+// Bounds of the exchange between nodes.
+const (
+	budgetShards  = 16 // must be the same on all nodes
+	recallTimeout = 500 * time.Millisecond
+	maxLenders    = 3 // peers asked while no holder answers
+	maxHints      = 3 // nodes asked on the way to the holder
+	pollShare     = 256
+	minPollers    = 2
+)
+
+// newKeeper builds the keeper of the budgets' leases.
+func (n *Node) newKeeper() *lease.Keeper {
+	return lease.NewKeeper(n.st, n.ring, lease.Config{
+		Prefix: "lease/budget", Node: n.set.Node.Name, Boot: fmt.Sprint(n.boot), Shards: budgetShards,
+		Times: lease.DefaultTimes(), Wanted: func(i int) bool { return n.preferred(i) == n.set.Node.Name },
+		OnTake: n.hub.Take, OnLose: n.hub.Lose, Data: n.hub.Data, OnDone: n.hub.Written,
+	})
+}
+
+// preferred returns the name of the node that should hold a shard.
+func (n *Node) preferred(shard int) string {
+	best, score := "", uint64(0)
+	for _, m := range n.serving() {
+		if m.Status != wire.Status_STATUS_ALIVE {
+			continue
+		}
+		if r := rank(m.Name, fmt.Sprintf("budget/%d", shard)); best == "" || r > score {
+			best, score = m.Name, r
+		}
+	}
+	return best
+}
+
+// member returns a member by name.
+func (n *Node) member(name string) (member.Member, bool) {
+	for _, m := range n.peers.View().Members {
+		if m.Name == name && m.Live() {
+			return m, true
+		}
+	}
+	return member.Member{}, false
+}
+
+// Exchange implements budget.Exchanger: it asks the node that should hold the
+// shard, and follows the hints of those that do not.
+func (n *Node) Exchange(ctx context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	shard := int(r.GetShard())
+	if _, ok := n.keeper.Holds(shard); ok {
+		return n.hub.Exchange(time.Now(), r), nil
+	}
+	name, addr := n.nearer(shard)
+	for range maxHints {
+		if addr == "" || name == n.set.Node.Name {
+			break
+		}
+		reply, err := n.peers.Exchange(ctx, addr, r)
+		if err != nil {
+			return nil, err
+		}
+		if reply.GetHolder() || reply.GetHint() == name {
+			return reply, nil
+		}
+		name, addr = reply.GetHint(), reply.GetHintAddr()
+	}
+	return nil, vane.Errorf(vane.KindUnavailable, "node.exchange", "wait until a node has taken the shard over", "no holder of budget shard %d is known", shard)
+}
+
+// nearer returns a node that holds a shard, or knows better who does.
+func (n *Node) nearer(shard int) (name, addr string) {
+	for _, name := range []string{n.keeper.Holder(shard), n.preferred(shard)} {
+		if m, ok := n.member(name); ok {
+			return name, m.Addr
+		}
+	}
+	return "", ""
+}
+
+// Borrow implements budget.Exchanger.
+func (n *Node) Borrow(ctx context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	ms := n.serving()
+	rand.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
+	out := &wire.ExchangeReply{}
+	asked := 0
+	for _, m := range ms {
+		if m.Name == n.set.Node.Name || asked >= maxLenders {
+			continue
+		}
+		asked++
+		reply, err := n.peers.Exchange(ctx, m.Addr, r)
+		if err != nil {
+			continue
+		}
+		out.Gives = append(out.Gives, reply.GetGives()...)
+		if lent(reply) {
+			break
+		}
+	}
+	return out, nil
+}
+
+// lent says whether a reply brings a share.
+func lent(r *wire.ExchangeReply) bool {
+	for _, g := range r.GetGives() {
+		if g.GetShare() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// exchange answers another node's ask.
+func (n *Node) exchange(_ context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	if r.GetPeer() {
+		return n.shares.Lend(r), nil
+	}
+	reply := n.hub.Exchange(time.Now(), r)
+	if !reply.GetHolder() {
+		reply.Hint, reply.HintAddr = n.nearer(int(r.GetShard()))
+	}
+	return reply, nil
+}
+
+// recall asks a node to give a share back, without waiting for it.
+func (n *Node) recall(v budget.Victim, ws string) {
+	r := &wire.RecallRequest{Workspace: ws, Share: v.Share}
+	if v.Node == n.set.Node.Name {
+		go n.shares.Recall(r)
+		return
+	}
+	m, ok := n.member(v.Node)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
+		defer cancel()
+		_ = n.peers.Recall(ctx, m.Addr, r)
+	}()
+}
+
+// snapshot answers a node that needs the configuration.
+func (n *Node) snapshot(r *wire.SnapshotRequest) *wire.SnapshotReply {
+	reply := &wire.SnapshotReply{}
+	rev, value := n.conf.Encoded()
+	reply.Revision = rev
+	if rev > r.GetRevision() {
+		reply.Config = value
+	}
+	reply.Upstreams, _ = json.Marshal(n.dir.All())
+	for _, m := range n.peers.View().Live() {
+		reply.Members = append(reply.Members, &wire.Member{
+			Name: m.Name, Addr: m.Addr, Callers: m.Callers, DataCentre: m.DataCentre, Incarnation: m.Incarnation, Status: m.Status,
+		})
+	}
+	return reply
+}
+
+// polls says whether this node asks the upstream for its load. In a small fleet
+// every node asks every upstream; the larger the fleet, the fewer ask each one.
+func (n *Node) polls(upstream string) bool {
+	ms := n.serving()
+	k := max(minPollers, pollShare/max(1, len(n.dir.All())))
+	if len(ms) <= k {
+		return true
+	}
+	for _, m := range choose(ms, upstream, k) {
+		if m.Name == n.set.Node.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// tellLoad passes a load report on to the other nodes.
+func (n *Node) tellLoad(name string, incarnation uint64, l vane.Load) {
+	n.peers.Do(func(st *member.State, now time.Time) {
+		st.TellLoad(now, &wire.Load{
+			Upstream: name, Incarnation: incarnation, Running: uint32(l.Running), Waiting: uint32(l.Waiting), Draining: l.Draining,
+		})
+	})
+}
+
+// hearLoad takes a load report from another node.
+func (n *Node) hearLoad(l *wire.Load) {
+	n.dir.Saw(l.GetUpstream(), l.GetIncarnation())
+	n.dir.TakeLoad(l.GetUpstream(), l.GetIncarnation(), vane.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Draining: l.GetDraining()})
+}
+
+// tellStrike passes a strike on to the other nodes.
+func (n *Node) tellStrike(s crash.Strike) {
+	n.peers.Do(func(st *member.State, _ time.Time) {
+		st.TellStrike(&wire.Strike{
+			Workspace: s.Name.Workspace, Fingerprint: s.Name.Fingerprint, Upstream: s.Upstream, Incarnation: s.Incarnation,
+		})
+	})
+}
+
+// tellClear passes the clearance of a request on to the other nodes.
+func (n *Node) tellClear(name crash.Name) {
+	n.peers.Do(func(st *member.State, now time.Time) {
+		st.TellStrike(&wire.Strike{Workspace: name.Workspace, Fingerprint: name.Fingerprint, Incarnation: uint64(now.UnixMicro())})
+	})
+}
+
+// hearStrike takes a strike or a clearance from another node.
+func (n *Node) hearStrike(s *wire.Strike) {
+	name := crash.Name{Workspace: s.GetWorkspace(), Fingerprint: s.GetFingerprint()}
+	if s.GetUpstream() == "" {
+		n.crash.Clear(name)
+		return
+	}
+	n.crash.Add(crash.Strike{Name: name, Upstream: s.GetUpstream(), Incarnation: s.GetIncarnation()})
+}
