Place by price: weighted recomputation, copies that cost, learned rates

Three faults: the prefill rate was learned from predicted instead of found cached tokens, which inflated it; the order of preference was dominated by the outermost prefix; and a miss counted only for the request that has it, though it delays all behind it.

Change: rates are learned at the end of a request from what was cached; deeper levels weigh twice the one above; a miss weighs eight times its own duration and a further copy costs 50 ms. The stand-in engine now looks its cache up when the prefill begins, as engines that batch do, and counts waiting prefills as waiting.

--- a/cmd/vanebench/demo.go
+++ b/cmd/vanebench/demo.go
@@ -74,10 +74,13 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1}, &cli.IntFlag{Name: "requests", Value: 360},
 			&cli.IntFlag{Name: "shift-every", Usage: "requests after which half of the hot prefixes change"},
+			&cli.FloatFlag{Name: "rate", Value: 45, Usage: "requests a second"},
+			&cli.FloatFlag{Name: "zipf", Value: 1.1, Usage: "exponent of the prefixes' popularity"},
+			&cli.IntFlag{Name: "docs", Value: 16, Usage: "second-level prefixes below each outermost one"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			s := demoShape(cmd.Uint64("seed"), cmd.Int("requests"))
-			s.ShiftEvery = cmd.Int("shift-every")
+			s.ShiftEvery, s.Rate, s.Zipf, s.Docs = cmd.Int("shift-every"), cmd.Float("rate"), cmd.Float("zipf"), cmd.Int("docs")
 			return trace.Write(os.Stdout, trace.Generate(s))
 		},
 	}
--- a/fake/engine/batch.go
+++ b/fake/engine/batch.go
@@ -14,6 +14,7 @@
 	mu      sync.Mutex
 	free    int
 	running int
+	idle    int // in the batch, waiting for their prefill
 	seq     uint64
 	queue   waiters
 }
@@ -83,11 +84,33 @@
 	close(w.ready)
 }
 
-// load returns the requests in the batch and those that wait.
+// beginPrefill waits until no other prompt prefills. It returns false if ctx ends
+// first.
+func (b *batch) beginPrefill(ctx context.Context) bool {
+	b.addIdle(1)
+	defer b.addIdle(-1)
+	select {
+	case <-b.prefill:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// endPrefill lets the next prompt prefill.
+func (b *batch) endPrefill() { b.prefill <- struct{}{} }
+
+func (b *batch) addIdle(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.idle += n
+}
+
+// load returns the requests that prefill or decode and those that wait.
 func (b *batch) load() (running, waiting int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.running, len(b.queue)
+	return b.running - b.idle, len(b.queue) + b.idle
 }
 
 // waiters is a heap by priority and arrival.
--- a/fake/engine/chat.go
+++ b/fake/engine/chat.go
@@ -46,8 +46,7 @@
 	}
 	defer e.batch.leave()
 	e.noteLoad()
-	e.start(j, r)
-	if !e.doPrefill(r.Context(), j) {
+	if !e.doPrefill(r, j) {
 		return
 	}
 	if e.chance(j.faults.CrossShare) {
@@ -95,14 +94,15 @@
 	})
 }
 
-// doPrefill computes the uncached part of the prompt, one prompt at a time.
-func (e *Engine) doPrefill(ctx context.Context, j *job) bool {
-	select {
-	case <-e.batch.prefill:
-	case <-ctx.Done():
+// doPrefill computes the part of the prompt that is not cached when its turn
+// comes, one prompt at a time.
+func (e *Engine) doPrefill(r *http.Request, j *job) bool {
+	ctx := r.Context()
+	if !e.batch.beginPrefill(ctx) {
 		return false
 	}
-	defer func() { e.batch.prefill <- struct{}{} }()
+	defer e.batch.endPrefill()
+	e.start(j, r)
 	if j.faults.Hang {
 		<-ctx.Done()
 		return false
--- a/iface.go
+++ b/iface.go
@@ -55,6 +55,12 @@
 	Rank      int           // position in the prompt's order of preference
 }
 
+// Outcome is what an attempt showed about an upstream.
+type Outcome struct {
+	First  time.Duration // from Sent to the first token; zero if there was none
+	Cached int           // prompt tokens found in the cache; negative if not known
+}
+
 // Placer chooses upstreams for prompts. Implementations are safe for
 // concurrent use.
 type Placer interface {
@@ -64,12 +70,10 @@
 	Pick(now time.Time, q Query) (Pick, bool)
 	// Sent notes that a request went to the picked upstream.
 	Sent(now time.Time, q Query, p Pick)
-	// First notes the first token of a request, the given time after Sent. A
-	// request that ends without one reports zero.
-	First(now time.Time, q Query, p Pick, after time.Duration)
-	// Done notes the end of a request; cached is the number of prompt tokens
-	// that the upstream had in its cache, or negative if it is not known.
-	Done(now time.Time, q Query, p Pick, cached int)
+	// First notes the first token of a request.
+	First(now time.Time, q Query, p Pick)
+	// Done notes the end of a request, with or without a first token.
+	Done(now time.Time, q Query, p Pick, o Outcome)
 	// Failed notes that the upstream did not serve an attempt.
 	Failed(now time.Time, name string)
 	// Report notes what an upstream said about its load.
--- a/place/base.go
+++ b/place/base.go
@@ -57,10 +57,10 @@
 }
 
 // First implements vane.Placer.
-func (s *simple) First(time.Time, vane.Query, vane.Pick, time.Duration) {}
+func (s *simple) First(time.Time, vane.Query, vane.Pick) {}
 
 // Done implements vane.Placer.
-func (s *simple) Done(_ time.Time, _ vane.Query, p vane.Pick, _ int) {
+func (s *simple) Done(_ time.Time, _ vane.Query, p vane.Pick, _ vane.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight[p.Upstream.Name]--
--- a/place/placer.go
+++ b/place/placer.go
@@ -13,11 +13,18 @@
 
 // Shape of the order of preference.
 const (
-	window     = 8    // upstreams of one step along the ring
-	maxSteps   = 4    // steps that a loaded prompt may spread over
-	levelDecay = 0.35 // weight of a level relative to the one above it
-	priorHit   = 0.8  // expected share of the shared prefix cached at the first choice
-	goodWait   = 50 * time.Millisecond
+	window      = 8   // upstreams of one step along the ring
+	maxSteps    = 4   // steps that a loaded prompt may spread over
+	levelGrowth = 2.0 // weight of a level relative to the one above it
+	goodWait    = 50 * time.Millisecond
+)
+
+// Price of a choice. Computing a prefix again delays not only the request itself
+// but all that wait behind it, so that it weighs more than its own duration; and
+// each further copy of a prefix takes cache from others.
+const (
+	workWeight = 8.0
+	copyPrice  = 50 * time.Millisecond
 )
 
 // Placer places prompts by prefix and load. It is safe for concurrent use.
@@ -43,7 +50,8 @@
 	id     uint64
 	score  float64
 	cached int
-	est    time.Duration
+	est    time.Duration // to the first token
+	price  time.Duration
 }
 
 // Update implements vane.Placer. What was learned about an upstream survives as
@@ -128,13 +136,13 @@
 	for _, l := range p.Shared() {
 		u := (float64(mix(nameHash, l.Hash)>>11) + 0.5) / (1 << 53)
 		sum -= weight * math.Log(u)
-		weight *= levelDecay
+		weight *= levelGrowth
 	}
 	return sum
 }
 
-// cheapest returns the candidate with the lowest expected time to the first
-// token, and its rank in the order of preference.
+// cheapest returns the candidate with the lowest price, and its rank in the order
+// of preference.
 func (p *Placer) cheapest(now time.Time, prompt vane.Prompt) (best, rank int) {
 	slices.SortFunc(p.cands, func(a, b candidate) int {
 		switch {
@@ -148,21 +156,33 @@
 	for i := range p.cands {
 		c := &p.cands[i]
 		c.cached = p.predict(now, c, prompt, i)
-		c.est = c.s.wait(now) + time.Duration(float64(prompt.Tokens-c.cached)/c.s.prefill*float64(time.Second))
-		if c.est < p.cands[best].est {
+		c.estimate(now, prompt, i)
+		if c.price < p.cands[best].price {
 			best = i
 		}
 	}
 	return best, best
 }
 
-// predict returns the tokens expected in the candidate's cache: what is known,
-// or else what the order of preference makes likely.
+// estimate computes the expected time to the first token and the price of the
+// candidate of the given rank.
+func (c *candidate) estimate(now time.Time, prompt vane.Prompt, rank int) {
+	wait := c.s.wait(now)
+	work := time.Duration(float64(prompt.Tokens-c.cached) / c.s.prefill * float64(time.Second))
+	c.est = wait + work
+	c.price = wait + time.Duration(workWeight*float64(work))
+	if rank > 0 {
+		c.price += copyPrice
+	}
+}
+
+// predict returns the tokens expected in the candidate's cache: what is known of
+// it, and for the first choice the shared prefix, which all routers send there.
 func (p *Placer) predict(now time.Time, c *candidate, prompt vane.Prompt, rank int) int {
-	tokens, _ := p.known.deepest(now, c.id, prompt, c.s.resident)
 	if rank == 0 {
-		tokens = max(tokens, int(priorHit*float64(prompt.SharedTokens())))
+		return prompt.SharedTokens()
 	}
+	tokens, _ := p.known.deepest(now, c.id, prompt, c.s.resident)
 	return tokens
 }
 
@@ -199,35 +219,33 @@
 func (p *Placer) Sent(_ time.Time, q vane.Query, pick vane.Pick) {
 	p.with(pick, func(s *upstream) {
 		s.inflight++
+		s.pending++
 		s.backlog += float64(q.Prompt.Tokens - pick.Predicted)
 	})
 }
 
 // First implements vane.Placer.
-func (p *Placer) First(_ time.Time, q vane.Query, pick vane.Pick, after time.Duration) {
+func (p *Placer) First(_ time.Time, q vane.Query, pick vane.Pick) {
 	p.with(pick, func(s *upstream) {
-		s.backlog = max(0, s.backlog-float64(q.Prompt.Tokens-pick.Predicted))
-		if after <= 0 {
-			return
-		}
 		s.served()
-		if s.inflight <= 1 {
-			s.sample(float64(q.Prompt.Tokens-pick.Predicted), after)
-		}
+		s.prefilled(q, pick)
 	})
 }
 
 // Done implements vane.Placer.
-func (p *Placer) Done(now time.Time, q vane.Query, pick vane.Pick, cached int) {
+func (p *Placer) Done(now time.Time, q vane.Query, pick vane.Pick, o vane.Outcome) {
 	p.with(pick, func(s *upstream) {
 		s.inflight = max(0, s.inflight-1)
-		if s.inflight == 0 {
-			s.backlog = 0
+		if o.First == 0 {
+			s.prefilled(q, pick)
 		}
-		id := life(xxhash.Sum64String(s.u.Name), s.u)
-		if cached >= 0 {
-			p.learn(now, s, id, q.Prompt, cached)
+		if o.Cached < 0 {
+			return
 		}
+		uncached := float64(q.Prompt.Tokens - o.Cached)
+		s.typical += smooth * (uncached - s.typical)
+		s.sample(uncached, o.First)
+		p.learn(now, s, life(xxhash.Sum64String(s.u.Name), s.u), q.Prompt, o.Cached)
 	})
 }
 
@@ -264,5 +282,14 @@
 		return
 	}
 	l.Draining = l.Draining || s.load.Draining
-	s.load, s.loadAt, s.ownAt = l, now, s.inflight
+	s.load, s.loadAt, s.ownAt, s.waitAt = l, now, s.inflight, s.pending
+}
+
+// Known returns the tokens of the prompt that are known to be in the cache of the
+// upstream in its present life.
+func (p *Placer) Known(now time.Time, u vane.Upstream, prompt vane.Prompt) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	tokens, _ := p.known.deepest(now, life(xxhash.Sum64String(u.Name), u), prompt, defaultResident)
+	return tokens
 }
--- a/place/state.go
+++ b/place/state.go
@@ -16,6 +16,8 @@
 	minResident     = 200 * time.Millisecond
 	maxResident     = 10 * time.Minute
 	smooth          = 0.1             // weight of a new sample in moving averages
+	smoothUp        = 0.3             // the same for a higher prefill rate
+	smoothDown      = 0.02            // the same for a lower prefill rate
 	minSample       = 500             // uncached tokens that make a prefill sample
 	reportLife      = 5 * time.Second // age at which a load report counts for nothing
 	ejectMin        = 250 * time.Millisecond
@@ -27,13 +29,16 @@
 type upstream struct {
 	u        vane.Upstream
 	inflight int     // own requests without an end
-	backlog  float64 // own uncached tokens without a first token
+	pending  int     // own requests without a first token
+	backlog  float64 // their uncached tokens
+	typical  float64 // uncached tokens of a request, averaged
 	prefill  float64 // tokens a second
 	service  time.Duration
 	resident time.Duration // how long a prefix stays cached
 	load     vane.Load
 	loadAt   time.Time
 	ownAt    int       // own requests at the time of the report
+	waitAt   int       // own requests without a first token at that time
 	failures int       // consecutive
 	until    time.Time // ejected until then
 }
@@ -50,15 +55,17 @@
 	return defaultSlots
 }
 
-// wait estimates how long a new request waits before its prefill starts.
+// wait estimates how long a new request waits before its prefill starts: behind
+// the prefills of own requests, those of others that the newest report shows, and
+// for a slot of the batch.
 func (s *upstream) wait(now time.Time) time.Duration {
-	busy := s.inflight
+	busy, queued := s.inflight, s.backlog
 	if age := now.Sub(s.loadAt); age < reportLife {
-		others := max(0, s.load.Running+s.load.Waiting-s.ownAt)
 		fade := 1 - float64(age)/float64(reportLife)
-		busy += int(float64(others) * fade)
+		busy += int(fade * float64(max(0, s.load.Running+s.load.Waiting-s.ownAt)))
+		queued += fade * float64(max(0, s.load.Waiting-s.waitAt)) * s.typical
 	}
-	d := time.Duration(s.backlog / s.prefill * float64(time.Second))
+	d := time.Duration(queued / s.prefill * float64(time.Second))
 	if over := busy + 1 - s.slots(); over > 0 {
 		d += time.Duration(float64(s.service) * float64(over) / float64(s.slots()))
 	}
@@ -87,11 +94,26 @@
 	s.until = time.Time{}
 }
 
+// prefilled notes that an own request no longer waits for its first token.
+func (s *upstream) prefilled(q vane.Query, pick vane.Pick) {
+	s.pending = max(0, s.pending-1)
+	s.backlog = max(0, s.backlog-float64(q.Prompt.Tokens-pick.Predicted))
+	if s.pending == 0 {
+		s.backlog = 0
+	}
+}
+
 // sample learns the prefill rate from a first token.
 func (s *upstream) sample(uncached float64, after time.Duration) {
 	if uncached < minSample || after <= 0 {
 		return
 	}
+	// Most first tokens come late because of other requests, so that a high rate
+	// says more than a low one.
 	r := min(maxPrefill, max(minPrefill, uncached/after.Seconds()))
-	s.prefill += smooth * (r - s.prefill)
+	w := smoothDown
+	if r > s.prefill {
+		w = smoothUp
+	}
+	s.prefill += w * (r - s.prefill)
 }
--- a/route/router.go
+++ b/route/router.go
@@ -90,7 +90,7 @@
 	pick   vane.Pick
 	sent   time.Time
 	mark   sentMark
-	began  bool // the first token came
+	first  time.Duration // until the first token; zero before it
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 }
@@ -126,16 +126,13 @@
 func (rt *Router) end(a *attempt, cached int) {
 	a.timer.Stop()
 	a.cancel(nil)
-	if !a.began {
-		rt.placer.First(time.Now(), a.query, a.pick, 0)
-	}
-	rt.placer.Done(time.Now(), a.query, a.pick, cached)
+	rt.placer.Done(time.Now(), a.query, a.pick, vane.Outcome{First: a.first, Cached: cached})
 }
 
 // first notes the first token of an attempt.
 func (rt *Router) first(a *attempt) {
-	a.began = true
-	rt.placer.First(time.Now(), a.query, a.pick, time.Since(a.sent))
+	a.first = time.Since(a.sent)
+	rt.placer.First(time.Now(), a.query, a.pick)
 	if a.job.Notify.First != nil && !a.job.begun {
 		a.job.begun = true
 		a.job.Notify.First(time.Since(a.job.Begin))
