--- a/budget/account.go
+++ b/budget/account.go
@@ -32,7 +32,8 @@
 	backID     uint64
 	back       float64 // on its way to the holder
 	backTokens float64
-	fence      uint64 // of the holder it is on its way to
+	backUntil  time.Time // end of its life; the holder frees it then by itself
+	fence      uint64    // of the holder it is on its way to
 	recall     float64
 	mixed      bool // a peer's share came in since the newest ask
 }
@@ -63,11 +64,16 @@
 // expire drops a share whose life has ended.
 func (a *Account) expire(now time.Time) {
 	if a.share > 0 && !now.Before(a.until) {
-		a.share = 0
-		a.bucket.Set(now, 0, 0)
+		a.drop(now)
 	}
 }
 
+// drop ends the use of the share.
+func (a *Account) drop(now time.Time) {
+	a.share = 0
+	a.bucket.Set(now, 0, 0)
+}
+
 // Want notes that a request asks for n tokens, whether it gets them or not.
 func (a *Account) Want(now time.Time, n float64) {
 	a.decay(now)
@@ -145,10 +151,10 @@
 }
 
 // giveBack takes what the node does not need out of its holding. What is on its
-// way already stays so until the holder has answered; a new holder knows nothing
-// of it, so that it is lost until its life has ended.
+// way already stays so until the holder has answered or its life has ended; a new
+// holder knows nothing of it, so that it is lost until then.
 func (a *Account) giveBack(now time.Time, fence uint64) {
-	if a.back > 0 && a.fence == fence {
+	if a.back > 0 && a.fence == fence && now.Before(a.backUntil) {
 		return
 	}
 	a.back, a.backTokens, a.fence = 0, 0, fence
@@ -156,7 +162,7 @@
 	if extra <= 0 || fence == 0 {
 		return
 	}
-	a.back = extra
+	a.back, a.backUntil = extra, a.until
 	a.backTokens = a.remove(now, extra)
 	a.backID++
 }
@@ -183,7 +189,7 @@
 	a.bucket.Add(now, -share*a.terms.Rate, -share*a.terms.Burst, -tokens)
 	a.share -= share
 	if a.share < minShare {
-		a.share = 0
+		a.drop(now)
 	}
 	return tokens
 }
--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -40,7 +40,7 @@
 // collect builds the asks of a shard's holdings. The lock is held.
 func (s *Shares) collect(shard int) *wire.ExchangeRequest {
 	now := time.Now()
-	req := &wire.ExchangeRequest{Node: s.node, Incarnation: s.boot, Shard: uint32(shard)}
+	req := &wire.ExchangeRequest{Node: s.node, Incarnation: s.boot, Shard: uint32(shard), Fence: s.lanes[shard].fence}
 	for _, h := range s.holdings {
 		if h.shard != shard {
 			continue
@@ -127,8 +127,8 @@
 func (s *Shares) Yield(ctx context.Context) {
 	for shard := range s.shards {
 		now := time.Now()
-		req := &wire.ExchangeRequest{Node: s.node, Incarnation: s.boot, Shard: uint32(shard)}
 		s.mu.Lock()
+		req := &wire.ExchangeRequest{Node: s.node, Incarnation: s.boot, Shard: uint32(shard), Fence: s.lanes[shard].fence}
 		for _, h := range s.holdings {
 			if h.shard != shard {
 				continue
--- a/budget/hub.go
+++ b/budget/hub.go
@@ -195,6 +195,10 @@
 		if !known || ShardOf(a.GetWorkspace(), h.shards) != i {
 			continue
 		}
+		if r.GetFence() != s.fence {
+			// The holder before may have taken it back already.
+			a.Back, a.BackTokens = 0, 0
+		}
 		l := s.ledger(now, a.GetWorkspace(), t)
 		g := l.Exchange(now, r.GetNode(), r.GetIncarnation(), a)
 		reply.Gives = append(reply.Gives, g)
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -22,6 +22,8 @@
 	ceilingStep = 0.2
 	// minShare is the smallest share worth a transfer.
 	minShare = 1e-6
+	// rounding is the largest difference between equal sums of shares.
+	rounding = 1e-12
 )
 
 // lot is what a node holds of a budget, as far as the ledger knows.
@@ -157,7 +159,7 @@
 	if hold <= 0 {
 		return
 	}
-	if rest := lt.share - hold; rest > minShare {
+	if rest := lt.share - hold; rest > rounding {
 		l.residues = append(l.residues, residue{share: rest, until: lt.until})
 	}
 	lt.share, lt.until = hold, now.Add(longer(Life))
