Streams survive engines and nodes; a crashing request runs twice at most

Cause: resume, crash book and draining had no failure test. The node test showed that a node without a share of a budget refused for seconds after the crash of the budget's holder.

--- /dev/null
+++ b/bench/fault_test.go
@@ -0,0 +1,207 @@
+package bench_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mustardvane.org/vane/bench"
+	"mustardvane.org/vane/fake/engine"
+	"mustardvane.org/vane/trace"
+)
+
+// eventually waits until f is true.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for !f() {
+		select {
+		case <-time.After(2 * time.Millisecond):
+		case <-ctx.Done():
+			t.Fatalf("%s did not happen", what)
+		}
+	}
+}
+
+// TestFaultyEngines lets the first engine of two fail in one way, and expects
+// every answer to be whole all the same.
+func TestFaultyEngines(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		faults engine.Faults
+	}{
+		{"answers 500", engine.Faults{FailShare: 1}},
+		{"answers nothing", engine.Faults{EmptyShare: 1}},
+		{"answers another request", engine.Faults{CrossShare: 1}},
+		{"cuts streams", engine.Faults{CutAfter: 3}},
+		{"sends broken events", engine.Faults{BadLine: true}},
+		{"is draining", engine.Faults{Draining: true}},
+	} {
+		for _, streamed := range []bool{true, false} {
+			name := tt.name + ", plain"
+			if streamed {
+				name = tt.name + ", streamed"
+			}
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				f := start(t, bench.WithNodes(1), bench.WithEngines(2, fast()...))
+				f.Engines[0].SetFaults(tt.faults)
+				reqs := trace.Generate(shape(12))
+				for i := range reqs {
+					reqs[i].Stream = streamed
+				}
+				rep := f.Drive(t.Context(), reqs, nil)
+				is.Equal(rep.Wrong, nil)
+				is.Equal(rep.Reasons, map[string]int{})
+				is.Equal(rep.Complete, len(reqs))
+			})
+		}
+	}
+}
+
+// TestEngineKilledMidStream kills the engine that runs a stream and expects the
+// caller to get every token once and in order.
+func TestEngineKilledMidStream(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(1), bench.WithEngines(2, engine.WithSpeed(4_000_000, 4*time.Millisecond)))
+	req := trace.Generate(shape(1))[0]
+	req.MaxTokens = 200
+	done := make(chan bench.Result, 1)
+	c := bench.NewCaller()
+	defer c.Close()
+	go func() { done <- c.Send(t.Context(), f.Nodes[0].Addr(), bench.KeyOf(req.Workspace), req) }()
+	busy := func() *bench.Engine {
+		for _, e := range f.Engines {
+			if log := e.Log(); len(log) > 0 && log[0].Generated > 20 {
+				return e
+			}
+		}
+		return nil
+	}
+	eventually(t, "the stream", func() bool { return busy() != nil })
+	busy().Kill()
+	r := <-done
+	is.Equal(r.Wrong, "")
+	is.True(r.Complete)
+	is.Equal(r.Events, req.MaxTokens)
+	resumed := 0
+	for _, e := range f.Engines {
+		for _, l := range e.Log() {
+			if l.Offset > 0 {
+				resumed++
+			}
+		}
+	}
+	is.Equal(resumed, 1) // the other engine went on where the first one stopped
+}
+
+// TestNodeKilledMidStream stops a node while a caller reads from it; the caller
+// goes on at another node with Last-Event-ID.
+func TestNodeKilledMidStream(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(2), bench.WithEngines(2, engine.WithSpeed(4_000_000, 4*time.Millisecond)))
+	req := trace.Generate(shape(1))[0]
+	req.MaxTokens = 200
+	c := bench.NewCaller()
+	defer c.Close()
+	done := make(chan bench.Result, 1)
+	go func() { done <- c.Send(t.Context(), f.Nodes[0].Addr(), bench.KeyOf(req.Workspace), req) }()
+	eventually(t, "the stream", func() bool {
+		for _, e := range f.Engines {
+			if log := e.Log(); len(log) > 0 && log[0].Generated > 20 {
+				return true
+			}
+		}
+		return false
+	})
+	f.KillNode(0)
+	first := <-done
+	is.Equal(first.Reason, "cut") // never a short stream that looks complete
+	is.True(!first.Complete)
+	is.True(first.Events > 0)
+	second := c.SendFrom(t.Context(), f.Nodes[1].Addr(), bench.KeyOf(req.Workspace), req, first.LastID, first.Events)
+	is.Equal(second.Wrong, "")
+	is.Equal(second.Reason, "")
+	is.True(second.Complete) // the words go on exactly after those of the first part
+	is.Equal(first.Events+second.Events, req.MaxTokens)
+
+	other := req
+	other.Question.Name = "another question"
+	bad := c.SendFrom(t.Context(), f.Nodes[1].Addr(), bench.KeyOf(req.Workspace), other, first.LastID, 0)
+	is.Equal(bad.Reason, "resume_invalid")
+	is.Equal(bad.Execution, "not_run")
+}
+
+// TestLeavingEngineGetsNoNewWork lets an engine announce that it leaves while the
+// platform's list goes on naming it as live.
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(2), bench.WithEngines(3, fast()...))
+	leaving := f.Engines[0]
+	is.Equal(f.Drive(t.Context(), trace.Generate(shape(20)), nil).Complete, 20)
+	leaving.SetFaults(engine.Faults{Draining: true})
+	eventually(t, "word of the leaving engine at each node", func() bool {
+		for _, n := range f.Nodes {
+			for _, u := range n.Status().Upstreams {
+				if u.Name == leaving.Name && u.State.String() != "leaving" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	before := len(leaving.Headers())
+	is.Equal(f.Drive(t.Context(), trace.Generate(shape(40)), nil).Complete, 40)
+	chats := 0
+	for _, h := range leaving.Headers()[before:] {
+		if h.Get("X-Workspace") != "" {
+			chats++
+		}
+	}
+	is.Equal(chats, 0)
+}
+
+// TestCrashingRequest sends a request that crashes each engine that runs it,
+// again and again and to each node.
+func TestCrashingRequest(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(3), bench.WithEngines(6, fast()...))
+	poison := trace.Generate(shape(1))[0]
+	poison.Question = trace.Part{Name: "poison", Tokens: 50}
+	for _, e := range f.Engines {
+		e.SetFaults(engine.Faults{CrashOn: "poison"})
+	}
+	c := bench.NewCaller()
+	defer c.Close()
+	crashed := func() int {
+		n := 0
+		for _, e := range f.Engines {
+			if !e.Alive() {
+				n++
+			}
+		}
+		return n
+	}
+	r := c.Send(t.Context(), f.Nodes[0].Addr(), bench.KeyOf(poison.Workspace), poison)
+	is.Equal(r.Reason, "suspect_request")
+	is.Equal(r.Execution, "may_have_run")
+	is.Equal(crashed(), 2)
+	eventually(t, "word of the request at each node", func() bool {
+		for _, n := range f.Nodes {
+			if n.Suspects() == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for i := range 9 {
+		r := c.Send(t.Context(), f.Nodes[i%3].Addr(), bench.KeyOf(poison.Workspace), poison)
+		is.Equal(r.Reason, "suspect_request")
+		is.Equal(r.Execution, "not_run")
+	}
+	is.Equal(crashed(), 2) // two crashes in all, however often it is sent
+	is.Equal(f.Drive(t.Context(), trace.Generate(shape(20)), nil).Complete, 20)
+}
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -49,6 +49,16 @@
 // Kill cuts all connections of the engine and stops listening.
 func (e *Engine) Kill() { e.srv.Close() }
 
+// Alive says whether the engine still listens.
+func (e *Engine) Alive() bool {
+	c, err := net.DialTimeout("tcp", e.srv.Addr(), time.Second)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // Plain is a stand-in service with its server.
 type Plain struct {
 	*plain.Service
@@ -255,6 +265,10 @@
 	return nil
 }
 
+// KillNode ends node i at once, as a crash of its host does: connections are cut
+// and nothing is handed over.
+func (f *Fleet) KillNode(i int) { f.Nodes[i].Kill() }
+
 // Apply puts a configuration in force, by the operators' own code path, and waits
 // until each node has it.
 func (f *Fleet) Apply(ctx context.Context, fleet *config.Fleet) error {
@@ -265,7 +279,28 @@
 	if err := f.AwaitRevision(ctx, rev); err != nil {
 		return err
 	}
-	return f.AwaitLeases(ctx)
+	if err := f.AwaitLeases(ctx); err != nil {
+		return err
+	}
+	return f.AwaitShares(ctx, fleet)
+}
+
+// AwaitShares waits until each node holds a share of each workspace's budget.
+func (f *Fleet) AwaitShares(ctx context.Context, fleet *config.Fleet) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	for _, n := range f.Nodes {
+		for _, w := range fleet.Workspaces {
+			for n.Floor(w.Name) > 0 && n.Share(w.Name) == 0 {
+				select {
+				case <-time.After(5 * time.Millisecond):
+				case <-ctx.Done():
+					return errors.Wrapf(ctx.Err(), "bench: a node has no share of the budget of %s", w.Name)
+				}
+			}
+		}
+	}
+	return nil
 }
 
 // AwaitLeases waits until the nodes hold all leases between them.
--- a/budget/account.go
+++ b/budget/account.go
@@ -23,6 +23,7 @@
 	share  float64
 	bucket *Bucket
 	until  time.Time // end of the share's life
+	floor  float64   // share held also without demand
 
 	demand    float64 // tokens a second, averaged
 	demandAt  time.Time
@@ -114,6 +115,10 @@
 	return a.bucket.Wait(now, n)
 }
 
+// SetFloor sets the share that the node holds also without demand, so that it can
+// serve while no holder answers.
+func (a *Account) SetFloor(f float64) { a.floor = f }
+
 // need returns the share that the node's recent demand takes, without spare.
 func (a *Account) need(now time.Time) float64 {
 	a.decay(now)
@@ -137,11 +142,14 @@
 	if a.back > 0 {
 		ask.Back, ask.BackTokens, ask.BackId = a.back, a.backTokens, a.backID
 	}
+	target := a.floor
 	if n > 0 {
-		target := min(1, max(spare*a.need(now), n/a.terms.Burst))
-		ask.Want = max(0, target-a.share)
+		target = min(1, max(target, spare*a.need(now), n/a.terms.Burst))
 		ask.Tokens = max(0, n-a.bucket.Level(now))
 	}
+	if a.back == 0 {
+		ask.Want = max(0, target-a.share)
+	}
 	return ask
 }
 
@@ -169,7 +177,7 @@
 
 // Extra returns the share that the node can do without.
 func (a *Account) Extra(now time.Time) float64 {
-	need := a.need(now)
+	need := max(a.floor, a.need(now))
 	if a.recall > 0 {
 		return min(a.recall, max(0, a.share-need))
 	}
@@ -250,9 +258,10 @@
 	return g
 }
 
-// Due says whether the share should be extended soon.
+// Due says whether the share should be extended soon or is below its floor.
 func (a *Account) Due(now time.Time) bool {
-	return a.share > 0 && a.until.Sub(now) < extendAt
+	a.expire(now)
+	return (a.share > 0 && a.until.Sub(now) < extendAt) || a.floor-a.share > minShare
 }
 
 // Yield takes everything out of the holding, for a node that stops.
@@ -270,5 +279,5 @@
 
 // Idle says whether the account holds nothing and is not needed.
 func (a *Account) Idle(now time.Time) bool {
-	return a.share == 0 && a.back == 0 && a.need(now) < minShare
+	return a.share == 0 && a.back == 0 && a.floor == 0 && a.need(now) < minShare
 }
--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -30,13 +30,31 @@
 			return
 		}
 		s.mu.Unlock()
-		s.exchange(shard, req)
+		if !s.exchange(shard, req) && !s.waited(shard) {
+			// Nothing is urgent; the next tick tries again.
+			s.mu.Lock()
+			s.lanes[shard].running = false
+			s.mu.Unlock()
+			return
+		}
 		if !sleep(s.ctx, askPause) {
 			return
 		}
 	}
 }
 
+// waited says whether requests wait for tokens of a shard.
+func (s *Shares) waited(shard int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holdings {
+		if h.shard == shard && len(h.waiters) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // collect builds the asks of a shard's holdings. The lock is held.
 func (s *Shares) collect(shard int) *wire.ExchangeRequest {
 	now := time.Now()
@@ -58,21 +76,37 @@
 	return req
 }
 
-// exchange sends the asks to the holder, or to peers if it does not answer.
-func (s *Shares) exchange(shard int, req *wire.ExchangeRequest) {
+// exchange sends the asks to the holder, or to peers if it does not answer. It
+// says whether the holder answered and gave a share that was asked for.
+func (s *Shares) exchange(shard int, req *wire.ExchangeRequest) bool {
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
 	defer cancel()
 	reply, err := s.ex.Exchange(ctx, req)
 	if err == nil && reply.GetHolder() && time.Since(sent) < askTimeout {
 		s.given(shard, sent, reply)
-		return
+		return gave(req, reply)
 	}
 	klog.V(2).InfoS("no holder answers", "shard", shard, "err", err, "hint", reply.GetHint())
 	s.mu.Lock()
 	s.lanes[shard].failed = true
 	s.mu.Unlock()
 	s.borrow(req)
+	return false
+}
+
+// gave says whether every share that was asked for was given.
+func gave(req *wire.ExchangeRequest, reply *wire.ExchangeReply) bool {
+	given := make(map[string]float64, len(reply.GetGives()))
+	for _, g := range reply.GetGives() {
+		given[g.GetWorkspace()] = g.GetShare()
+	}
+	for _, a := range req.GetAsks() {
+		if a.GetWant()-given[a.GetWorkspace()] > minShare {
+			return false
+		}
+	}
+	return true
 }
 
 // given takes the holder's answer. An answer of a holder that another one has
--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -117,6 +117,7 @@
 		f    func(n *modelNode)
 	}{
 		{300, w.request}, {150, w.settle}, {300, w.exchange}, {60, w.deliver}, {40, w.lend},
+		{3, func(n *modelNode) { n.acc.SetFloor(w.rnd.Float64() / 4) }},
 		{15, func(n *modelNode) { n.acc.Recall(w.rnd.Float64()) }},
 		{40, func(*modelNode) { w.write(lease.Renew) }},
 		{5, w.restart},
--- a/budget/shares.go
+++ b/budget/shares.go
@@ -11,7 +11,7 @@
 
 // Times of the limiter.
 const (
-	shareTick  = time.Second
+	shareTick  = 250 * time.Millisecond
 	serveEvery = 10 * time.Millisecond // a waiting request looks at its bucket
 	askPause   = 25 * time.Millisecond // between two asks for the same need
 	askTimeout = time.Second           // an answer that takes longer is void
@@ -53,6 +53,7 @@
 	shards int
 	terms  func(workspace string) (Terms, bool)
 	ex     Exchanger
+	floors func() map[string]float64
 
 	mu       sync.Mutex
 	holdings map[string]*holding
@@ -64,19 +65,31 @@
 
 var _ vane.Limiter = (*Shares)(nil)
 
+// ShareOption changes a limiter under construction.
+type ShareOption func(*Shares)
+
+// WithFloors sets a function that gives the shares that the node holds also
+// without demand, by workspace. The map must not be changed afterwards.
+func WithFloors(f func() map[string]float64) ShareOption { return func(s *Shares) { s.floors = f } }
+
 // NewShares returns the limiter of the node in the life named by the
 // incarnation.
-func NewShares(node string, incarnation uint64, shards int, terms func(string) (Terms, bool), ex Exchanger) *Shares {
+func NewShares(node string, incarnation uint64, shards int, terms func(string) (Terms, bool), ex Exchanger, opts ...ShareOption) *Shares {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Shares{
-		node: node, boot: incarnation, shards: shards, terms: terms, ex: ex,
+	s := &Shares{
+		node: node, boot: incarnation, shards: shards, terms: terms, ex: ex, floors: func() map[string]float64 { return nil },
 		holdings: make(map[string]*holding), lanes: make([]lane, shards), ctx: ctx, cancel: cancel,
 	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // Run implements kernel.Service: it extends shares and gives idle ones back.
 func (s *Shares) Run(ctx context.Context, ready func()) error {
 	ready()
+	s.tick()
 	t := time.NewTicker(shareTick)
 	defer t.Stop()
 	for {
@@ -93,10 +106,16 @@
 
 // tick starts the exchanges that are due.
 func (s *Shares) tick() {
-	now := time.Now()
+	now, floors := time.Now(), s.floors()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for ws := range floors {
+		if t, ok := s.terms(ws); ok {
+			s.holding(now, ws, t)
+		}
+	}
 	for ws, h := range s.holdings {
+		h.acc.SetFloor(floors[ws])
 		if t, ok := s.terms(ws); ok {
 			h.acc.SetTerms(now, t)
 		}
--- a/config/view.go
+++ b/config/view.go
@@ -12,6 +12,7 @@
 	Fleet    *Fleet
 	Revision uint64 // version of the platform's object
 
+	total  float64 // of all rates
 	byKey  map[[sha256.Size]byte]int
 	byName map[string]int
 }
@@ -21,6 +22,7 @@
 	v := &View{Fleet: f, Revision: rev, byKey: make(map[[sha256.Size]byte]int), byName: make(map[string]int)}
 	for i, w := range f.Workspaces {
 		v.byName[w.Name] = i
+		v.total += w.Rate
 		for _, k := range w.Keys {
 			if b, err := hex.DecodeString(k.SHA256); err == nil && len(b) == sha256.Size {
 				v.byKey[[sha256.Size]byte(b)] = i
@@ -56,6 +58,14 @@
 	return v.Fleet.Workspaces[i], true
 }
 
+// RatePart returns the workspace's part of the rates of all workspaces.
+func (v *View) RatePart(w Workspace) float64 {
+	if v.total == 0 {
+		return 0
+	}
+	return w.Rate / v.total
+}
+
 // FirstToken returns the first-token target of the workspace's class.
 func (v *View) FirstToken(w Workspace) time.Duration {
 	return time.Duration(v.Fleet.ClassOf(w).FirstToken)
--- a/crash/book.go
+++ b/crash/book.go
@@ -88,6 +88,19 @@
 	return len(e.crashes)
 }
 
+// Refused returns the number of requests that are refused.
+func (b *Book) Refused() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, e := range b.entries.Values() {
+		if len(e.crashes) >= maxStrikes {
+			n++
+		}
+	}
+	return n
+}
+
 // Lost notes that the upstream crashed while it ran the request.
 func (b *Book) Lost(ws string, fp uint64, u vane.Upstream) {
 	s := Strike{Name: Name{ws, fp}, Upstream: u.Name, Incarnation: u.Incarnation}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -136,7 +136,10 @@
 		Token: s.Signer.Token(c.id, ws, t.fp), Resume: resume, WantUsage: req.wantUsage,
 		Target: target, Begin: c.begin, Fields: req.fields,
 		Notify: route.Notify{
-			Lost: func(u vane.Upstream) { s.Suspect.Lost(ws, t.fp, u) },
+			Lost: func(u vane.Upstream) error {
+				s.Suspect.Lost(ws, t.fp, u)
+				return s.Suspect.Check(ws, t.fp)
+			},
 			First: func(after time.Duration) {
 				s.metrics.first.WithLabelValues(class.Name).Observe(after.Seconds())
 				s.Gate.FirstToken(after, target)
--- a/node/entries.go
+++ b/node/entries.go
@@ -36,18 +36,12 @@
 
 // suited returns how many nodes a workspace is given, by its part of all rates.
 func (n *Node) suited(ws string, nodes int) int {
-	f := n.conf.Current().Fleet
-	total, own := 0.0, 0.0
-	for _, w := range f.Workspaces {
-		total += w.Rate
-		if w.Name == ws {
-			own = w.Rate
-		}
-	}
-	if total == 0 {
+	v := n.conf.Current()
+	w, ok := v.Workspace(ws)
+	if !ok {
 		return nodes
 	}
-	return max(minPerSpace, int(math.Ceil(spread*own/total*float64(nodes))))
+	return max(minPerSpace, int(math.Ceil(spread*v.RatePart(w)*float64(nodes))))
 }
 
 // choose returns the k members that rank highest for the workspace.
--- a/node/node.go
+++ b/node/node.go
@@ -76,6 +76,8 @@
 
 	mu          sync.Mutex
 	behindSince time.Time // a newer configuration is known since then
+	floorKey    floorKey
+	floor       map[string]float64
 }
 
 // Option changes a node under construction.
@@ -113,7 +115,7 @@
 	}
 	n.hub = budget.NewHub(budgetShards, n.terms, func(i int) (uint64, bool) { return n.keeper.Holds(i) }, n.recall)
 	n.keeper = n.newKeeper()
-	n.shares = budget.NewShares(set.Node.Name, n.boot, budgetShards, n.terms, n)
+	n.shares = budget.NewShares(set.Node.Name, n.boot, budgetShards, n.terms, n, budget.WithFloors(n.floors))
 	n.entry = n.newEntry()
 	return n, n.register()
 }
@@ -267,6 +269,23 @@
 	return err
 }
 
+// Kill ends the node without handing anything over, as the crash of its host
+// does. It exists for failure tests.
+func (n *Node) Kill() {
+	n.peers.Cut(func(string) bool { return true })
+	n.web.cut()
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	_ = n.Stop(ctx)
+}
+
+// Suspects returns the number of requests that are known to crash upstreams.
+func (n *Node) Suspects() int { return n.crash.Refused() }
+
+// Cut makes the node ignore the peers at the given addresses. It exists for
+// failure tests.
+func (n *Node) Cut(f func(addr string) bool) { n.peers.Cut(f) }
+
 // terms returns the budget of a workspace.
 func (n *Node) terms(ws string) (budget.Terms, bool) {
 	w, ok := n.conf.Current().Workspace(ws)
--- a/node/web.go
+++ b/node/web.go
@@ -50,6 +50,9 @@
 // quiet closes connections after their current request.
 func (w *web) quiet() { w.srv.SetKeepAlivesEnabled(false) }
 
+// cut closes the listener and all connections at once.
+func (w *web) cut() { _ = w.srv.Close() }
+
 // Run implements kernel.Service.
 func (w *web) Run(ctx context.Context, ready func()) error {
 	lis, err := net.Listen("tcp", w.addr)
@@ -70,6 +73,9 @@
 	ready()
 	select {
 	case err := <-done:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
 		return err
 	case <-ctx.Done():
 	}
--- a/route/chat.go
+++ b/route/chat.go
@@ -62,7 +62,9 @@
 	if ref.Reason == vane.ReasonUpstreamRejected || ref.Reason == vane.ReasonInternal {
 		return ref.WithExecution(t.exec)
 	}
-	rt.checkCrash(ctx, a, ref)
+	if err := rt.checkCrash(ctx, a, ref); err != nil {
+		return refusal(err).WithExecution(t.exec)
+	}
 	v := rt.failed(ctx, j, a, t.n, ref)
 	if !v.Again || !pause(ctx, v.After) {
 		if v.Reason == vane.ReasonCallerGone {
--- a/route/job.go
+++ b/route/job.go
@@ -47,7 +47,7 @@
 // Notify tells the entry what happens to a job. Its functions may be nil.
 type Notify struct {
 	First func(after time.Duration)
-	Lost  func(u vane.Upstream) // the upstream crashed while it ran the job
+	Lost  func(u vane.Upstream) error // the upstream crashed while it ran the job; an error ends the job
 }
 
 // RequestID returns the job's id in hexadecimal form.
--- a/route/probe.go
+++ b/route/probe.go
@@ -27,16 +27,17 @@
 }
 
 // checkCrash asks an upstream that broke off whether it still lives. If it does
-// not, the job was running when it crashed.
-func (rt *Router) checkCrash(ctx context.Context, a *attempt, ref *vane.Refusal) {
+// not, the job was running when it crashed. It returns a refusal if the job must
+// not run again.
+func (rt *Router) checkCrash(ctx context.Context, a *attempt, ref *vane.Refusal) error {
 	if ctx.Err() != nil || a.job.Notify.Lost == nil || !brokeOff(ref) || rt.alive(ctx, a.pick.Upstream) {
-		return
+		return nil
 	}
 	rt.rec.Record(vane.Event{
 		What: vane.EventUpstreamCrashed, Reason: ref.Reason, Workspace: a.job.Workspace,
 		Request: a.job.RequestID(), Subject: a.pick.Upstream.Name, Have: float64(a.pick.Upstream.Incarnation),
 	})
-	a.job.Notify.Lost(a.pick.Upstream)
+	return a.job.Notify.Lost(a.pick.Upstream)
 }
 
 // alive says whether the upstream answers in the incarnation that it had.
