Callers' side under bad input, withdrawn keys, outages and lost bookings

Cause: the promises about keys, refusals and bookings had no failure tests.

Change: 24 kinds of bad requests with their typed answers; keys looked for in upstreams, metrics, time line, status and the platform's objects; withdrawal with the platform up and down; a node cut off from everybody; a start while the platform is down; a booking replayed, conflicting, lost and never run.

--- /dev/null
+++ b/bench/caller_test.go
@@ -0,0 +1,293 @@
+package bench_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/admin"
+	"mustardvane.org/vane/bench"
+	"mustardvane.org/vane/config"
+	"mustardvane.org/vane/fake/engine"
+	"mustardvane.org/vane/fake/plain"
+	"mustardvane.org/vane/fake/plat"
+	"mustardvane.org/vane/trace"
+)
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	reason string
+	exec   string
+}
+
+// send sends a request and reads the whole answer.
+func send(t *testing.T, method, url, body string, header ...string) answer {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Add(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var e struct {
+		Error struct{ Reason, Message, Execution string }
+	}
+	_ = json.Unmarshal(b, &e)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), reason: e.Error.Reason, exec: e.Error.Execution}
+}
+
+// bearer is the Authorization header of a workspace.
+func bearer(ws string) string { return "Bearer " + bench.KeyOf(ws) }
+
+const chatBody = `{"model":"quill","messages":[{"role":"user","content":"hello"}],"max_tokens":3}`
+
+func TestBadRequests(t *testing.T) {
+	f := start(t, bench.WithNodes(1), bench.WithEngines(1, fast()...), bench.WithSettings(func(s *config.Settings) {
+		s.Callers.MaxBody = 64 << 10
+	}))
+	base := "http://" + f.Nodes[0].Addr()
+	chat := base + "/v1/chat/completions"
+	auth := []string{"Authorization", bearer("w1")}
+	for _, tt := range []struct {
+		name, method, url, body string
+		header                  []string
+		status                  int
+		reason                  string
+	}{
+		{"no key", "POST", chat, chatBody, nil, 401, "key_missing"},
+		{"two keys", "POST", chat, chatBody, []string{"Authorization", bearer("w1"), "Authorization", bearer("w2")}, 401, "key_missing"},
+		{"another scheme", "POST", chat, chatBody, []string{"Authorization", "Basic abc"}, 401, "key_missing"},
+		{"unknown key", "POST", chat, chatBody, []string{"Authorization", "Bearer nobody"}, 401, "key_unknown"},
+		{"wrong method", "GET", chat, "", auth, 405, "method_not_allowed"},
+		{"unknown path", "GET", base + "/v2/x", "", auth, 403, "route_unknown"},
+		{"unknown service", "POST", base + "/v1/services/none/x", "", auth, 403, "route_unknown"},
+		{"not JSON", "POST", chat, `{"model":`, auth, 400, "bad_request"},
+		{"not an object", "POST", chat, `[]`, auth, 400, "bad_request"},
+		{"null", "POST", chat, `null`, auth, 400, "bad_request"},
+		{"two objects", "POST", chat, chatBody + chatBody, auth, 400, "bad_request"},
+		{"bad UTF-8", "POST", chat, strings.Replace(chatBody, "hello", "\xff\xfe", 1), auth, 400, "bad_request"},
+		{"no messages", "POST", chat, `{"model":"quill"}`, auth, 400, "bad_request"},
+		{"empty messages", "POST", chat, `{"model":"quill","messages":[]}`, auth, 400, "bad_request"},
+		{"message without role", "POST", chat, `{"model":"quill","messages":[{"content":"x"}]}`, auth, 400, "bad_request"},
+		{"no model", "POST", chat, `{"messages":[{"role":"user","content":"x"}]}`, auth, 400, "bad_request"},
+		{"unknown model", "POST", chat, strings.Replace(chatBody, "quill", "nib", 1), auth, 404, "model_unknown"},
+		{"wrong type", "POST", chat, `{"model":7,"messages":[{"role":"user","content":"x"}]}`, auth, 400, "bad_request"},
+		{"zero tokens", "POST", chat, strings.Replace(chatBody, ":3}", ":0}", 1), auth, 400, "bad_request"},
+		{"several answers", "POST", chat, strings.Replace(chatBody, ":3}", `:3,"n":2}`, 1), auth, 400, "bad_request"},
+		{"too large", "POST", chat, strings.Replace(chatBody, "hello", strings.Repeat("x", 70<<10), 1), auth, 413, "body_too_large"},
+		{"resume of a plain answer", "POST", chat, chatBody, append([]string{"Last-Event-ID", "x.1"}, auth...), 400, "resume_invalid"},
+		{"resume of nothing", "POST", chat, strings.Replace(chatBody, ":3}", `:3,"stream":true}`, 1), append([]string{"Last-Event-ID", "x.1"}, auth...), 400, "resume_invalid"},
+		{"booking without a key of its own", "POST", base + "/v1/services/booking/bookings", "{}", auth, 400, "claim_key_missing"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := send(t, tt.method, tt.url, tt.body, tt.header...)
+			is.Equal(a.status, tt.status)
+			is.Equal(a.reason, tt.reason)
+			is.Equal(a.exec, "not_run")
+			is.Equal(a.header.Get("Mustardvane-Execution"), "not_run")
+			is.True(!strings.Contains(a.body, bench.KeyOf("w1")))
+		})
+	}
+	is := is.New(t)
+	is.Equal(len(f.Engines[0].Log()), 0)                           // none of them ran
+	is.Equal(send(t, "POST", chat, chatBody, auth...).status, 200) // and the node lives
+}
+
+// TestKeyStaysInside looks for keys everywhere that they must not reach.
+func TestKeyStaysInside(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(1), bench.WithEngines(1, fast()...))
+	base := "http://" + f.Nodes[0].Addr()
+	key := bench.KeyOf("w1")
+	send(t, "POST", base+"/v1/chat/completions", chatBody, "Authorization", "Bearer "+key, "X-Api-Key", key, "Cookie", "k="+key)
+	send(t, "GET", base+"/v1/services/booking/stock", "", "Authorization", "Bearer "+key, "Api-Key", key, "Cookie", "k="+key)
+	send(t, "POST", base+"/v1/chat/completions", chatBody, "Authorization", "Bearer wrong-"+key)
+	var seen bytes.Buffer
+	for _, h := range f.Engines[0].Headers() {
+		fmt.Fprintln(&seen, h)
+	}
+	for _, h := range f.Services[0].Headers() {
+		fmt.Fprintln(&seen, h)
+	}
+	is.True(strings.Contains(seen.String(), "X-Workspace:[w1]")) // the upstreams were reached
+	seen.WriteString(send(t, "GET", "http://"+f.Nodes[0].AdminAddr()+"/metrics", "").body)
+	seen.WriteString(send(t, "GET", "http://"+f.Nodes[0].AdminAddr()+"/v1/timeline", "").body)
+	seen.WriteString(send(t, "GET", "http://"+f.Nodes[0].AdminAddr()+"/v1/status", "").body)
+	objects, err := f.Store.List(t.Context(), "")
+	is.NoErr(err)
+	for _, o := range objects.Objects {
+		seen.Write(o.Value)
+	}
+	is.True(!strings.Contains(seen.String(), key))
+}
+
+// withdrawLimit is how soon a withdrawn key must stop working.
+const withdrawLimit = 5 * time.Second
+
+// TestWithdrawnKey withdraws a key from a connected caller.
+func TestWithdrawnKey(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	url := "http://" + f.Nodes[2].Addr() + "/v1/models"
+	is.Equal(send(t, "GET", url, "", "Authorization", bearer("w1")).status, 200)
+	fleet := bench.DefaultFleet("w1", "w2")
+	fleet.Workspaces[0].Keys = nil
+	_, err := admin.Apply(t.Context(), f.Store, fleet, admin.AnyRevision)
+	is.NoErr(err)
+	eventually(t, "the end of the key", func() bool {
+		return send(t, "GET", url, "", "Authorization", bearer("w1")).reason == "key_unknown"
+	})
+	is.Equal(send(t, "GET", url, "", "Authorization", bearer("w2")).status, 200)
+}
+
+// TestWithdrawalSpreadsWithoutThePlatform lets one node learn of a withdrawal
+// just before the platform goes down.
+func TestWithdrawalSpreadsWithoutThePlatform(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	fleet := bench.DefaultFleet("w1", "w2")
+	fleet.Workspaces[0].Keys = nil
+	value, err := fleet.Encode()
+	is.NoErr(err)
+	f.Platform.SetFaults(plat.Faults{Down: true})
+	ok, err := f.Nodes[0].Offer(f.Nodes[0].View().Revision+10, value)
+	is.NoErr(err)
+	is.True(ok)
+	for _, n := range f.Nodes {
+		eventually(t, "the end of the key", func() bool {
+			return send(t, "GET", "http://"+n.Addr()+"/v1/models", "", "Authorization", bearer("w1")).reason == "key_unknown"
+		})
+	}
+}
+
+// TestIsolatedNodeRefusesKeys cuts one node off from the platform and from its
+// peers. It can't hear of withdrawals any more and must stop accepting keys.
+func TestIsolatedNodeRefusesKeys(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	lonely := f.Nodes[2]
+	url := "http://" + lonely.Addr() + "/v1/models"
+	is.Equal(send(t, "GET", url, "", "Authorization", bearer("w1")).status, 200)
+	f.Isolate(2)
+	eventually(t, "the refusal", func() bool {
+		a := send(t, "GET", url, "", "Authorization", bearer("w1"))
+		return a.reason == "key_unconfirmed" && a.exec == "not_run"
+	})
+	is.True(!lonely.Status().Keys.Confirmed) // and tells the operator
+	is.True(lonely.Status().Keys.Why != "")
+	is.Equal(send(t, "GET", "http://"+f.Nodes[0].Addr()+"/v1/models", "", "Authorization", bearer("w1")).status, 200)
+}
+
+// TestPlatformDown stops the platform for long: the nodes go on to serve, and a
+// node that starts meanwhile serves at once from what its peers know.
+func TestPlatformDown(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	is.Equal(f.Drive(t.Context(), trace.Generate(shape(20)), nil).Complete, 20)
+	f.Platform.SetFaults(plat.Faults{Down: true})
+	f.KillNode(1)
+	is.NoErr(f.AddNode(t.Context(), 1))
+	eventually(t, "the node's configuration", func() bool { return f.Nodes[1].Status().Ready })
+	eventually(t, "confirmed keys", func() bool {
+		return f.Nodes[0].Status().Keys.Confirmed && f.Nodes[1].Status().Keys.Confirmed && f.Nodes[2].Status().Keys.Confirmed
+	})
+	rep := f.Drive(t.Context(), trace.Generate(shape(60)), nil)
+	is.Equal(rep.Reasons, map[string]int{})
+	is.Equal(rep.Complete, 60)
+	url := "http://" + f.Nodes[0].Addr() + "/v1/services/booking/bookings"
+	a := send(t, "POST", url, "{}", "Authorization", bearer("w1"), "Idempotency-Key", "k1", plain.HeaderOp, "op1")
+	is.Equal(a.reason, "claim_unavailable")
+	is.Equal(a.exec, "not_run")
+	is.Equal(f.Ledger.Runs("op1"), 0) // and it is true
+}
+
+// TestBookingRunsAtMostOnce walks through the ways in which a booking can go.
+func TestBookingRunsAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(2), bench.WithServices(2))
+	url := func(n int) string { return "http://" + f.Nodes[n].Addr() + "/v1/services/booking/bookings" }
+	book := func(n int, key, op, body string) answer {
+		return send(t, "POST", url(n), body, "Authorization", bearer("w1"), "Idempotency-Key", key, plain.HeaderOp, op)
+	}
+	faults := func(fl plain.Faults) {
+		for _, s := range f.Services {
+			s.SetFaults(fl)
+		}
+	}
+	first := book(0, "a", "op-a", "{}")
+	is.Equal(first.status, 200)
+	eventually(t, "the record of the outcome", func() bool { return book(1, "a", "op-a", "{}").status == 200 })
+	again := book(1, "a", "op-a", "{}")
+	is.Equal(again.body, first.body) // a repeat gets the first answer
+	is.Equal(again.header.Get("Idempotent-Replayed"), "true")
+	is.Equal(book(1, "a", "op-a", `{"other":1}`).reason, "claim_conflict")
+	is.Equal(f.Ledger.Runs("op-a"), 1)
+
+	faults(plain.Faults{CutAfter: true})
+	lost := book(0, "b", "op-b", "{}")
+	is.Equal(lost.exec, "may_have_run")
+	faults(plain.Faults{})
+	is.Equal(book(1, "b", "op-b", "{}").exec, "may_have_run") // never run again
+	is.Equal(f.Ledger.Runs("op-b"), 1)
+
+	for _, s := range f.Services {
+		s.Kill()
+	}
+	down := book(0, "c", "op-c", "{}")
+	is.Equal(down.exec, "not_run")
+	is.Equal(f.Ledger.Runs("op-c"), 0)
+}
+
+// TestCallerGone lets a caller leave in the midst of a stream.
+func TestCallerGone(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(1), bench.WithEngines(1, engine.WithSpeed(4_000_000, 5*time.Millisecond)))
+	req := trace.Generate(shape(1))[0]
+	req.MaxTokens = 2000
+	body, _ := json.Marshal(map[string]any{"model": req.Model, "messages": req.Messages(), "stream": true, "max_tokens": req.MaxTokens})
+	hr, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+f.Nodes[0].Addr()+"/v1/chat/completions", bytes.NewReader(body))
+	is.NoErr(err)
+	hr.Header.Set("Authorization", bearer(req.Workspace))
+	resp, err := http.DefaultClient.Do(hr)
+	is.NoErr(err)
+	_, _ = io.ReadFull(resp.Body, make([]byte, 100))
+	is.NoErr(resp.Body.Close())
+	eventually(t, "the end of the engine's work", func() bool { return f.Nodes[0].Status().InFlight == 0 && f.Engines[0].Running() == 0 })
+	is.True(f.Engines[0].Log()[0].Generated < req.MaxTokens) // the engine's work was cancelled
+}
+
+// TestRacingOperators lets two operators apply on the same base.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(1))
+	base := f.Nodes[0].View().Revision
+	rev, err := admin.Apply(t.Context(), f.Store, bench.DefaultFleet("w1", "w2", "w3"), base)
+	is.NoErr(err)
+	is.True(rev > base)
+	_, err = admin.Apply(t.Context(), f.Store, bench.DefaultFleet("w1", "w2", "w4"), base)
+	is.Equal(vane.KindOf(err), vane.KindConflict)
+	is.True(strings.Contains(err.Error(), "w3") && strings.Contains(err.Error(), "w4")) // the difference
+	is.True(strings.Contains(err.Error(), "--base"))                                    // the remedy
+}
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -269,6 +269,19 @@
 // and nothing is handed over.
 func (f *Fleet) KillNode(i int) { f.Nodes[i].Kill() }
 
+// Isolate cuts node i off from the platform and from the other nodes.
+func (f *Fleet) Isolate(i int) {
+	addr := f.set[i].Listen.Peers
+	for k, n := range f.Nodes {
+		if k == i {
+			n.Cut(func(string) bool { return true })
+			n.CutPlatform(true)
+			continue
+		}
+		n.Cut(func(a string) bool { return a == addr })
+	}
+}
+
 // Apply puts a configuration in force, by the operators' own code path, and waits
 // until each node has it.
 func (f *Fleet) Apply(ctx context.Context, fleet *config.Fleet) error {
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -165,6 +165,12 @@
 	return append([]Entry(nil), e.log...)
 }
 
+// Running returns the requests that the engine works on.
+func (e *Engine) Running() int {
+	running, waiting := e.batch.load()
+	return running + waiting
+}
+
 // Headers returns the headers of the requests that the engine received.
 func (e *Engine) Headers() []http.Header {
 	e.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -286,6 +286,13 @@
 // failure tests.
 func (n *Node) Cut(f func(addr string) bool) { n.peers.Cut(f) }
 
+// CutPlatform makes calls to the platform fail. It exists for failure tests.
+func (n *Node) CutPlatform(cut bool) { n.st.Cut(cut) }
+
+// Offer puts a configuration in force if its revision is higher than the one that
+// is. It serves embedders that get the configuration in another way.
+func (n *Node) Offer(rev uint64, value []byte) (bool, error) { return n.conf.Offer(rev, value) }
+
 // terms returns the budget of a workspace.
 func (n *Node) terms(ws string) (budget.Terms, bool) {
 	w, ok := n.conf.Current().Workspace(ws)
--- a/store/client.go
+++ b/store/client.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -57,6 +58,7 @@
 	breaker *gobreaker.CircuitBreaker[*answer]
 	metrics *metrics
 	onState func(up bool)
+	cut     atomic.Bool
 }
 
 var _ vane.Store = (*Client)(nil)
@@ -102,6 +104,13 @@
 	return c
 }
 
+// Cut makes all calls fail as if the network to the platform were cut. It exists
+// for failure tests.
+func (c *Client) Cut(cut bool) { c.cut.Store(cut) }
+
+// errCut is the error of calls while the platform is cut off.
+var errCut = errors.New("the platform is cut off")
+
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -150,6 +159,9 @@
 // roundTrip sends the call and reads the whole answer. Statuses that mean that
 // the platform is in trouble become errors, so that the breaker counts them.
 func (c *Client) roundTrip(ctx context.Context, r call) (*answer, error) {
+	if c.cut.Load() {
+		return nil, errCut
+	}
 	u := c.base + r.path
 	if len(r.query) > 0 {
 		u += "?" + r.query.Encode()
