--- a/bench/caller_test.go
+++ b/bench/caller_test.go
@@ -143,9 +143,6 @@
 	is.True(!strings.Contains(seen.String(), key))
 }
 
-// withdrawLimit is how soon a withdrawn key must stop working.
-const withdrawLimit = 5 * time.Second
-
 // TestWithdrawnKey withdraws a key from a connected caller.
 func TestWithdrawnKey(t *testing.T) {
 	is := is.New(t)
--- a/bench/drive.go
+++ b/bench/drive.go
@@ -131,6 +131,7 @@
 
 // chunk is what a caller reads of one event.
 type chunk struct {
+	ID      string
 	Choices []struct {
 		Delta        struct{ Content string }
 		Message      struct{ Content string }
@@ -165,6 +166,10 @@
 			res.Reason = c.Error.Reason
 			return
 		}
+		if c.ID != "chatcmpl-"+res.RequestID {
+			res.Wrong = "an event of answer " + c.ID
+			return
+		}
 		if len(c.Choices) == 0 {
 			continue
 		}
@@ -201,6 +206,10 @@
 		res.Wrong = "answer is not a completion"
 		return
 	}
+	if c.ID != "chatcmpl-"+res.RequestID {
+		res.Wrong = "answer " + c.ID
+		return
+	}
 	hash := promptHash(res.Request)
 	var want strings.Builder
 	for i := range res.Request.MaxTokens {
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -244,6 +244,9 @@
 	return f.set[i], nil
 }
 
+// PlatformURL returns the URL of the platform's stand-in.
+func (f *Fleet) PlatformURL() string { return f.platSrv.URL() }
+
 // AddNode starts node i, or starts it anew after a stop.
 func (f *Fleet) AddNode(ctx context.Context, i int) error {
 	set, err := f.Settings(i)
--- a/config/field.go
+++ b/config/field.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 
@@ -42,19 +43,19 @@
 func decode(file string, b []byte, v any) (*document, error) {
 	f, err := parser.ParseBytes(b, 0)
 	if err != nil {
-		return nil, syntaxError(file, err)
+		return nil, syntaxError(file, b, err)
 	}
 	if err := yaml.UnmarshalWithOptions(b, v, yaml.Strict()); err != nil {
-		return nil, syntaxError(file, err)
+		return nil, syntaxError(file, b, err)
 	}
 	return &document{file: file, ast: f}, nil
 }
 
 // syntaxError turns a decoder's error into a FieldError.
-func syntaxError(file string, err error) error {
+func syntaxError(file string, b []byte, err error) error {
 	var ye yaml.Error
 	if !errors.As(err, &ye) {
-		return &FieldError{File: file, Line: 1, Want: err.Error(), Remedy: "write a YAML document as in docs/SETTINGS.md"}
+		return &FieldError{File: file, Line: quotedLine(b, err.Error()), Want: err.Error(), Remedy: remedyFor(err.Error())}
 	}
 	line := 1
 	if t := ye.GetToken(); t != nil {
@@ -63,6 +64,20 @@
 	return &FieldError{File: file, Line: line, Want: ye.GetMessage(), Remedy: remedyFor(ye.GetMessage())}
 }
 
+// quotedLine returns the first line that holds the value that a message quotes,
+// for errors without a position.
+func quotedLine(b []byte, msg string) int {
+	parts := strings.Split(msg, `"`)
+	if len(parts) < 3 || parts[1] == "" {
+		return 1
+	}
+	at := bytes.Index(b, []byte(parts[1]))
+	if at < 0 {
+		return 1
+	}
+	return 1 + bytes.Count(b[:at], []byte{'\n'})
+}
+
 // remedyFor names the remedy for a decoder's message.
 func remedyFor(msg string) string {
 	switch {
--- /dev/null
+++ b/event/ring_test.go
@@ -0,0 +1,76 @@
+package event_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/event"
+)
+
+func TestRingKeepsTheNewest(t *testing.T) {
+	is := is.New(t)
+	r := event.NewRing("n", 4)
+	for i := range 10 {
+		r.Record(vane.Event{What: vane.EventServed, Have: float64(i)})
+	}
+	p := r.Since(0, event.Filter{})
+	is.Equal(p.Lost, uint64(6)) // and says how many are gone
+	is.Equal(len(p.Events), 4)
+	is.Equal(p.Events[0].Have, 6.0)
+	is.Equal(len(r.Since(p.Next, event.Filter{}).Events), 0)
+	is.Equal(len(r.Since(0, event.Filter{What: "refused"}).Events), 0)
+}
+
+// TestMergeKeepsCauses lets an event of one node cause one of another whose wall
+// clock is behind.
+func TestMergeKeepsCauses(t *testing.T) {
+	is := is.New(t)
+	var ahead, behind event.Clock
+	wall := time.Unix(1_000_000, 0)
+	cause := ahead.Next(wall.Add(time.Minute))
+	behind.Observe(cause)
+	effect := behind.Next(wall)
+	is.True(effect > cause)
+	all := event.Merge([]vane.Event{{Host: "b", Clock: effect}}, []vane.Event{{Host: "a", Clock: cause}})
+	is.Equal(all[0].Host, "a")
+	is.Equal(all[1].Host, "b")
+}
+
+func TestWake(t *testing.T) {
+	is := is.New(t)
+	r := event.NewRing("n", 4)
+	ch := r.Wake(0)
+	select {
+	case <-ch:
+		t.Fatal("woken without an event")
+	default:
+	}
+	r.Record(vane.Event{What: vane.EventServed})
+	<-ch
+	<-r.Wake(0) // an event that is already there wakes at once
+	is.Equal(r.Since(0, event.Filter{}).Next, uint64(1))
+}
+
+func ExampleMerge() {
+	a, b := event.NewRing("a", 8), event.NewRing("b", 8)
+	a.Record(vane.Event{What: vane.EventRefused, Reason: vane.ReasonLimitRate})
+	b.Record(vane.Event{What: vane.EventServed})
+	for _, e := range event.Merge(b.Since(0, event.Filter{}).Events, a.Since(0, event.Filter{}).Events) {
+		fmt.Println(e.Host, e.What, e.Reason)
+	}
+	// Output:
+	// a refused limit_rate
+	// b served none
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := event.NewRing("n", 8192)
+	b.ReportAllocs()
+	for range b.N {
+		r.Record(vane.Event{What: vane.EventServed, Workspace: "w", Request: "r", Have: 1})
+	}
+}
--- a/node/share.go
+++ b/node/share.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	vane "mustardvane.org/vane"
@@ -29,19 +30,32 @@
 func (n *Node) newKeeper() *lease.Keeper {
 	return lease.NewKeeper(n.st, n.ring, lease.Config{
 		Prefix: "lease/budget", Node: n.set.Node.Name, Boot: fmt.Sprint(n.boot), Shards: budgetShards,
-		Times: lease.DefaultTimes(), Wanted: func(i int) bool { return n.preferred(i) == n.set.Node.Name },
+		Times: lease.DefaultTimes(), Wanted: n.wants,
 		OnTake: n.hub.Take, OnLose: n.hub.Lose, Data: n.hub.Data, OnDone: n.hub.Written,
 	})
 }
 
-// preferred returns the name of the node that should hold a shard.
-func (n *Node) preferred(shard int) string {
+// wants says whether this node should hold a shard. A holder gives way only to a
+// node that is preferred whether or not some members are suspected; another node
+// begins to watch a lease as soon as those before it are suspected.
+func (n *Node) wants(shard int) bool {
+	ms := n.serving()
+	if preferred(ms, shard) == n.set.Node.Name {
+		return true
+	}
+	if _, held := n.keeper.Holds(shard); held {
+		return false
+	}
+	alive := slices.DeleteFunc(ms, func(m member.Member) bool { return m.Status != wire.Status_STATUS_ALIVE })
+	return preferred(alive, shard) == n.set.Node.Name
+}
+
+// preferred returns the name of the member that should hold a shard.
+func preferred(ms []member.Member, shard int) string {
+	key := fmt.Sprintf("budget/%d", shard)
 	best, score := "", uint64(0)
-	for _, m := range n.serving() {
-		if m.Status != wire.Status_STATUS_ALIVE {
-			continue
-		}
-		if r := rank(m.Name, fmt.Sprintf("budget/%d", shard)); best == "" || r > score {
+	for _, m := range ms {
+		if r := rank(m.Name, key); best == "" || r > score {
 			best, score = m.Name, r
 		}
 	}
@@ -84,7 +98,7 @@
 
 // nearer returns a node that holds a shard, or knows better who does.
 func (n *Node) nearer(shard int) (name, addr string) {
-	for _, name := range []string{n.keeper.Holder(shard), n.preferred(shard)} {
+	for _, name := range []string{n.keeper.Holder(shard), preferred(n.serving(), shard)} {
 		if m, ok := n.member(name); ok {
 			return name, m.Addr
 		}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,58 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/retry"
+)
+
+func TestDecide(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, tt := range []struct {
+		name  string
+		a     retry.Attempt
+		again bool
+		why   vane.Reason
+	}{
+		{"not run", retry.Attempt{Number: 1, Execution: vane.NotRun, Left: time.Second}, true, vane.ReasonNone},
+		{"may have run, idempotent", retry.Attempt{Number: 1, Execution: vane.MayHaveRun, Idempotent: true, Left: time.Second}, true, vane.ReasonNone},
+		{"may have run", retry.Attempt{Number: 1, Execution: vane.MayHaveRun, Left: time.Second}, false, vane.ReasonUpstreamFailed},
+		{"too often", retry.Attempt{Number: retry.MaxAttempts, Left: time.Second}, false, vane.ReasonUpstreamFailed},
+		{"no time left", retry.Attempt{Number: 1, Left: time.Millisecond}, false, vane.ReasonQueueDeadline},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			v := retry.Decide(tt.a, retry.NewBudget(), now)
+			is.Equal(v.Again, tt.again)
+			is.Equal(v.Reason, tt.why)
+		})
+	}
+}
+
+// TestBudget lets every request of an overload fail and counts the repeats.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	b := retry.NewBudget(retry.WithShare(0.1))
+	now := time.Unix(1_000_000, 0)
+	repeats := 0
+	const fresh = 10_000
+	for i := range fresh {
+		b.Fresh()
+		if b.Take(now.Add(time.Duration(i) * time.Millisecond)) {
+			repeats++
+		}
+	}
+	is.True(repeats >= fresh/10)
+	is.True(repeats <= fresh/10+2*fresh/1000+20) // a tenth, the floor and what was saved up
+}
+
+func ExampleDecide() {
+	v := retry.Decide(retry.Attempt{Number: 1, Execution: vane.MayHaveRun, Left: time.Second}, retry.NewBudget(), time.Now())
+	fmt.Println(v.Again, v.Reason)
+	// Output: false upstream_failed
+}
--- /dev/null
+++ b/stream/stream_test.go
@@ -0,0 +1,192 @@
+package stream_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/stream"
+)
+
+// sink collects what is written; after limit events it fails.
+type sink struct {
+	b     strings.Builder
+	limit int
+}
+
+func (s *sink) WriteEvent(b []byte) error {
+	if s.limit--; s.limit == -1 {
+		return errors.New("the caller left")
+	}
+	s.b.Write(b)
+	return nil
+}
+
+// ev is one event of the answer chatcmpl-1.
+func ev(id int, content string) string {
+	return fmt.Sprintf("id: %d\ndata: {\"id\":\"chatcmpl-1\",\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", id, content)
+}
+
+const (
+	end   = "data: [DONE]\n\n"
+	usage = "id: 2\ndata: {\"id\":\"chatcmpl-1\",\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":2,\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n"
+)
+
+func TestRelay(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		in   string
+		kind stream.Kind
+		next int // offset from which another upstream goes on
+	}{
+		{"whole", ev(0, "a") + ev(1, "b") + end, stream.KindNone, 2},
+		{"with usage", ev(0, "a") + ev(1, "b") + usage + end, stream.KindNone, 3},
+		{"with a comment and CRLF", ": hi\r\n\r\n" + strings.ReplaceAll(ev(0, "a"), "\n", "\r\n") + end, stream.KindNone, 1},
+		{"without ids", "data: {\"id\":\"chatcmpl-1\",\"choices\":[]}\n\n" + end, stream.KindNone, 1},
+		{"id not first", "data: {\"choices\":[],\"id\":\"chatcmpl-1\"}\n\n" + end, stream.KindNone, 1},
+		{"nothing", "", stream.KindEmpty, 0},
+		{"cut", ev(0, "a"), stream.KindBroken, 1},
+		{"cut in an event", ev(0, "a") + "data: {\"id\":\"chat", stream.KindBroken, 1},
+		{"gap", ev(0, "a") + ev(2, "c") + end, stream.KindGap, 1},
+		{"repeated", ev(0, "a") + ev(0, "a") + end, stream.KindGap, 1},
+		{"bad offset", ev(0, "a") + strings.Replace(ev(1, "b"), "id: 1", "id: x", 1) + end, stream.KindGap, 1},
+		{"crossed", ev(0, "a") + strings.Replace(ev(1, "b"), "chatcmpl-1", "chatcmpl-2", 1) + end, stream.KindCrossed, 1},
+		{"crossed by a longer id", ev(0, "a") + strings.Replace(ev(1, "b"), "chatcmpl-1", "chatcmpl-11", 1) + end, stream.KindCrossed, 1},
+		{"not JSON", ev(0, "a") + "id: 1\ndata: {\"id\":\"chatcmpl-1\", broken\n\n" + end, stream.KindBad, 1},
+		{"error event", ev(0, "a") + "event: error\ndata: {\"id\":\"chatcmpl-1\"}\n\n" + end, stream.KindBad, 1},
+		{"endless line", "data: " + strings.Repeat("x", 2<<20) + "\n\n", stream.KindBad, 0},
+	} {
+		for _, mode := range []struct {
+			name string
+			wrap func(io.Reader) io.Reader
+		}{{"at once", func(r io.Reader) io.Reader { return r }}, {"by halves", iotest.HalfReader}} {
+			t.Run(tt.name+" "+mode.name, func(t *testing.T) {
+				is := is.New(t)
+				s := &sink{limit: 100}
+				rel := stream.NewRelay(s, "tok", 0, true)
+				err := rel.Copy(stream.NewReader(mode.wrap(strings.NewReader(tt.in))), "chatcmpl-1")
+				is.Equal(stream.KindOf(err), tt.kind)
+				is.Equal(err == nil, tt.kind == stream.KindNone)
+				is.Equal(rel.Next(), tt.next)
+				is.Equal(strings.Contains(s.b.String(), "[DONE]"), tt.kind == stream.KindNone)
+				is.True(!strings.Contains(s.b.String(), "usage")) // the caller did not ask for it
+			})
+		}
+	}
+}
+
+func TestRelayGoesOn(t *testing.T) {
+	is := is.New(t)
+	s := &sink{limit: 100}
+	rel := stream.NewRelay(s, "tok", 0, false)
+	is.Equal(stream.KindOf(rel.Copy(stream.NewReader(strings.NewReader(ev(0, "a"))), "chatcmpl-1")), stream.KindBroken)
+	is.NoErr(rel.Copy(stream.NewReader(strings.NewReader(ev(1, "b")+usage+end)), "chatcmpl-1"))
+	is.Equal(strings.Count(s.b.String(), "id: tok."), 3)
+	is.True(strings.Contains(s.b.String(), "id: tok.1\n"))
+	is.Equal(rel.Usage(), stream.Usage{Prompt: 9, Generated: 2, Cached: 4})
+}
+
+func TestRelayCallerGone(t *testing.T) {
+	is := is.New(t)
+	rel := stream.NewRelay(&sink{limit: 1}, "tok", 0, true)
+	err := rel.Copy(stream.NewReader(strings.NewReader(ev(0, "a")+ev(1, "b")+end)), "chatcmpl-1")
+	is.Equal(stream.KindOf(err), stream.KindCaller)
+	is.True(!stream.KindOf(err).Resumable())
+}
+
+func TestCheckAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name, body string
+		kind       stream.Kind
+	}{
+		{"good", `{"id":"chatcmpl-1","choices":[{}]}`, stream.KindNone},
+		{"nothing", "", stream.KindEmpty},
+		{"blank", " \n", stream.KindEmpty},
+		{"no choices", `{"id":"chatcmpl-1","choices":[]}`, stream.KindEmpty},
+		{"crossed", `{"id":"chatcmpl-2","choices":[{}]}`, stream.KindCrossed},
+		{"cut", `{"id":"chatcmpl-1","cho`, stream.KindBad},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := stream.CheckAnswer([]byte(tt.body), "chatcmpl-1")
+			is.Equal(stream.KindOf(err), tt.kind)
+			is.Equal(err == nil, tt.kind == stream.KindNone)
+		})
+	}
+}
+
+func TestToken(t *testing.T) {
+	s, other := stream.NewSigner("secret-of-all-nodes"), stream.NewSigner("another-secret-text")
+	id := [16]byte{1, 2, 3}
+	tok := s.Token(id, "w1", 77)
+	for _, tt := range []struct {
+		name  string
+		s     *stream.Signer
+		event string
+		ws    string
+		fp    uint64
+		ok    bool
+		next  int
+	}{
+		{"own", s, tok + ".41", "w1", 77, true, 42},
+		{"another node with the same secret", stream.NewSigner("secret-of-all-nodes"), tok + ".0", "w1", 77, true, 1},
+		{"another workspace", s, tok + ".41", "w2", 77, false, 0},
+		{"another request", s, tok + ".41", "w1", 78, false, 0},
+		{"another secret", other, tok + ".41", "w1", 77, false, 0},
+		{"no offset", s, tok, "w1", 77, false, 0},
+		{"negative offset", s, tok + ".-1", "w1", 77, false, 0},
+		{"huge offset", s, tok + ".99999999999", "w1", 77, false, 0},
+		{"changed", s, "A" + tok[1:] + "x.1", "w1", 77, false, 0},
+		{"empty", s, "", "w1", 77, false, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got, next, err := tt.s.Open(tt.event, tt.ws, tt.fp)
+			is.Equal(err == nil, tt.ok)
+			if tt.ok {
+				is.Equal(got, id)
+				is.Equal(next, tt.next)
+				return
+			}
+			var r *vane.Refusal
+			is.True(errors.As(err, &r))
+			is.Equal(r.Reason, vane.ReasonResumeInvalid)
+		})
+	}
+}
+
+// FuzzReader checks that no input makes the reader fail in another way than by an
+// error, nor give more data than it read.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte(ev(0, "a") + usage + end))
+	f.Add([]byte("data:\n\ndata\n\n:\n\nid\n\n"))
+	f.Add([]byte("data: a\ndata: b\r\n\r\nevent: x\ndata: {}\n\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := stream.NewReader(strings.NewReader(string(in)))
+		total := 0
+		for {
+			e, err := r.Next()
+			if err != nil {
+				return
+			}
+			if total += len(e.Data); total > len(in) {
+				t.Fatalf("%d bytes of data from %d", total, len(in))
+			}
+		}
+	})
+}
+
+func Example() {
+	var out sink
+	out.limit = 10
+	rel := stream.NewRelay(&out, "tok", 0, true)
+	err := rel.Copy(stream.NewReader(strings.NewReader(ev(0, "roof")+end)), "chatcmpl-1")
+	fmt.Println(err, rel.Next())
+	// Output: <nil> 1
+}
