--- a/bench/drive.go
+++ b/bench/drive.go
@@ -28,6 +28,10 @@
 	histDigits = 3
 )
 
+// reasonConnection marks a request for which no connection could be made, or whose
+// connection was lost before an answer began.
+const reasonConnection = "connection"
+
 // Result is what came of one request.
 type Result struct {
 	Request   trace.Request
@@ -98,7 +102,7 @@
 	begin := time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
-		res.Reason = "connection"
+		res.Reason = reasonConnection
 		return res
 	}
 	defer resp.Body.Close()
@@ -254,8 +258,7 @@
 			break
 		}
 		wg.Go(func() {
-			addr := f.Nodes[i%len(f.Nodes)].Addr()
-			results[i] = c.Send(ctx, addr, KeyOf(r.Workspace), r)
+			results[i] = f.sendSomewhere(ctx, c, i, r)
 			mu.Lock()
 			defer mu.Unlock()
 			done++
@@ -267,10 +270,23 @@
 	wg.Wait()
 	rep := sum(results)
 	rep.Took = time.Since(begin)
-	rep.HitRate = f.hitRate()
+	rep.HitRate = f.HitRateSince(make(Mark, len(f.Engines)))
 	return rep
 }
 
+// sendSomewhere sends the request to one entry address after another until it can
+// connect, as a caller does that holds several.
+func (f *Fleet) sendSomewhere(ctx context.Context, c *Caller, i int, r trace.Request) Result {
+	var res Result
+	for k := range f.Nodes {
+		res = c.Send(ctx, f.Nodes[(i+k)%len(f.Nodes)].Addr(), KeyOf(r.Workspace), r)
+		if res.Reason != reasonConnection {
+			break
+		}
+	}
+	return res
+}
+
 // sum adds the results up.
 func sum(results []Result) *Report {
 	rep := &Report{
@@ -297,11 +313,24 @@
 	return rep
 }
 
-// hitRate returns the share of prompt tokens that the engines had cached.
-func (f *Fleet) hitRate() float64 {
+// Mark is a place in the engines' logs.
+type Mark []int
+
+// Mark returns the present end of the engines' logs.
+func (f *Fleet) Mark() Mark {
+	m := make(Mark, len(f.Engines))
+	for i, e := range f.Engines {
+		m[i] = len(e.Log())
+	}
+	return m
+}
+
+// HitRateSince returns the share of prompt tokens that the engines had cached
+// since the mark.
+func (f *Fleet) HitRateSince(m Mark) float64 {
 	cached, prompt := 0, 0
-	for _, e := range f.Engines {
-		for _, l := range e.Log() {
+	for i, e := range f.Engines {
+		for _, l := range e.Log()[m[i]:] {
 			cached += l.Cached
 			prompt += l.Prompt
 		}
--- /dev/null
+++ b/bench/meter.go
@@ -0,0 +1,52 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"mustardvane.org/vane/config"
+	"mustardvane.org/vane/fake/engine"
+)
+
+// Metered is what an independent meter at the engines found for a workspace.
+type Metered struct {
+	Workspace string
+	Tokens    float64 // spent in all
+	Over      float64 // spent above rate and burst in the worst window
+}
+
+// Meter adds up what the engines ran for each workspace and compares it with its
+// rate and burst in every window. It knows nothing of the router's own counts.
+func (f *Fleet) Meter(fleet *config.Fleet) []Metered {
+	logs := make(map[string][]engine.Entry)
+	for _, e := range f.Engines {
+		for _, l := range e.Log() {
+			logs[l.Workspace] = append(logs[l.Workspace], l)
+		}
+	}
+	var out []Metered
+	for _, w := range fleet.Workspaces {
+		log := logs[w.Name]
+		slices.SortFunc(log, func(a, b engine.Entry) int { return a.At.Compare(b.At) })
+		out = append(out, meter(w, log))
+	}
+	return out
+}
+
+// meter runs the entries, sorted by time, through the strictest bucket that the
+// workspace's rate and burst allow.
+func meter(w config.Workspace, log []engine.Entry) Metered {
+	m := Metered{Workspace: w.Name}
+	level, at := w.Burst, time.Time{}
+	for _, l := range log {
+		if !at.IsZero() {
+			level = min(w.Burst, level+w.Rate*l.At.Sub(at).Seconds())
+		}
+		at = l.At
+		n := float64(l.Prompt + l.Generated)
+		level -= n
+		m.Tokens += n
+		m.Over = max(m.Over, -level)
+	}
+	return m
+}
--- a/bench/whole_test.go
+++ b/bench/whole_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/goleak"
 
 	"mustardvane.org/vane/bench"
+	"mustardvane.org/vane/config"
 	"mustardvane.org/vane/fake/engine"
 	"mustardvane.org/vane/trace"
 )
@@ -64,10 +65,12 @@
 // addresses before each request, as the platform's callers do.
 func TestDrainCutsNothing(t *testing.T) {
 	is := is.New(t)
-	f := start(t, bench.WithNodes(2))
+	f := start(t, bench.WithNodes(2), bench.WithSettings(func(s *config.Settings) { s.Drain.EntriesTTL = 2 * time.Second }))
 	c := bench.NewCaller()
 	defer c.Close()
-	reqs := trace.Generate(shape(120))
+	sh := shape(300)
+	sh.Rate = 50 // lasts as long as the drain
+	reqs := trace.Generate(sh)
 	results := make(chan bench.Result, len(reqs))
 	begun := make(chan struct{})
 	for i, r := range reqs {
--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -81,7 +81,10 @@
 
 // takeOver makes a new hub hold the shard, after the lease of the one before.
 func (w *world) takeOver() {
-	w.hub = budget.NewHub(1, terms, func(int) (uint64, bool) { return w.fence, w.holder }, func(budget.Victim, string) {})
+	w.hub = budget.NewHub(1, terms, budget.Links{
+		Holds:  func(int) (uint64, bool) { return w.fence, w.holder },
+		Recall: func(budget.Victim, string) {}, Hasten: func(int) {},
+	})
 	before := w.stored
 	w.stored = lease.Record{Holder: "hub", Data: w.hub.Data(0, lease.Acquire, before.Data)}
 	w.fence++
--- a/budget/hub.go
+++ b/budget/hub.go
@@ -43,15 +43,22 @@
 	terms  func(workspace string) (Terms, bool)
 	holds  func(shard int) (uint64, bool)
 	recall func(v Victim, workspace string)
+	hasten func(shard int)
 
 	mu   sync.Mutex
 	held map[int]*shard
 }
 
-// NewHub returns a hub. holds says whether the node holds a shard now; recall
-// asks a node to give a share back and must not wait.
-func NewHub(shards int, terms func(string) (Terms, bool), holds func(int) (uint64, bool), recall func(Victim, string)) *Hub {
-	return &Hub{shards: shards, terms: terms, holds: holds, recall: recall, held: make(map[int]*shard)}
+// Links connect a hub with the rest of its node. None of them may wait.
+type Links struct {
+	Holds  func(shard int) (uint64, bool)   // whether the node holds a shard now
+	Recall func(v Victim, workspace string) // asks a node to give a share back
+	Hasten func(shard int)                  // has the lease object written soon
+}
+
+// NewHub returns a hub.
+func NewHub(shards int, terms func(string) (Terms, bool), l Links) *Hub {
+	return &Hub{shards: shards, terms: terms, holds: l.Holds, recall: l.Recall, hasten: l.Hasten, held: make(map[int]*shard)}
 }
 
 // Take begins to hold a shard. r is the lease record of the holder before.
@@ -202,6 +209,9 @@
 		l := s.ledger(now, a.GetWorkspace(), t)
 		g := l.Exchange(now, r.GetNode(), r.GetIncarnation(), a)
 		reply.Gives = append(reply.Gives, g)
+		if l.Short() {
+			h.hasten(i)
+		}
 		if lacking := a.GetWant() - g.GetShare(); lacking > minShare {
 			for _, v := range l.Recall(lacking, r.GetNode()) {
 				h.recall(v, a.GetWorkspace())
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -102,6 +102,10 @@
 	return c
 }
 
+// Short says whether the recorded ceiling keeps the ledger from giving what its
+// pool has.
+func (l *Ledger) Short() bool { return l.recorded < 1 && l.recorded-l.out < ceilingStep/2 }
+
 // Written notes that the lease object holds the ceiling.
 func (l *Ledger) Written(ceiling float64) { l.recorded = max(DefaultCeiling, ceiling) }
 
--- a/config/service_test.go
+++ b/config/service_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,32 +25,44 @@
 // before.
 type unreliable struct {
 	vane.Store
+	mu   sync.Mutex
 	rnd  *rand.Rand
 	revs []vane.Object // all that was ever accepted
 }
 
 // accept adds a revision.
 func (u *unreliable) accept() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	rev := uint64(len(u.revs) + 1)
 	f := config.Fleet{Models: []config.Model{{Name: fmt.Sprintf("m%d", rev)}}}
 	b, _ := f.Encode()
 	u.revs = append(u.revs, vane.Object{Key: config.FleetKey, Version: rev, Value: b})
 }
 
-// any returns some accepted revision, often an old one.
+// any answers after a while with some accepted revision, often an old one.
 func (u *unreliable) any() (vane.Batch, error) {
-	time.Sleep(time.Duration(u.rnd.IntN(500)) * time.Millisecond)
+	b, d, err := u.draw()
+	time.Sleep(d)
+	return b, err
+}
+
+// draw decides what the platform answers and how late.
+func (u *unreliable) draw() (vane.Batch, time.Duration, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	d := time.Duration(u.rnd.IntN(500)) * time.Millisecond
 	if u.rnd.IntN(4) == 0 {
-		return vane.Batch{}, errors.New("no answer")
+		return vane.Batch{}, d, errors.New("no answer")
 	}
 	if u.rnd.IntN(8) == 0 {
-		return vane.Batch{}, vane.Errorf(vane.KindCompacted, "test", "", "gone")
+		return vane.Batch{}, d, vane.Errorf(vane.KindCompacted, "test", "", "gone")
 	}
 	if len(u.revs) == 0 || u.rnd.IntN(4) == 0 {
-		return vane.Batch{}, nil
+		return vane.Batch{}, d, nil
 	}
 	o := u.revs[u.rnd.IntN(len(u.revs))]
-	return vane.Batch{Revision: o.Version, Objects: []vane.Object{o}}, nil
+	return vane.Batch{Revision: o.Version, Objects: []vane.Object{o}}, d, nil
 }
 
 func (u *unreliable) List(context.Context, string) (vane.Batch, error) { return u.any() }
@@ -65,7 +78,7 @@
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 5))
-			st := &unreliable{rnd: rnd}
+			st := &unreliable{rnd: rand.New(rand.NewPCG(seed, 6))}
 			s := config.NewService(st, discard{})
 			last := uint64(0)
 			s.OnChange(func(v *config.View) {
--- a/fake/engine/chat.go
+++ b/fake/engine/chat.go
@@ -24,11 +24,12 @@
 	cached int    // tokens
 	faults Faults
 	entry  int // index in the log
+	at     time.Time
 }
 
 // chat answers POST /v1/chat/completions.
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
-	j := &job{}
+	j := &job{at: time.Now()}
 	if err := json.NewDecoder(r.Body).Decode(&j.req); err != nil || len(j.req.Messages) == 0 {
 		http.Error(w, `{"error":{"message":"bad request"}}`, http.StatusBadRequest)
 		return
@@ -89,7 +90,7 @@
 	hashes := chain(j.req.CacheSalt, j.text, e.piece)
 	j.cached = e.cache.lookup(hashes) * e.piece
 	j.entry = e.record(Entry{
-		At: time.Now(), RequestID: r.Header.Get(HeaderRequestID), Workspace: r.Header.Get(HeaderWorkspace),
+		At: j.at, RequestID: r.Header.Get(HeaderRequestID), Workspace: r.Header.Get(HeaderWorkspace),
 		Prompt: j.prompt, Cached: j.cached, Offset: j.req.ResumeOffset,
 	})
 }
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -40,7 +40,7 @@
 
 // Entry is one request in the engine's own log.
 type Entry struct {
-	At        time.Time `json:"at"`
+	At        time.Time `json:"at"` // arrival
 	RequestID string    `json:"request_id"`
 	Workspace string    `json:"workspace"`
 	Prompt    int       `json:"prompt"`    // tokens
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -37,6 +37,7 @@
 	onLose   func(shard int)
 	onDone   func(shard int, value []byte)
 	box      *kernel.Mailbox[answer]
+	hasten   *kernel.Mailbox[int]
 	closing  chan chan struct{}
 
 	mu     sync.Mutex
@@ -68,7 +69,7 @@
 func NewKeeper(st vane.Store, rec vane.Recorder, c Config) *Keeper {
 	k := &Keeper{
 		prefix: c.Prefix, st: st, rec: rec, wanted: c.Wanted, onTake: c.OnTake, onLose: c.OnLose, onDone: c.OnDone,
-		box: kernel.NewMailbox[answer](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}),
+		box: kernel.NewMailbox[answer](boxSize), hasten: kernel.NewMailbox[int](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}),
 	}
 	for i := range c.Shards {
 		k.machines = append(k.machines, NewMachine(c.Node, c.Times, WithBoot(c.Boot),
@@ -97,6 +98,9 @@
 	return k.shards[shard].Other
 }
 
+// Hasten makes this node write the record of a shard that it holds again soon.
+func (k *Keeper) Hasten(shard int) { k.hasten.Send(shard) }
+
 // Held returns the number of shards held.
 func (k *Keeper) Held() int {
 	n := 0
@@ -111,6 +115,7 @@
 // Run implements kernel.Service.
 func (k *Keeper) Run(ctx context.Context, ready func()) error {
 	ready()
+	defer k.forget()
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	leaving := false
@@ -129,6 +134,8 @@
 			}
 		case <-tick.C:
 			k.tick(calls, &wg, leaving)
+		case i := <-k.hasten.C():
+			k.machines[i].Hasten(time.Now())
 		case released = <-k.closing:
 			leaving = true
 		case <-ctx.Done():
@@ -141,6 +148,15 @@
 	}
 }
 
+// forget ends the use of all leases that this node still holds.
+func (k *Keeper) forget() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := range k.shards {
+		k.shards[i] = Shard{}
+	}
+}
+
 // quiet says whether no machine is releasing.
 func (k *Keeper) quiet() bool {
 	for _, m := range k.machines {
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -344,6 +344,17 @@
 	m.next = now
 }
 
+// Hasten makes a holder write its record again soon.
+func (m *Machine) Hasten(now time.Time) {
+	soon := m.sentAt.Add(m.times.Renew / eagerFactor)
+	if soon.Before(now) {
+		soon = now
+	}
+	if m.phase == holding && soon.Before(m.next) {
+		m.next = soon
+	}
+}
+
 // Took says once after each time that the lease was taken.
 func (m *Machine) Took() bool {
 	t := m.took
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	maxInFlight  = 1024
 	overcommit   = 2 // requests in flight for each slot of the upstreams
 	startTimeout = 10 * time.Second
+	leaveSpread  = 2 * time.Second // until all nodes have heard that one leaves
 )
 
 // Names of the services.
@@ -113,7 +114,11 @@
 	if err := n.newPeers(); err != nil {
 		return nil, err
 	}
-	n.hub = budget.NewHub(budgetShards, n.terms, func(i int) (uint64, bool) { return n.keeper.Holds(i) }, n.recall)
+	n.hub = budget.NewHub(budgetShards, n.terms, budget.Links{
+		Holds:  func(i int) (uint64, bool) { return n.keeper.Holds(i) },
+		Recall: n.recall,
+		Hasten: func(i int) { n.keeper.Hasten(i) },
+	})
 	n.keeper = n.newKeeper()
 	n.shares = budget.NewShares(set.Node.Name, n.boot, budgetShards, n.terms, n, budget.WithFloors(n.floors))
 	n.entry = n.newEntry()
@@ -234,7 +239,7 @@
 	n.ring.Record(vane.Event{What: vane.EventDraining, Have: float64(n.entry.InFlight())})
 	klog.InfoS("node draining", "node", n.set.Node.Name, "in_flight", n.entry.InFlight())
 	n.leave()
-	wait(ctx, n.set.Drain.EntriesTTL)
+	wait(ctx, n.set.Drain.EntriesTTL+leaveSpread)
 	n.web.quiet()
 	limit, cancel := context.WithTimeout(ctx, n.set.Drain.MaxWait)
 	defer cancel()
@@ -293,10 +298,15 @@
 // is. It serves embedders that get the configuration in another way.
 func (n *Node) Offer(rev uint64, value []byte) (bool, error) { return n.conf.Offer(rev, value) }
 
-// terms returns the budget of a workspace.
+// terms returns the budget of a workspace. A request may reach its upstream as
+// late after its reservation as the class allows for the first token; so that the
+// bound holds at the upstreams too, what the rate yields in that time is taken off
+// the burst, but never more than half of it.
 func (n *Node) terms(ws string) (budget.Terms, bool) {
-	w, ok := n.conf.Current().Workspace(ws)
-	return budget.Terms{Rate: w.Rate, Burst: w.Burst}, ok
+	v := n.conf.Current()
+	w, ok := v.Workspace(ws)
+	late := w.Rate * v.FirstToken(w).Seconds()
+	return budget.Terms{Rate: w.Rate, Burst: w.Burst - min(late, w.Burst/2)}, ok
 }
 
 // resize adapts the bound on requests in flight to the upstreams.
