--- /dev/null
+++ b/budget/bench_test.go
@@ -0,0 +1,60 @@
+package budget_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mustardvane.org/vane/budget"
+	"mustardvane.org/vane/lease"
+	"mustardvane.org/vane/wire"
+)
+
+// BenchmarkHub drives one holder by the asks of 380 nodes for its part of the
+// workspaces, and gives the cost of an ask and of a lease record.
+func BenchmarkHub(b *testing.B) {
+	for _, n := range []int{5, 50, 340} {
+		hub := budget.NewHub(1, terms, budget.Links{
+			Holds: func(int) (uint64, bool) { return 1, true }, Recall: func(budget.Victim, string) {}, Hasten: func(int) {},
+		})
+		hub.Take(0, 1, lease.Record{})
+		now := epoch
+		exchange := func(i int) {
+			now = now.Add(time.Millisecond)
+			hub.Exchange(now, &wire.ExchangeRequest{Node: fmt.Sprintf("vane-%d", i%380), Incarnation: 1, Fence: 1, Asks: []*wire.Ask{
+				{Workspace: fmt.Sprintf("w%d", i%n), Want: 0.001, Tokens: 10, Hold: 0.001},
+			}})
+		}
+		for i := range 3 * n {
+			exchange(i)
+		}
+		b.Run(fmt.Sprintf("ask/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				exchange(i)
+			}
+		})
+		b.Run(fmt.Sprintf("record/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				b.ReportMetric(float64(len(hub.Data(0, lease.Renew, nil))), "B/record")
+			}
+		})
+	}
+}
+
+// BenchmarkAccount gives the cost of a reservation that a node's own share covers.
+func BenchmarkAccount(b *testing.B) {
+	a := budget.NewAccount(epoch, budget.Terms{Rate: 1e9, Burst: 1e9})
+	a.Ask(epoch, "w", 1e9, 1)
+	a.Given(epoch, epoch, &wire.Give{Share: 1, Tokens: 1e9, LifeMs: 600_000})
+	now := epoch
+	b.ReportAllocs()
+	for range b.N {
+		now = now.Add(time.Microsecond)
+		a.Want(now, 100)
+		if m, ok := a.Take(now, 100); ok {
+			a.Settle(now, m, 100, 60)
+		}
+	}
+}
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -2,13 +2,10 @@
 
 import (
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
-
-	vane "mustardvane.org/vane"
 )
 
 // FleetKey is the platform object that holds the accepted configuration.
@@ -92,18 +89,6 @@
 	return &f, nil
 }
 
-// Encode returns the form in which the platform keeps f.
-func (f *Fleet) Encode() ([]byte, error) { return json.Marshal(f) }
-
-// DecodeFleet reads the form in which the platform keeps a configuration.
-func DecodeFleet(b []byte) (*Fleet, error) {
-	var f Fleet
-	if err := json.Unmarshal(b, &f); err != nil {
-		return nil, vane.Errorf(vane.KindInvalid, "config.decode", "apply the configuration again with vanectl", "object %s is not a configuration", FleetKey).WithCause(err)
-	}
-	return &f, nil
-}
-
 // ClassOf returns the class of the workspace w.
 func (f *Fleet) ClassOf(w Workspace) Class {
 	for _, c := range f.Classes {
--- a/config/settings_test.go
+++ b/config/settings_test.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// TestLargeFleet checks that the configuration of the size to design for fits one
+// object of the platform and survives the way there and back.
+func TestLargeFleet(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(5400)
+	b, err := f.Encode()
+	is.NoErr(err)
+	is.True(len(b) <= 1<<20)
+	back, err := config.DecodeFleet(b)
+	is.NoErr(err)
+	is.Equal(len(back.Workspaces), 5400)
+	is.Equal(back.Workspaces[5399], f.Workspaces[5399])
+	_, err = config.DecodeFleet(b[:len(b)/2])
+	is.True(err != nil) // a cut one is refused
+}
+
 func TestRouteOf(t *testing.T) {
 	f := &config.Fleet{Services: []config.PlainService{{Name: "s", Routes: []config.Route{
 		{Path: "/a", Methods: []string{"GET"}, Idempotent: true}, {Path: "/a/b", Methods: []string{"GET"}},
