A budget's holder goes on through an outage; a restarted node's shares come back

Cause: after the platform was down with half of the nodes killed, 39 % of requests inside their rate were refused: every lease had lapsed, so that every holder began a new era in which all that had been given out counted as in use for ten minutes.

Change: a holder whose lease lapses with no other known goes on within the ceiling recorded, with lives that end no later than those given at the lapse; if it takes its own lease again it keeps its ledgers. What it gave to a life that has ended is free at once but for the half that a node may lend between two answers. While the lease is lapsed nothing counts as free but what is given back.

--- a/budget/account.go
+++ b/budget/account.go
@@ -24,6 +24,7 @@
 	bucket *Bucket
 	until  time.Time // end of the share's life
 	floor  float64   // share held also without demand
+	lend   float64   // share that may be lent before the holder answers again
 
 	demand    float64 // tokens a second, averaged
 	demandAt  time.Time
@@ -71,7 +72,7 @@
 
 // drop ends the use of the share.
 func (a *Account) drop(now time.Time) {
-	a.share = 0
+	a.share, a.lend = 0, 0
 	a.bucket.Set(now, 0, 0)
 }
 
@@ -196,6 +197,7 @@
 	tokens := max(0, a.bucket.Level(now)) * share / a.share
 	a.bucket.Add(now, -share*a.terms.Rate, -share*a.terms.Burst, -tokens)
 	a.share -= share
+	a.lend = min(a.lend, lendable*a.share)
 	if a.share < minShare {
 		a.drop(now)
 	}
@@ -209,6 +211,7 @@
 		a.until = later(a.until, sent.Add(time.Duration(ms)*time.Millisecond))
 	}
 	a.receive(now, sent, g)
+	a.lend = lendable * a.share
 }
 
 // later returns the later time.
@@ -244,16 +247,15 @@
 // Lend gives a peer a part of what the node can spare, for the case that no
 // holder answers.
 func (a *Account) Lend(now time.Time, ask *wire.Ask) *wire.Give {
-	const most = 0.5 // of what is spare
 	a.expire(now)
 	g := &wire.Give{Workspace: ask.GetWorkspace()}
-	free := most * (a.share - a.need(now)/2)
-	share := min(ask.GetWant(), free)
+	share := min(ask.GetWant(), a.lend, a.share-a.need(now)/2)
 	if share < minShare {
 		return g
 	}
 	g.LifeMs = remaining(now, a.until)
 	g.Share = share
+	a.lend -= share
 	g.Tokens = a.remove(now, share)
 	return g
 }
--- a/budget/bench_test.go
+++ b/budget/bench_test.go
@@ -17,7 +17,7 @@
 		hub := budget.NewHub(1, terms, budget.Links{
 			Holds: func(int) (uint64, bool) { return 1, true }, Recall: func(budget.Victim, string) {}, Hasten: func(int) {},
 		})
-		hub.Take(0, 1, lease.Record{})
+		hub.Take(epoch, lease.Taken{Fence: 1})
 		now := epoch
 		exchange := func(i int) {
 			now = now.Add(time.Millisecond)
--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -29,11 +29,13 @@
 	now    time.Time
 	nodes  []*modelNode
 	hub    *budget.Hub
+	former *budget.Hub // a holder whose lease has ended and that goes on
 	holder bool
 	fence  uint64
 	stored lease.Record // what the lease object holds
 	log    []spend
 	denied int
+	valid  *bool // the newest holder's lease
 	acts   []func(*modelNode)
 }
 
@@ -81,20 +83,25 @@
 
 // takeOver makes a new hub hold the shard, after the lease of the one before.
 func (w *world) takeOver() {
+	valid := true
+	w.valid = &valid
 	w.hub = budget.NewHub(1, terms, budget.Links{
-		Holds:  func(int) (uint64, bool) { return w.fence, w.holder },
+		Holds:  func(int) (uint64, bool) { return 0, valid },
 		Recall: func(budget.Victim, string) {}, Hasten: func(int) {},
 	})
 	before := w.stored
 	w.stored = lease.Record{Holder: "hub", Data: w.hub.Data(0, lease.Acquire, before.Data)}
 	w.fence++
 	w.holder = true
-	w.hub.Take(0, w.fence, before)
+	w.hub.Take(w.now, lease.Taken{Fence: w.fence, Before: before})
 }
 
 // write renews the lease; the answer may be lost after it took effect, or the
 // write may never arrive.
 func (w *world) write(p lease.Purpose) {
+	if !w.holder {
+		return
+	}
 	r := lease.Record{Holder: "hub", Released: p == lease.Release, Data: w.hub.Data(0, p, w.stored.Data)}
 	value, _ := json.Marshal(r)
 	switch w.rnd.IntN(4) {
@@ -119,12 +126,13 @@
 		most float64
 		f    func(n *modelNode)
 	}{
-		{300, w.request}, {150, w.settle}, {300, w.exchange}, {60, w.deliver}, {40, w.lend},
+		{450, w.request}, {200, w.settle}, {300, w.exchange}, {60, w.deliver}, {40, w.lend},
 		{3, func(n *modelNode) { n.acc.SetFloor(w.rnd.Float64() / 4) }},
 		{15, func(n *modelNode) { n.acc.Recall(w.rnd.Float64()) }},
 		{40, func(*modelNode) { w.write(lease.Renew) }},
 		{5, w.restart},
 		{4, func(*modelNode) { w.loseHub() }},
+		{3, w.outage},
 		{4, w.release},
 		{6, func(*modelNode) { w.now = w.now.Add(jumps[w.rnd.IntN(len(jumps))]) }},
 	}
@@ -175,7 +183,11 @@
 	if w.rnd.IntN(10) == 0 {
 		return
 	}
-	reply := w.hub.Exchange(w.now, req)
+	hub := w.hub
+	if w.former != nil && w.rnd.IntN(3) == 0 {
+		hub = w.former
+	}
+	reply := hub.Exchange(w.now, req)
 	if !reply.GetHolder() || w.rnd.IntN(10) == 0 {
 		return
 	}
@@ -217,20 +229,49 @@
 // loseHub lets the holder crash, or stop renewing, and another one take over when
 // its lease is over.
 func (w *world) loseHub() {
-	w.holder = false
+	w.end()
 	if w.rnd.IntN(2) == 0 {
 		w.now = w.now.Add(7 * time.Second)
 	}
+	w.former = nil // it crashed
+	if w.rnd.IntN(2) == 0 {
+		w.former = w.hub // it only could not renew
+	}
 	w.takeOver()
 }
 
+// end lets the newest holder's lease end.
+func (w *world) end() {
+	*w.valid, w.holder = false, false
+	w.hub.Lapse(0, w.now)
+}
+
+// outage lets the lease end with no other holder, and later either be taken again
+// by the same holder or not.
+func (w *world) outage(*modelNode) {
+	if w.holder {
+		w.end()
+		return
+	}
+	if w.rnd.IntN(3) > 0 {
+		*w.valid, w.holder = true, true
+		w.hub.Take(w.now, lease.Taken{Fence: w.fence + 1, Before: w.stored, Resumed: true})
+		w.fence++
+		return
+	}
+	w.loseHub()
+}
+
 // release hands the shard over on a planned stop. A node's ask may reach the
 // holder while it does.
 func (w *world) release(n *modelNode) {
+	if !w.holder {
+		return
+	}
 	r := lease.Record{Holder: "hub", Released: true, Data: w.hub.Data(0, lease.Release, w.stored.Data)}
 	w.exchange(n)
-	w.holder = false
-	w.stored = r
+	w.end()
+	w.stored, w.former = r, nil
 	w.takeOver()
 }
 
--- a/budget/hub.go
+++ b/budget/hub.go
@@ -30,9 +30,10 @@
 // shard is the state of a held shard.
 type shard struct {
 	fence   uint64
-	before  record // of the holder before
-	fresh   bool   // there was no holder before
-	closed  bool   // the shard is being released; nothing is given out any more
+	before  record    // of the holder before
+	fresh   bool      // there was no holder before
+	closed  bool      // the shard is being released; nothing is given out any more
+	lapsed  time.Time // end of the lease, if it has ended; zero while it is held
 	ledgers map[string]*Ledger
 }
 
@@ -61,22 +62,63 @@
 	return &Hub{shards: shards, terms: terms, holds: l.Holds, recall: l.Recall, hasten: l.Hasten, held: make(map[int]*shard)}
 }
 
-// Take begins to hold a shard. r is the lease record of the holder before.
-func (h *Hub) Take(i int, fence uint64, r lease.Record) {
-	s := &shard{fence: fence, fresh: r.Holder == "", ledgers: make(map[string]*Ledger)}
-	_ = json.Unmarshal(r.Data, &s.before)
+// Take begins to hold a shard. A holder that takes its own lease again, with no
+// other in between, goes on with its ledgers.
+func (h *Hub) Take(now time.Time, t lease.Taken) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.held[i] = s
+	if s := h.held[t.Shard]; s != nil && t.Resumed && !s.closed {
+		s.lapsed = time.Time{}
+		for _, l := range s.ledgers {
+			l.Thaw(now)
+		}
+		return
+	}
+	s := &shard{fence: t.Fence, fresh: t.Before.Holder == "", ledgers: make(map[string]*Ledger)}
+	_ = json.Unmarshal(t.Before.Data, &s.before)
+	h.held[t.Shard] = s
+}
+
+// Lapse notes that the lease of a shard ended at the given time with no other
+// holder known, for example because the platform is down. The hub goes on with
+// what the recorded ceilings allow; nothing that it gives from now on lives longer
+// than what it gave at the end of the lease, so that a later holder, which counts
+// all of that as given out, stays right.
+func (h *Hub) Lapse(i int, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.held[i]; s != nil {
+		s.lapsed = at
+		for _, l := range s.ledgers {
+			l.Freeze()
+		}
+	}
 }
 
-// Lose ends holding a shard.
+// Lose ends the work for a shard that another node holds.
 func (h *Hub) Lose(i int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.held, i)
 }
 
+// cap shortens the lives that a reply gives to what a lapsed lease allows.
+func (s *shard) cap(now time.Time, g *wire.Give) {
+	if s.lapsed.IsZero() {
+		return
+	}
+	left := remaining(now, s.lapsed.Add(shorter(Life)))
+	g.LifeMs, g.ExtendMs = min(g.LifeMs, left), min(g.ExtendMs, left)
+}
+
+// open says whether the shard may give out shares.
+func (s *shard) open(now time.Time, held bool) bool {
+	if s == nil || s.closed {
+		return false
+	}
+	return held || (!s.lapsed.IsZero() && now.Before(s.lapsed.Add(shorter(Life))))
+}
+
 // Data returns the recovery record for a write of a shard's lease object.
 func (h *Hub) Data(i int, p lease.Purpose, before json.RawMessage) json.RawMessage {
 	h.mu.Lock()
@@ -183,17 +225,20 @@
 		l = NewLedgerAfter(now, t, max(DefaultCeiling, s.before.Ceilings[ws]))
 	}
 	s.ledgers[ws] = l
+	if !s.lapsed.IsZero() {
+		l.Freeze()
+	}
 	return l
 }
 
 // Exchange serves the asks of one node.
 func (h *Hub) Exchange(now time.Time, r *wire.ExchangeRequest) *wire.ExchangeReply {
 	i := int(r.GetShard())
-	_, ok := h.holds(i)
+	_, held := h.holds(i)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.held[i]
-	if !ok || s == nil || s.closed {
+	if !s.open(now, held) {
 		return &wire.ExchangeReply{}
 	}
 	reply := &wire.ExchangeReply{Holder: true, Fence: s.fence}
@@ -208,6 +253,7 @@
 		}
 		l := s.ledger(now, a.GetWorkspace(), t)
 		g := l.Exchange(now, r.GetNode(), r.GetIncarnation(), a)
+		s.cap(now, g)
 		reply.Gives = append(reply.Gives, g)
 		if l.Short() {
 			h.hasten(i)
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -18,6 +18,9 @@
 	// DefaultCeiling is the part of a budget that a holder may give out without
 	// having it recorded in the lease.
 	DefaultCeiling = 0.5
+	// lendable is the part of its share that a node may lend to peers between two
+	// answers of the holder.
+	lendable = 0.5
 	// ceilingStep is how far a recorded ceiling is ahead of what was given out.
 	ceilingStep = 0.2
 	// minShare is the smallest share worth a transfer.
@@ -30,6 +33,7 @@
 type lot struct {
 	incarnation uint64
 	share       float64
+	minted      float64 // given by this ledger and still held, at most
 	until       time.Time
 	back        uint64 // newest id of a return
 }
@@ -38,6 +42,7 @@
 // elsewhere.
 type residue struct {
 	share float64
+	ended float64 // part of it that is free once the holder is sure to be the only one
 	until time.Time
 }
 
@@ -55,6 +60,7 @@
 	lots     map[string]*lot
 	residues []residue
 	era      time.Time // until then, shares given by holders before may be in use
+	frozen   bool      // the lease has ended; another holder may be at work
 }
 
 // NewLedger returns the ledger of a budget of which no share is given out.
@@ -87,6 +93,21 @@
 	l.pool.Set(now, t.Rate*l.share, t.Burst*l.share)
 }
 
+// Freeze notes that the lease has ended. Another holder may extend and take back
+// what this one gave out, so that from now on nothing counts as free but what is
+// given back here.
+func (l *Ledger) Freeze() { l.frozen = true }
+
+// Thaw notes that the lease is held again and that nobody else held it meanwhile.
+func (l *Ledger) Thaw(now time.Time) {
+	l.frozen = false
+	for i := range l.residues {
+		r := &l.residues[i]
+		l.free(now, r.ended, 0)
+		r.share, r.ended = r.share-r.ended, 0
+	}
+}
+
 // Out returns the bound on the shares given out.
 func (l *Ledger) Out() float64 { return l.out }
 
@@ -111,8 +132,10 @@
 
 // Exchange serves one node's ask.
 func (l *Ledger) Exchange(now time.Time, node string, incarnation uint64, a *wire.Ask) *wire.Give {
-	l.expire(now)
-	lt := l.lot(node, incarnation)
+	if !l.frozen {
+		l.expire(now)
+	}
+	lt := l.lot(now, node, incarnation)
 	l.takeBack(now, lt, a)
 	g := &wire.Give{Workspace: a.GetWorkspace()}
 	l.extend(now, lt, a, g)
@@ -120,12 +143,13 @@
 	return g
 }
 
-// lot returns the node's lot. What an earlier life of the node held may have been
-// lent to a peer, so that it stays out until its time ends.
-func (l *Ledger) lot(node string, incarnation uint64) *lot {
+// lot returns the node's lot. An earlier life of the node has ended: what this
+// ledger gave it is free, but for what it may have lent to peers. What it had from
+// another holder stays out until its time ends, since that one may free it too.
+func (l *Ledger) lot(now time.Time, node string, incarnation uint64) *lot {
 	lt, ok := l.lots[node]
 	if ok && incarnation > lt.incarnation {
-		l.residues = append(l.residues, residue{share: lt.share, until: lt.until})
+		l.bury(now, lt)
 		ok = false
 	}
 	if !ok {
@@ -135,6 +159,17 @@
 	return lt
 }
 
+// bury ends the lot of a life that has ended.
+func (l *Ledger) bury(now time.Time, lt *lot) {
+	ended := max(0, min(lt.minted, lt.share)-lendable*lt.share)
+	if l.frozen {
+		l.residues = append(l.residues, residue{share: lt.share, ended: ended, until: lt.until})
+		return
+	}
+	l.residues = append(l.residues, residue{share: lt.share - ended, until: lt.until})
+	l.free(now, ended, 0)
+}
+
 // free puts a share back into the pool.
 func (l *Ledger) free(now time.Time, share, tokens float64) {
 	share = min(share, l.out)
@@ -153,6 +188,7 @@
 	}
 	lt.back = a.GetBackId()
 	lt.share = max(0, lt.share-a.GetBack())
+	lt.minted = max(0, lt.minted-a.GetBack())
 	l.free(now, a.GetBack(), a.GetBackTokens())
 }
 
@@ -160,14 +196,14 @@
 // of its lot that it does not report may be in use elsewhere until its time ends.
 func (l *Ledger) extend(now time.Time, lt *lot, a *wire.Ask, g *wire.Give) {
 	hold := a.GetHold()
-	if hold <= 0 {
-		return
-	}
 	if rest := lt.share - hold; rest > rounding {
 		l.residues = append(l.residues, residue{share: rest, until: lt.until})
 	}
 	lt.share, lt.until = hold, now.Add(longer(Life))
-	g.ExtendMs = uint32(shorter(Life).Milliseconds())
+	lt.minted = min(lt.minted, hold)
+	if hold > 0 {
+		g.ExtendMs = uint32(shorter(Life).Milliseconds())
+	}
 }
 
 // give gives shares and tokens out of the pool. Every share that is given out
@@ -185,6 +221,7 @@
 		l.share -= share
 		l.out += share
 		lt.share += share
+		lt.minted += share
 		lt.until = now.Add(longer(Life))
 	}
 	l.pool.Add(now, -share*l.terms.Rate, -share*l.terms.Burst, -tokens)
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -33,7 +33,8 @@
 	rec      vane.Recorder
 	machines []*Machine
 	wanted   func(shard int) bool
-	onTake   func(shard int, fence uint64, r Record)
+	onTake   func(Taken)
+	onLapse  func(shard int, at time.Time)
 	onLose   func(shard int)
 	onDone   func(shard int, value []byte)
 	box      *kernel.Mailbox[answer]
@@ -51,6 +52,14 @@
 	res   Result
 }
 
+// Taken is a lease that was taken.
+type Taken struct {
+	Shard   int
+	Fence   uint64
+	Before  Record // of the holder before
+	Resumed bool   // that holder was this life of the node
+}
+
 // Config says how a keeper works.
 type Config struct {
 	Prefix string // of the object keys
@@ -59,16 +68,20 @@
 	Shards int
 	Times  Times
 	Wanted func(shard int) bool
-	OnTake func(shard int, fence uint64, r Record) // r is the record of the holder before
-	OnLose func(shard int)
-	Data   func(shard int, p Purpose, before json.RawMessage) json.RawMessage
-	OnDone func(shard int, value []byte) // a write of this node stands
+	OnTake func(Taken)
+	// OnLapse is called when a lease has ended at the given time and no other
+	// holder is known; OnLose when another holder is known or the shard was
+	// released.
+	OnLapse func(shard int, at time.Time)
+	OnLose  func(shard int)
+	Data    func(shard int, p Purpose, before json.RawMessage) json.RawMessage
+	OnDone  func(shard int, value []byte) // a write of this node stands
 }
 
 // NewKeeper returns a keeper.
 func NewKeeper(st vane.Store, rec vane.Recorder, c Config) *Keeper {
 	k := &Keeper{
-		prefix: c.Prefix, st: st, rec: rec, wanted: c.Wanted, onTake: c.OnTake, onLose: c.OnLose, onDone: c.OnDone,
+		prefix: c.Prefix, st: st, rec: rec, wanted: c.Wanted, onTake: c.OnTake, onLapse: c.OnLapse, onLose: c.OnLose, onDone: c.OnDone,
 		box: kernel.NewMailbox[answer](boxSize), hasten: kernel.NewMailbox[int](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}),
 	}
 	for i := range c.Shards {
@@ -225,9 +238,13 @@
 	switch {
 	case held && m.Took():
 		k.rec.Record(vane.Event{What: vane.EventLeaseTaken, Subject: k.Key(i), Have: float64(fence)})
-		k.onTake(i, fence, m.Record())
+		k.onTake(Taken{Shard: i, Fence: fence, Before: m.Record(), Resumed: m.Resumed()})
 	case !held && !was.Until.IsZero():
 		k.rec.Record(vane.Event{What: vane.EventLeaseLost, Subject: k.Key(i), Have: float64(was.Fence)})
+		if m.phase == watching {
+			k.onLapse(i, was.Until)
+		}
+	case m.Other() != "" || m.phase == idle:
 		k.onLose(i)
 	}
 }
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -91,18 +91,20 @@
 	nonce uint64
 	boot  string // makes nonces of different lives differ
 
-	phase   phase
-	open    *Action
-	next    time.Time // earliest time of the next action
-	version uint64    // of the object, as far as known
-	seenAt  time.Time // when that version was first seen
-	eager   time.Time // polls are quick until then
-	until   time.Time // end of the own lease
-	pending string    // nonce of the own newest write
-	sentAt  time.Time // of that write
-	doubt   bool      // the outcome of an own write is not known
-	record  Record    // of the newest read
-	took    bool      // the lease was taken and not yet reported
+	phase            phase
+	open             *Action
+	next             time.Time // earliest time of the next action
+	version          uint64    // of the object, as far as known
+	seenAt           time.Time // when that version was first seen
+	eager            time.Time // polls are quick until then
+	until            time.Time // end of the own lease
+	pending          string    // nonce of the own newest write
+	sentAt           time.Time // of that write
+	doubt            bool      // the outcome of an own write is not known
+	record           Record    // of the newest read
+	took             bool      // the lease was taken and not yet reported
+	resumed          bool      // it was taken again without another holder in between
+	heldFrom, heldTo uint64    // nonces of the writes of the newest holding
 }
 
 // MachineOption changes a machine under construction.
@@ -196,14 +198,14 @@
 }
 
 // free says whether the lease may be taken: it was never held, was released, was
-// held by an earlier life of this node, or its version has not changed for longer
-// than a lease lasts on any clock. Lives of a node can't overlap, since each
-// binds the node's peer address.
+// held last by this node, or its version has not changed for longer than a lease
+// lasts on any clock. Lives of a node can't overlap, since each binds the node's
+// peer address.
 func (m *Machine) free(now time.Time) bool {
 	if m.seenAt.IsZero() {
 		return false
 	}
-	if m.version == 0 || m.record.Released || (m.record.Holder == m.name && !m.mine()) {
+	if m.version == 0 || m.record.Released || m.record.Holder == m.name {
 		return true
 	}
 	limit := time.Duration(float64(m.times.Lease) * (1 + m.times.Drift))
@@ -232,6 +234,9 @@
 		return Action{}
 	}
 	m.pending, m.sentAt = nonce, now
+	if p == Renew {
+		m.heldTo = m.nonce
+	}
 	return m.act(now, Action{Kind: ActWrite, Want: m.version, Value: value})
 }
 
@@ -253,6 +258,13 @@
 	return m.record.Holder == m.name && strings.HasPrefix(m.record.Nonce, m.boot+"-")
 }
 
+// ofHolding says whether the newest read shows a write of the newest holding, and
+// not one with which the node tried to take the lease later.
+func (m *Machine) ofHolding() bool {
+	n, err := strconv.ParseUint(strings.TrimPrefix(m.record.Nonce, m.boot+"-"), 10, 64)
+	return err == nil && m.heldFrom <= n && n <= m.heldTo
+}
+
 // read takes the answer to a read.
 func (m *Machine) read(now time.Time, r Result) {
 	if m.phase != watching && m.phase != holding {
@@ -280,6 +292,7 @@
 		m.hold(now, r.Object.Version)
 		return
 	}
+	m.resumed = m.mine() && !m.record.Released && m.ofHolding()
 	if m.free(now) {
 		m.next = now
 	}
@@ -304,6 +317,7 @@
 // hold begins to hold the lease from the own newest write on.
 func (m *Machine) hold(now time.Time, version uint64) {
 	m.phase, m.version, m.doubt = holding, version, false
+	m.heldFrom, m.heldTo = m.nonce, m.nonce
 	m.until = m.sentAt.Add(m.times.Lease)
 	m.next = m.sentAt.Add(m.times.Renew)
 	m.took = now.Before(m.until)
@@ -355,6 +369,10 @@
 	}
 }
 
+// Resumed says whether the lease was taken again by the life of the node that held
+// it last, with no other holder in between.
+func (m *Machine) Resumed() bool { return m.resumed }
+
 // Took says once after each time that the lease was taken.
 func (m *Machine) Took() bool {
 	t := m.took
--- a/node/share.go
+++ b/node/share.go
@@ -31,7 +31,7 @@
 	return lease.NewKeeper(n.st, n.ring, lease.Config{
 		Prefix: "lease/budget", Node: n.set.Node.Name, Boot: fmt.Sprint(n.boot), Shards: budgetShards,
 		Times: lease.DefaultTimes(), Wanted: n.wants,
-		OnTake: n.hub.Take, OnLose: n.hub.Lose, Data: n.hub.Data, OnDone: n.hub.Written,
+		OnTake: func(t lease.Taken) { n.hub.Take(time.Now(), t) }, OnLapse: n.hub.Lapse, OnLose: n.hub.Lose, Data: n.hub.Data, OnDone: n.hub.Written,
 	})
 }
 
@@ -76,8 +76,8 @@
 // shard, and follows the hints of those that do not.
 func (n *Node) Exchange(ctx context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	shard := int(r.GetShard())
-	if _, ok := n.keeper.Holds(shard); ok {
-		return n.hub.Exchange(time.Now(), r), nil
+	if reply := n.hub.Exchange(time.Now(), r); reply.GetHolder() {
+		return reply, nil
 	}
 	name, addr := n.nearer(shard)
 	for range maxHints {
