Replay of recorded traces against stated outcomes

A request waits for its workspace's budget for nine tenths of the first-token target at most: the replay of two workspaces above their rate showed refusals as queue_deadline whose cause was the budget.

Failed try, reverted: a new holder asking all nodes that may hold shares (named in the lease object) what they hold, to end the ten minutes' wait after a holder is killed in an outage. Either the lapsed holder serves no restarted nodes, or there is no census; the first helps more often, so the census went.

--- /dev/null
+++ b/cmd/vanebench/replay.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"mustardvane.org/vane/bench"
+)
+
+func replayCommand() *cli.Command {
+	return &cli.Command{
+		Name: "replay", Usage: "replay recorded traces against their stated outcomes", ArgsUsage: "DIRECTORY...",
+		Description: "Exits 1 if an outcome is missed.\n\nExample:\n  vanebench replay bench/testdata/replays/*",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			klog.LogToStderr(false)
+			klog.SetOutput(io.Discard)
+			bad := 0
+			for _, dir := range cmd.Args().Slice() {
+				missed, err := replay(ctx, dir)
+				if err != nil {
+					return err
+				}
+				bad += missed
+			}
+			if bad > 0 {
+				return fmt.Errorf("%d stated outcomes were missed", bad)
+			}
+			return nil
+		},
+	}
+}
+
+// replay replays one case and prints what came of it.
+func replay(ctx context.Context, dir string) (int, error) {
+	c, err := bench.ReadCase(dir)
+	if err != nil {
+		return 0, err
+	}
+	rep, missed, err := c.Replay(ctx)
+	if err != nil {
+		return 0, err
+	}
+	fmt.Printf("%-18s %4d of %4d complete, hit rate %5.1f %%, first token p95 %s, refused %s, in %s\n", c.Name, rep.Complete, rep.Requests,
+		100*rep.HitRate, ms(bench.Quantile(rep.First, 95)), reasons(rep.Reasons), rep.Took.Round(100*time.Millisecond))
+	for _, m := range missed {
+		fmt.Printf("  missed: %s\n", m)
+	}
+	return len(missed), nil
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -17,6 +17,10 @@
 // defaultTarget is the first-token target of a class that states none.
 const defaultTarget = 820 * time.Millisecond
 
+// budgetPart is the part of the first-token target, in tenths, that a request may
+// wait for its workspace's budget; what remains is for its turn.
+const budgetPart = 9
+
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
 	c := s.begin(r)
@@ -100,7 +104,7 @@
 // admit takes the tokens from the budget and waits for a fair turn.
 func (s *Server) admit(ctx context.Context, c *call, t *turn, tokens int, target time.Duration) error {
 	deadline := c.begin.Add(target)
-	lctx, cancel := context.WithDeadline(ctx, deadline)
+	lctx, cancel := context.WithDeadline(ctx, c.begin.Add(target*budgetPart/10))
 	defer cancel()
 	res, err := s.Limiter.Reserve(lctx, c.workspace, tokens)
 	if err != nil {
