Move a model's traffic to a new version by evidence, and take bad ones back

Cause: two versions of a model were taken as equal, so that a new bad one got its full part of the requests.

Change: the configuration names the version of a model and by when it shall carry the traffic.

--- a/bench/fault_test.go
+++ b/bench/fault_test.go
@@ -26,6 +26,17 @@
 	}
 }
 
+// eventuallySoft waits for f as eventually does, but does not fail.
+func eventuallySoft(t *testing.T, f func() bool) {
+	t.Helper()
+	for range 1000 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // TestFaultyEngines lets the first engine of two fail in one way, and expects
 // every answer to be whole all the same.
 func TestFaultyEngines(t *testing.T) {
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -45,6 +45,11 @@
 type Model struct {
 	Name       string `yaml:"name" json:"name"`
 	MaxContext int    `yaml:"max_context" json:"max_context"` // tokens of prompt and answer
+	// Version is the version of the weights that shall carry the traffic. If it
+	// is empty, all versions are taken as equal.
+	Version string `yaml:"version,omitempty" json:"version,omitempty"`
+	// MoveBy is when it shall carry all of it, in RFC 3339 form.
+	MoveBy string `yaml:"move_by,omitempty" json:"move_by,omitempty"`
 }
 
 // PlainService is a service beside the engines.
@@ -196,6 +201,11 @@
 		if err := seen.add(d, p+".name", m.Name); err != nil {
 			return err
 		}
+		if m.MoveBy != "" {
+			if _, err := time.Parse(time.RFC3339, m.MoveBy); err != nil || m.Version == "" {
+				return d.bad(p+".move_by", "a time in RFC 3339 form beside a version is required", "write for example 2026-12-04T18:00:00Z")
+			}
+		}
 		if m.MaxContext < 0 {
 			return d.bad(p+".max_context", "must not be negative", "write the tokens of prompt and answer, or leave it out")
 		}
--- a/config/service.go
+++ b/config/service.go
@@ -12,6 +12,9 @@
 	vane "mustardvane.org/vane"
 )
 
+// Prefix is the prefix of all objects that the watch brings.
+const Prefix = "config/"
+
 // Bounds of the watch loop.
 const (
 	watchRetryMin = 100 * time.Millisecond
@@ -32,6 +35,7 @@
 	mu       sync.Mutex
 	value    []byte // of the revision in force
 	onChange []func(*View)
+	onObject []func(vane.Object)
 }
 
 // NewService returns a service that reads from st.
@@ -68,6 +72,10 @@
 	s.onChange = append(s.onChange, f)
 }
 
+// OnObject registers f to be called with each other object below the prefix.
+// Register before Run.
+func (s *Service) OnObject(f func(vane.Object)) { s.onObject = append(s.onObject, f) }
+
 // Offer puts a configuration in force if its revision is higher than the
 // current one. It says whether it did.
 func (s *Service) Offer(rev uint64, value []byte) (bool, error) {
@@ -115,15 +123,21 @@
 // next lists first and watches afterwards.
 func (s *Service) next(ctx context.Context, after uint64, listed bool) (vane.Batch, error) {
 	if !listed {
-		return s.st.List(ctx, FleetKey)
+		return s.st.List(ctx, Prefix)
 	}
-	return s.st.Watch(ctx, FleetKey, after)
+	return s.st.Watch(ctx, Prefix, after)
 }
 
 // take puts the newest configuration of a batch in force.
 func (s *Service) take(b vane.Batch) {
 	for _, o := range b.Objects {
-		if o.Key != FleetKey || o.Deleted {
+		if o.Key != FleetKey {
+			for _, f := range s.onObject {
+				f(o)
+			}
+			continue
+		}
+		if o.Deleted {
 			continue
 		}
 		if _, err := s.Offer(o.Version, o.Value); err != nil {
--- a/enums_string.go
+++ b/enums_string.go
@@ -38,12 +38,15 @@
 	_ = x[ReasonNotReady-27]
 	_ = x[ReasonCallerGone-28]
 	_ = x[ReasonRetryBudget-29]
-	_ = x[ReasonInternal-30]
+	_ = x[ReasonVersionFails-30]
+	_ = x[ReasonVersionSlowFirst-31]
+	_ = x[ReasonVersionSlowTokens-32]
+	_ = x[ReasonInternal-33]
 }
 
-const _Reason_name = "nonebad_requestbody_too_largekey_missingkey_unknownkey_unconfirmedroute_unknownmethod_not_allowedmodel_unknownlimit_ratelimit_burstlimit_unavailablequeue_deadlinequeue_fullno_upstreamupstream_failedupstream_emptyupstream_crossedupstream_rejectedsuspect_requestclaim_conflictclaim_pendingclaim_unknownclaim_unavailableclaim_key_missingresume_invalidnode_leavingnode_not_readycaller_goneretry_budgetinternal"
+const _Reason_name = "nonebad_requestbody_too_largekey_missingkey_unknownkey_unconfirmedroute_unknownmethod_not_allowedmodel_unknownlimit_ratelimit_burstlimit_unavailablequeue_deadlinequeue_fullno_upstreamupstream_failedupstream_emptyupstream_crossedupstream_rejectedsuspect_requestclaim_conflictclaim_pendingclaim_unknownclaim_unavailableclaim_key_missingresume_invalidnode_leavingnode_not_readycaller_goneretry_budgetversion_failsversion_slow_first_tokenversion_slow_tokensinternal"
 
-var _Reason_index = [...]uint16{0, 4, 15, 29, 40, 51, 66, 79, 97, 110, 120, 131, 148, 162, 172, 183, 198, 212, 228, 245, 260, 274, 287, 300, 317, 334, 348, 360, 374, 385, 397, 405}
+var _Reason_index = [...]uint16{0, 4, 15, 29, 40, 51, 66, 79, 97, 110, 120, 131, 148, 162, 172, 183, 198, 212, 228, 245, 260, 274, 287, 300, 317, 334, 348, 360, 374, 385, 397, 410, 434, 453, 461}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/event.go
+++ b/event.go
@@ -56,6 +56,8 @@
 	EventDraining                         // node_draining
 	EventStopped                          // node_stopped
 	EventPaused                           // node_paused
+	EventMoveStep                         // move_step
+	EventMoveBack                         // move_taken_back
 )
 
 // MarshalText implements encoding.TextMarshaler.
@@ -64,7 +66,7 @@
 // UnmarshalText implements encoding.TextUnmarshaler. An unknown name becomes
 // EventNone, so that an older tool can read a newer node's time line.
 func (k *EventKind) UnmarshalText(b []byte) error {
-	*k = parseEnum(string(b), EventNone, EventPaused)
+	*k = parseEnum(string(b), EventNone, EventMoveBack)
 	return nil
 }
 
--- a/event_string.go
+++ b/event_string.go
@@ -38,11 +38,13 @@
 	_ = x[EventDraining-27]
 	_ = x[EventStopped-28]
 	_ = x[EventPaused-29]
+	_ = x[EventMoveStep-30]
+	_ = x[EventMoveBack-31]
 }
 
-const _EventKind_name = "nonerefusedwaitedreroutedresumedstream_brokenservedconfig_in_forceconfig_staleupstream_joinedupstream_leftupstream_drainingupstream_crashedmember_alivemember_suspectmember_deadmember_leftlease_takenlease_lostlease_releasedstore_downstore_upclaimedclaim_resolvedrequest_suspectrequest_clearednode_startednode_drainingnode_stoppednode_paused"
+const _EventKind_name = "nonerefusedwaitedreroutedresumedstream_brokenservedconfig_in_forceconfig_staleupstream_joinedupstream_leftupstream_drainingupstream_crashedmember_alivemember_suspectmember_deadmember_leftlease_takenlease_lostlease_releasedstore_downstore_upclaimedclaim_resolvedrequest_suspectrequest_clearednode_startednode_drainingnode_stoppednode_pausedmove_stepmove_taken_back"
 
-var _EventKind_index = [...]uint16{0, 4, 11, 17, 25, 32, 45, 51, 66, 78, 93, 106, 123, 139, 151, 165, 176, 187, 198, 208, 222, 232, 240, 247, 261, 276, 291, 303, 316, 328, 339}
+var _EventKind_index = [...]uint16{0, 4, 11, 17, 25, 32, 45, 51, 66, 78, 93, 106, 123, 139, 151, 165, 176, 187, 198, 208, 222, 232, 240, 247, 261, 276, 291, 303, 316, 328, 339, 348, 363}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -186,6 +186,21 @@
 	e.incarnation++
 }
 
+// SetVersion loads other weights and empties the cache.
+func (e *Engine) SetVersion(v string) {
+	e.cache.clear()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version = v
+}
+
+// Version returns the version of the weights.
+func (e *Engine) Version() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
 // Upstream describes the engine for the platform's list of hosts.
 func (e *Engine) Upstream(addr, dataCentre string) vane.Upstream {
 	e.mu.Lock()
--- a/iface.go
+++ b/iface.go
@@ -42,9 +42,10 @@
 
 // Query asks for an upstream of a model.
 type Query struct {
-	Model  string
-	Prompt Prompt
-	Avoid  []string // names of upstreams that are not to be chosen
+	Model   string
+	Version string // of the weights; empty for any
+	Prompt  Prompt
+	Avoid   []string // names of upstreams that are not to be chosen
 }
 
 // Pick is the choice of an upstream for one attempt.
--- a/node/admin.go
+++ b/node/admin.go
@@ -32,6 +32,7 @@
 	Members    []MemberStatus    `json:"members"`
 	Leases     int               `json:"leases"` // budget shards held
 	Budgets    []budget.Position `json:"budgets"`
+	Moves      []MoveStatus      `json:"moves"`
 }
 
 // MemberStatus is another node as this one sees it.
@@ -95,7 +96,7 @@
 		Node: n.set.Node.Name, DataCentre: n.set.Node.DataCentre, Ready: ready, Leaving: n.entry.Leaving(),
 		Revision: n.conf.Current().Revision, Keys: KeyStatus{Confirmed: confirmed, Why: why},
 		InFlight: running, Waiting: waiting, Upstreams: []UpstreamStatus{}, Members: []MemberStatus{},
-		Leases: n.keeper.Held(), Budgets: n.hub.Positions(time.Now()),
+		Leases: n.keeper.Held(), Budgets: n.hub.Positions(time.Now()), Moves: n.moves.Status(time.Now()),
 	}
 	for _, u := range n.dir.All() {
 		s.Upstreams = append(s.Upstreams, UpstreamStatus{Name: u.Name, State: u.State, Model: u.Model, Version: u.Version})
--- a/node/node.go
+++ b/node/node.go
@@ -49,6 +49,7 @@
 	serviceSync   = "sync"
 	serviceLease  = "lease"
 	serviceBudget = "budget"
+	serviceMoves  = "moves"
 )
 
 // Node is one router process.
@@ -68,6 +69,7 @@
 	keeper *lease.Keeper
 	hub    *budget.Hub
 	shares *budget.Shares
+	moves  *moves
 	entry  *entry.Server
 	web    *web
 	admin  *web
@@ -109,7 +111,9 @@
 	n.dir = hosts.New(n.st, n.placer, n.ring, hosts.WithShare(n.polls), hosts.WithLoadFunc(n.tellLoad))
 	n.gate = queue.NewGate(queue.NewFair(queue.WithLimit(firstLimit)), maxInFlight)
 	n.dir.OnChange(n.resize)
-	n.router = route.New(n.placer, n.dir, n.ring, route.WithSecret(set.Peers.Secret))
+	n.moves = newMoves(n)
+	n.conf.OnObject(n.moves.Take)
+	n.router = route.New(n.placer, n.dir, n.ring, route.WithSecret(set.Peers.Secret), route.WithVersions(n.moves))
 	n.crash = crash.NewBook(n.ring, crash.WithShare(n.tellStrike, n.tellClear))
 	if err := n.newPeers(); err != nil {
 		return nil, err
@@ -164,7 +168,10 @@
 		opts = append(opts, peer.WithTLS(server, client))
 	}
 	n.peers = peer.New(st, n.set.Listen.Peers, n.set.Peers.Secret, n.period, opts...)
-	n.peers.Handle(peer.Handlers{Snapshot: n.snapshot, Exchange: n.exchange, Recall: func(r *wire.RecallRequest) { n.shares.Recall(r) }})
+	n.peers.Handle(peer.Handlers{
+		Snapshot: n.snapshot, Exchange: n.exchange, Recall: func(r *wire.RecallRequest) { n.shares.Recall(r) },
+		Observe: n.moves.Hear, Stop: n.moves.HearStop,
+	})
 	return nil
 }
 
@@ -192,7 +199,8 @@
 		{serviceSync, &syncer{n}, []string{serviceConfig, serviceHosts, servicePeers}},
 		{serviceLease, n.keeper, []string{servicePeers, serviceSync}},
 		{serviceBudget, n.shares, []string{serviceLease}},
-		{serviceEntry, n.web, []string{serviceBudget}},
+		{serviceMoves, n.moves, []string{servicePeers, serviceSync}},
+		{serviceEntry, n.web, []string{serviceBudget, serviceMoves}},
 		{serviceAdmin, n.admin, []string{serviceEntry}},
 	} {
 		if err := n.kernel.Add(s.name, s.svc, s.needs...); err != nil {
--- a/node/share.go
+++ b/node/share.go
@@ -52,7 +52,11 @@
 
 // preferred returns the name of the member that should hold a shard.
 func preferred(ms []member.Member, shard int) string {
-	key := fmt.Sprintf("budget/%d", shard)
+	return preferredFor(ms, fmt.Sprintf("budget/%d", shard))
+}
+
+// preferredFor returns the name of the member that ranks highest for a key.
+func preferredFor(ms []member.Member, key string) string {
 	best, score := "", uint64(0)
 	for _, m := range ms {
 		if r := rank(m.Name, key); best == "" || r > score {
@@ -178,6 +182,7 @@
 		reply.Config = value
 	}
 	reply.Upstreams, _ = json.Marshal(n.dir.All())
+	reply.Objects = n.moves.Objects()
 	for _, m := range n.peers.View().Live() {
 		reply.Members = append(reply.Members, &wire.Member{
 			Name: m.Name, Addr: m.Addr, Callers: m.Callers, DataCentre: m.DataCentre, Incarnation: m.Incarnation, Status: m.Status,
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -67,6 +67,22 @@
 	return &wire.RecallReply{}, nil
 }
 
+// Observe implements wire.PeerServer.
+func (v *server) Observe(_ context.Context, r *wire.ObserveRequest) (*wire.ObserveReply, error) {
+	if v.s.h.Observe != nil {
+		v.s.h.Observe(r)
+	}
+	return &wire.ObserveReply{}, nil
+}
+
+// Stop implements wire.PeerServer.
+func (v *server) Stop(_ context.Context, r *wire.StopRequest) (*wire.StopReply, error) {
+	if v.s.h.Stop != nil {
+		v.s.h.Stop(r)
+	}
+	return &wire.StopReply{}, nil
+}
+
 // conns keeps one connection to each peer.
 type conns struct {
 	opts []grpc.DialOption
@@ -147,3 +163,23 @@
 	_, err = c.Recall(ctx, r)
 	return err
 }
+
+// Observe tells a peer outcomes of attempts.
+func (s *Service) Observe(ctx context.Context, addr string, r *wire.ObserveRequest) error {
+	c, err := s.client(addr)
+	if err != nil {
+		return err
+	}
+	_, err = c.Observe(ctx, r)
+	return err
+}
+
+// Stop tells a peer that a version has shown a fault.
+func (s *Service) Stop(ctx context.Context, addr string, r *wire.StopRequest) error {
+	c, err := s.client(addr)
+	if err != nil {
+		return err
+	}
+	_, err = c.Stop(ctx, r)
+	return err
+}
--- a/peer/service.go
+++ b/peer/service.go
@@ -48,6 +48,8 @@
 	Snapshot func(*wire.SnapshotRequest) *wire.SnapshotReply
 	Exchange func(context.Context, *wire.ExchangeRequest) (*wire.ExchangeReply, error)
 	Recall   func(*wire.RecallRequest)
+	Observe  func(*wire.ObserveRequest)
+	Stop     func(*wire.StopRequest)
 }
 
 // Service is the task. Create it with New.
--- a/place/base.go
+++ b/place/base.go
@@ -42,7 +42,7 @@
 func (s *simple) usable(q vane.Query) []vane.Upstream {
 	var out []vane.Upstream
 	for _, u := range s.byModel[q.Model] {
-		if u.State == vane.UpstreamLive && !s.draining[u.Name] && !slices.Contains(q.Avoid, u.Name) {
+		if u.State == vane.UpstreamLive && (q.Version == "" || u.Version == q.Version) && !s.draining[u.Name] && !slices.Contains(q.Avoid, u.Name) {
 			out = append(out, u)
 		}
 	}
@@ -151,7 +151,7 @@
 	found := false
 	r.walk(key, nil, func(i int32) bool {
 		u := r.ups[i]
-		if u.State == vane.UpstreamLive && !h.draining[u.Name] && !slices.Contains(q.Avoid, u.Name) {
+		if u.State == vane.UpstreamLive && (q.Version == "" || u.Version == q.Version) && !h.draining[u.Name] && !slices.Contains(q.Avoid, u.Name) {
 			pick, found = vane.Pick{Upstream: u}, true
 		}
 		return !found
--- a/place/placer.go
+++ b/place/placer.go
@@ -30,7 +30,7 @@
 // Placer places prompts by prefix and load. It is safe for concurrent use.
 type Placer struct {
 	mu    sync.Mutex
-	rings map[string]*ring // by model
+	rings map[ringKey]*ring
 	ups   map[string]*upstream
 	known *known
 	cands []candidate // scratch
@@ -39,9 +39,12 @@
 
 var _ vane.Placer = (*Placer)(nil)
 
+// ringKey names a set of upstreams: those of a model, or of one version of it.
+type ringKey struct{ model, version string }
+
 // New returns a placer without upstreams.
 func New() *Placer {
-	return &Placer{rings: make(map[string]*ring), ups: make(map[string]*upstream), known: newKnown()}
+	return &Placer{rings: make(map[ringKey]*ring), ups: make(map[string]*upstream), known: newKnown()}
 }
 
 // candidate is an upstream under comparison.
@@ -59,19 +62,21 @@
 func (p *Placer) Update(_ time.Time, ups []vane.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	byModel := make(map[string][]vane.Upstream)
+	sets := make(map[ringKey][]vane.Upstream)
 	next := make(map[string]*upstream, len(ups))
 	for _, u := range ups {
 		if u.Role != vane.RoleEngine {
 			continue
 		}
-		byModel[u.Model] = append(byModel[u.Model], u)
+		for _, k := range []ringKey{{u.Model, ""}, {u.Model, u.Version}} {
+			sets[k] = append(sets[k], u)
+		}
 		next[u.Name] = p.carry(u)
 	}
 	p.ups = next
-	p.rings = make(map[string]*ring, len(byModel))
-	for m, list := range byModel {
-		p.rings[m] = newRing(list)
+	p.rings = make(map[ringKey]*ring, len(sets))
+	for k, list := range sets {
+		p.rings[k] = newRing(list)
 	}
 }
 
@@ -89,7 +94,7 @@
 func (p *Placer) Pick(now time.Time, q vane.Query) (vane.Pick, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.rings[q.Model]
+	r := p.rings[ringKey{q.Model, q.Version}]
 	if r == nil {
 		return vane.Pick{}, false
 	}
--- a/reason.go
+++ b/reason.go
@@ -8,37 +8,40 @@
 
 // The reasons of refusals, delays and reroutes.
 const (
-	ReasonNone             Reason = iota // none
-	ReasonBadRequest                     // bad_request
-	ReasonBodyTooLarge                   // body_too_large
-	ReasonKeyMissing                     // key_missing
-	ReasonKeyUnknown                     // key_unknown
-	ReasonKeyUnconfirmed                 // key_unconfirmed
-	ReasonRouteUnknown                   // route_unknown
-	ReasonMethod                         // method_not_allowed
-	ReasonModelUnknown                   // model_unknown
-	ReasonLimitRate                      // limit_rate
-	ReasonLimitBurst                     // limit_burst
-	ReasonLimitUnavailable               // limit_unavailable
-	ReasonQueueDeadline                  // queue_deadline
-	ReasonQueueFull                      // queue_full
-	ReasonNoUpstream                     // no_upstream
-	ReasonUpstreamFailed                 // upstream_failed
-	ReasonUpstreamEmpty                  // upstream_empty
-	ReasonUpstreamCrossed                // upstream_crossed
-	ReasonUpstreamRejected               // upstream_rejected
-	ReasonSuspectRequest                 // suspect_request
-	ReasonClaimConflict                  // claim_conflict
-	ReasonClaimPending                   // claim_pending
-	ReasonClaimUnknown                   // claim_unknown
-	ReasonClaimUnavailable               // claim_unavailable
-	ReasonClaimKeyMissing                // claim_key_missing
-	ReasonResumeInvalid                  // resume_invalid
-	ReasonLeaving                        // node_leaving
-	ReasonNotReady                       // node_not_ready
-	ReasonCallerGone                     // caller_gone
-	ReasonRetryBudget                    // retry_budget
-	ReasonInternal                       // internal
+	ReasonNone              Reason = iota // none
+	ReasonBadRequest                      // bad_request
+	ReasonBodyTooLarge                    // body_too_large
+	ReasonKeyMissing                      // key_missing
+	ReasonKeyUnknown                      // key_unknown
+	ReasonKeyUnconfirmed                  // key_unconfirmed
+	ReasonRouteUnknown                    // route_unknown
+	ReasonMethod                          // method_not_allowed
+	ReasonModelUnknown                    // model_unknown
+	ReasonLimitRate                       // limit_rate
+	ReasonLimitBurst                      // limit_burst
+	ReasonLimitUnavailable                // limit_unavailable
+	ReasonQueueDeadline                   // queue_deadline
+	ReasonQueueFull                       // queue_full
+	ReasonNoUpstream                      // no_upstream
+	ReasonUpstreamFailed                  // upstream_failed
+	ReasonUpstreamEmpty                   // upstream_empty
+	ReasonUpstreamCrossed                 // upstream_crossed
+	ReasonUpstreamRejected                // upstream_rejected
+	ReasonSuspectRequest                  // suspect_request
+	ReasonClaimConflict                   // claim_conflict
+	ReasonClaimPending                    // claim_pending
+	ReasonClaimUnknown                    // claim_unknown
+	ReasonClaimUnavailable                // claim_unavailable
+	ReasonClaimKeyMissing                 // claim_key_missing
+	ReasonResumeInvalid                   // resume_invalid
+	ReasonLeaving                         // node_leaving
+	ReasonNotReady                        // node_not_ready
+	ReasonCallerGone                      // caller_gone
+	ReasonRetryBudget                     // retry_budget
+	ReasonVersionFails                    // version_fails
+	ReasonVersionSlowFirst                // version_slow_first_token
+	ReasonVersionSlowTokens               // version_slow_tokens
+	ReasonInternal                        // internal
 )
 
 // Execution says whether a request can have run.
--- a/route/chat.go
+++ b/route/chat.go
@@ -47,6 +47,7 @@
 			return Answer{}, refusal(err).WithExecution(t.exec)
 		}
 		ans, ref := rt.plainOnce(actx, a, maxTokens)
+		rt.observe(a, ref, ans.Usage, 0)
 		if ref == nil {
 			return ans, nil
 		}
@@ -114,7 +115,9 @@
 			return outcome(rel, t), refusal(err).WithExecution(t.exec)
 		}
 		rel.OnFirst(func() { rt.first(a) })
+		from := rel.Next()
 		ref := rt.streamOnce(actx, a, rel, maxTokens)
+		rt.observe(a, ref, rel.Usage(), rel.Next()-from)
 		if ref == nil {
 			return outcome(rel, t), nil
 		}
--- a/route/router.go
+++ b/route/router.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/canary"
 	"mustardvane.org/vane/hosts"
 	"mustardvane.org/vane/retry"
 	"mustardvane.org/vane/stream"
@@ -28,6 +30,7 @@
 	maxAnswer      = 64 << 20         // bytes of a plain answer
 	idlePerHost    = 256
 	defaultPrefill = 2000 // tokens a second, the slowest prefill that is waited for
+	minGaps        = 5    // events that make the time between tokens worth comparing
 )
 
 // Router runs the attempts of requests. It is safe for concurrent use.
@@ -39,8 +42,28 @@
 	secret string
 	http   *http.Client // keeps connections
 	once   *http.Client // a new connection for each request
+	moves  Versions
 }
 
+// Versions decides which version of a model's weights a request goes to, and is
+// told what came of it.
+type Versions interface {
+	// Choose returns the versions that may serve the request, in order. An empty
+	// version stands for any.
+	Choose(model string, id [16]byte) []string
+	// Observe takes the outcome of an attempt.
+	Observe(model string, s canary.Sample)
+}
+
+// anyVersion takes all versions as equal.
+type anyVersion struct{}
+
+// Choose implements Versions.
+func (anyVersion) Choose(string, [16]byte) []string { return []string{""} }
+
+// Observe implements Versions.
+func (anyVersion) Observe(string, canary.Sample) {}
+
 // Option changes a router under construction.
 type Option func(*Router)
 
@@ -50,9 +73,12 @@
 // WithBudget sets the budget of repeats.
 func WithBudget(b *retry.Budget) Option { return func(r *Router) { r.budget = b } }
 
+// WithVersions sets what decides between versions of a model.
+func WithVersions(v Versions) Option { return func(r *Router) { r.moves = v } }
+
 // New returns a router.
 func New(placer vane.Placer, dir *hosts.Directory, rec vane.Recorder, opts ...Option) *Router {
-	r := &Router{placer: placer, dir: dir, rec: rec, budget: retry.NewBudget()}
+	r := &Router{placer: placer, dir: dir, rec: rec, budget: retry.NewBudget(), moves: anyVersion{}}
 	r.http = &http.Client{Transport: transport(false), CheckRedirect: noRedirect}
 	r.once = &http.Client{Transport: transport(true), CheckRedirect: noRedirect}
 	for _, o := range opts {
@@ -100,9 +126,8 @@
 
 // begin chooses an upstream and opens an attempt.
 func (rt *Router) begin(ctx context.Context, j *Job, avoid []string) (*attempt, context.Context, error) {
-	q := vane.Query{Model: j.Model, Prompt: j.Prompt, Avoid: avoid}
 	now := time.Now()
-	pick, ok := rt.placer.Pick(now, q)
+	q, pick, ok := rt.choose(now, j, avoid)
 	if !ok {
 		return nil, nil, vane.Refuse(vane.ReasonNoUpstream, "no live upstream serves model %q; retry later or check the list of hosts", j.Model).
 			WithRetryAfter(time.Second)
@@ -115,6 +140,41 @@
 	return a, httptrace.WithClientTrace(actx, trace), nil
 }
 
+// choose picks an upstream of the first version that has one. After a failure of
+// the new version the old one is tried first.
+func (rt *Router) choose(now time.Time, j *Job, avoid []string) (vane.Query, vane.Pick, bool) {
+	versions := rt.moves.Choose(j.Model, j.ID)
+	if len(avoid) > 0 {
+		versions = slices.Clone(versions)
+		slices.Reverse(versions)
+	}
+	q := vane.Query{Model: j.Model, Prompt: j.Prompt, Avoid: avoid}
+	for _, v := range versions {
+		q.Version = v
+		if pick, ok := rt.placer.Pick(now, q); ok {
+			return q, pick, true
+		}
+	}
+	return q, vane.Pick{}, false
+}
+
+// observe tells the outcome of an attempt. Attempts that never ran, or whose
+// caller left, say nothing about the version.
+func (rt *Router) observe(a *attempt, ref *vane.Refusal, u stream.Usage, events int) {
+	if ref != nil && (ref.Execution == vane.NotRun || ref.Reason == vane.ReasonCallerGone || ref.Reason == vane.ReasonUpstreamRejected) {
+		return
+	}
+	s := canary.Sample{Version: a.pick.Upstream.Version, Route: a.job.Workspace, Failed: ref != nil, First: a.first}
+	s.Uncached = a.job.Prompt.Tokens
+	if u.Cached >= 0 {
+		s.Uncached = max(0, u.Prompt-u.Cached)
+	}
+	if events > minGaps && a.first > 0 {
+		s.Gap = (time.Since(a.sent) - a.first) / time.Duration(events-1)
+	}
+	rt.moves.Observe(a.job.Model, s)
+}
+
 // firstLimit returns how long the first token may take before the attempt is
 // given up. A long prompt gets the time that a slow prefill needs.
 func firstLimit(j *Job) time.Duration {
