Targets: met or not, over five minutes and the hour, with the first cause

Cause: operators stated first-token and token targets and were never told whether they are met.

Change: each node counts results by class, minute and workspace; vanectl targets adds the nodes up and shows met or not, the part missed, the most frequent cause and the worst-served workspace. Refusals that a workspace causes itself, such as limit_rate, do not count.

--- a/cmd/vanectl/main.go
+++ b/cmd/vanectl/main.go
@@ -52,7 +52,7 @@
 			&cli.StringSliceFlag{Name: "nodes", Usage: "admin `ADDRESSES` of nodes", Sources: cli.EnvVars("VANE_NODES")},
 		},
 		Commands: []*cli.Command{
-			applyCommand(), getCommand(), statusCommand(), entriesCommand(), timelineCommand(), whyCommand(), movesCommand(), keyCommand(),
+			applyCommand(), getCommand(), statusCommand(), entriesCommand(), timelineCommand(), whyCommand(), movesCommand(), targetsCommand(), keyCommand(),
 		},
 	}
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -12,6 +12,7 @@
 	"mustardvane.org/vane/queue"
 	"mustardvane.org/vane/route"
 	"mustardvane.org/vane/stream"
+	"mustardvane.org/vane/target"
 )
 
 // defaultTarget is the first-token target of a class that states none.
@@ -51,6 +52,8 @@
 	pass *queue.Pass
 	fp   uint64
 	used int
+
+	streamed bool
 }
 
 // serveChat runs a checked chat request. An error that it returns has not been
@@ -60,7 +63,7 @@
 	if err := checkModel(v, req, prompt); err != nil {
 		return err
 	}
-	t := &turn{fp: prefix.Fingerprint(ws.Name, body)}
+	t := &turn{fp: prefix.Fingerprint(ws.Name, body), streamed: req.stream}
 	resume, err := s.resume(r, c, ws.Name, t.fp, req.stream)
 	if err != nil {
 		return err
@@ -115,7 +118,7 @@
 		res.Settle(0)
 		return err
 	}
-	t.res, t.pass = res, pass
+	t.res, t.pass, c.waited = res, pass, pass.Wait
 	s.metrics.wait.Observe(pass.Wait.Seconds())
 	if pass.Wait > target/10 {
 		s.Rec.Record(vane.Event{
@@ -145,6 +148,7 @@
 				return s.Suspect.Check(ws, t.fp)
 			},
 			First: func(after time.Duration) {
+				c.first = after
 				s.metrics.first.WithLabelValues(class.Name).Observe(after.Seconds())
 				s.Gate.FirstToken(after, target)
 			},
@@ -160,7 +164,7 @@
 		return err
 	}
 	t.used = spent(ans.Usage, t.job.Prompt.Tokens)
-	s.served(c, t, ans.Usage)
+	s.served(c, t, ans.Usage, 1)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(headerRequestID, c.requestID())
 	_, err = w.Write(ans.Body)
@@ -193,7 +197,7 @@
 	out, err := s.Router.Stream(r.Context(), t.job, ew, req.maxTokens)
 	t.used = spent(out.Usage, t.job.Prompt.Tokens+out.Relayed-t.job.Resume)
 	if err == nil {
-		s.served(c, t, out.Usage)
+		s.served(c, t, out.Usage, out.Attempts)
 		return nil
 	}
 	if !ew.begun {
@@ -209,8 +213,31 @@
 	return nil
 }
 
+// minGaps is the number of tokens from which on the time between them is compared
+// with its target.
+const minGaps = 5
+
+// result returns what a request means for the targets of its class.
+func (c *call) result(u stream.Usage, attempts int, streamed bool) target.Result {
+	r := target.Result{
+		Class: c.class.Name, Workspace: c.workspace, First: c.first, FirstTarget: time.Duration(c.class.FirstToken),
+		GapTarget: time.Duration(c.class.TokenGap), Cause: vane.ReasonUpstreamSlow,
+	}
+	if streamed && u.Generated >= minGaps {
+		r.Gap = (time.Since(c.begin) - c.first) / time.Duration(u.Generated-1)
+	}
+	switch {
+	case attempts > 1:
+		r.Cause = vane.ReasonUpstreamFailed
+	case c.waited > c.first/2:
+		r.Cause = vane.ReasonQueueDeadline
+	}
+	return r
+}
+
 // served counts an answered request.
-func (s *Server) served(c *call, t *turn, u stream.Usage) {
+func (s *Server) served(c *call, t *turn, u stream.Usage, attempts int) {
+	s.Targets.Add(time.Now(), c.result(u, attempts, t.streamed))
 	s.Suspect.Answered(c.workspace, t.fp)
 	s.metrics.served.WithLabelValues(c.workspace).Inc()
 	s.metrics.tokens.WithLabelValues("prompt").Add(float64(u.Prompt))
--- a/entry/refuse.go
+++ b/entry/refuse.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/target"
 )
 
 // headerExecution says on each refusal whether the request may have run.
@@ -73,6 +74,7 @@
 		What: vane.EventRefused, Reason: r.Reason, Workspace: c.workspace, Request: c.requestID(),
 		Subject: r.Execution.String(), Have: took.Seconds(), Remedy: r.Message,
 	})
+	s.Targets.Add(time.Now(), target.Result{Class: c.class.Name, Workspace: c.workspace, Refused: r.Reason})
 	s.metrics.refused.WithLabelValues(r.Reason.String(), r.Execution.String()).Inc()
 	klog.V(2).InfoS("refused", "request_id", c.requestID(), "workspace", c.workspace,
 		"reason", r.Reason.String(), "execution", r.Execution.String(), "cause", r.Cause)
--- a/entry/server.go
+++ b/entry/server.go
@@ -17,6 +17,7 @@
 	"mustardvane.org/vane/queue"
 	"mustardvane.org/vane/route"
 	"mustardvane.org/vane/stream"
+	"mustardvane.org/vane/target"
 )
 
 // Deps are the services that the entry works with.
@@ -32,6 +33,7 @@
 	Rec     vane.Recorder
 	Entries func(workspace string) []Address
 	Metrics prometheus.Registerer
+	Targets *target.Tracker
 }
 
 // Suspects knows the requests that were in flight when upstreams crashed.
@@ -175,6 +177,9 @@
 	id        [16]byte
 	begin     time.Time
 	workspace string
+	class     config.Class
+	first     time.Duration // to the first token; zero before it
+	waited    time.Duration // for a fair turn
 }
 
 // begin opens a call with a fresh id.
@@ -192,6 +197,6 @@
 	if err != nil {
 		return ws, v, err
 	}
-	c.workspace = ws.Name
+	c.workspace, c.class = ws.Name, v.Fleet.ClassOf(ws)
 	return ws, v, nil
 }
--- a/enums_string.go
+++ b/enums_string.go
@@ -27,26 +27,27 @@
 	_ = x[ReasonUpstreamEmpty-16]
 	_ = x[ReasonUpstreamCrossed-17]
 	_ = x[ReasonUpstreamRejected-18]
-	_ = x[ReasonSuspectRequest-19]
-	_ = x[ReasonClaimConflict-20]
-	_ = x[ReasonClaimPending-21]
-	_ = x[ReasonClaimUnknown-22]
-	_ = x[ReasonClaimUnavailable-23]
-	_ = x[ReasonClaimKeyMissing-24]
-	_ = x[ReasonResumeInvalid-25]
-	_ = x[ReasonLeaving-26]
-	_ = x[ReasonNotReady-27]
-	_ = x[ReasonCallerGone-28]
-	_ = x[ReasonRetryBudget-29]
-	_ = x[ReasonVersionFails-30]
-	_ = x[ReasonVersionSlowFirst-31]
-	_ = x[ReasonVersionSlowTokens-32]
-	_ = x[ReasonInternal-33]
+	_ = x[ReasonUpstreamSlow-19]
+	_ = x[ReasonSuspectRequest-20]
+	_ = x[ReasonClaimConflict-21]
+	_ = x[ReasonClaimPending-22]
+	_ = x[ReasonClaimUnknown-23]
+	_ = x[ReasonClaimUnavailable-24]
+	_ = x[ReasonClaimKeyMissing-25]
+	_ = x[ReasonResumeInvalid-26]
+	_ = x[ReasonLeaving-27]
+	_ = x[ReasonNotReady-28]
+	_ = x[ReasonCallerGone-29]
+	_ = x[ReasonRetryBudget-30]
+	_ = x[ReasonVersionFails-31]
+	_ = x[ReasonVersionSlowFirst-32]
+	_ = x[ReasonVersionSlowTokens-33]
+	_ = x[ReasonInternal-34]
 }
 
-const _Reason_name = "nonebad_requestbody_too_largekey_missingkey_unknownkey_unconfirmedroute_unknownmethod_not_allowedmodel_unknownlimit_ratelimit_burstlimit_unavailablequeue_deadlinequeue_fullno_upstreamupstream_failedupstream_emptyupstream_crossedupstream_rejectedsuspect_requestclaim_conflictclaim_pendingclaim_unknownclaim_unavailableclaim_key_missingresume_invalidnode_leavingnode_not_readycaller_goneretry_budgetversion_failsversion_slow_first_tokenversion_slow_tokensinternal"
+const _Reason_name = "nonebad_requestbody_too_largekey_missingkey_unknownkey_unconfirmedroute_unknownmethod_not_allowedmodel_unknownlimit_ratelimit_burstlimit_unavailablequeue_deadlinequeue_fullno_upstreamupstream_failedupstream_emptyupstream_crossedupstream_rejectedupstream_slowsuspect_requestclaim_conflictclaim_pendingclaim_unknownclaim_unavailableclaim_key_missingresume_invalidnode_leavingnode_not_readycaller_goneretry_budgetversion_failsversion_slow_first_tokenversion_slow_tokensinternal"
 
-var _Reason_index = [...]uint16{0, 4, 15, 29, 40, 51, 66, 79, 97, 110, 120, 131, 148, 162, 172, 183, 198, 212, 228, 245, 260, 274, 287, 300, 317, 334, 348, 360, 374, 385, 397, 410, 434, 453, 461}
+var _Reason_index = [...]uint16{0, 4, 15, 29, 40, 51, 66, 79, 97, 110, 120, 131, 148, 162, 172, 183, 198, 212, 228, 245, 258, 273, 287, 300, 313, 330, 347, 361, 373, 387, 398, 410, 423, 447, 466, 474}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/node/admin.go
+++ b/node/admin.go
@@ -12,6 +12,7 @@
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/budget"
 	"mustardvane.org/vane/event"
+	"mustardvane.org/vane/target"
 	"mustardvane.org/vane/wire"
 )
 
@@ -33,6 +34,7 @@
 	Leases     int               `json:"leases"` // budget shards held
 	Budgets    []budget.Position `json:"budgets"`
 	Moves      []MoveStatus      `json:"moves"`
+	Targets    []target.Report   `json:"targets"`
 }
 
 // MemberStatus is another node as this one sees it.
@@ -97,6 +99,7 @@
 		Revision: n.conf.Current().Revision, Keys: KeyStatus{Confirmed: confirmed, Why: why},
 		InFlight: running, Waiting: waiting, Upstreams: []UpstreamStatus{}, Members: []MemberStatus{},
 		Leases: n.keeper.Held(), Budgets: n.hub.Positions(time.Now()), Moves: n.moves.Status(time.Now()),
+		Targets: n.target.Reports(time.Now()),
 	}
 	for _, u := range n.dir.All() {
 		s.Upstreams = append(s.Upstreams, UpstreamStatus{Name: u.Name, State: u.State, Model: u.Model, Version: u.Version})
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"mustardvane.org/vane/route"
 	"mustardvane.org/vane/store"
 	"mustardvane.org/vane/stream"
+	"mustardvane.org/vane/target"
 	"mustardvane.org/vane/wire"
 )
 
@@ -70,6 +71,7 @@
 	hub    *budget.Hub
 	shares *budget.Shares
 	moves  *moves
+	target *target.Tracker
 	entry  *entry.Server
 	web    *web
 	admin  *web
@@ -96,7 +98,7 @@
 func New(set config.Settings, opts ...Option) (*Node, error) {
 	n := &Node{
 		set: set, kernel: kernel.New(), reg: prometheus.NewRegistry(), placer: place.New(),
-		boot: uint64(time.Now().UnixMilli()), period: time.Second,
+		boot: uint64(time.Now().UnixMilli()), period: time.Second, target: target.NewTracker(),
 	}
 	for _, o := range opts {
 		o(n)
@@ -147,6 +149,7 @@
 		Rec:     n.ring,
 		Entries: n.entries,
 		Metrics: n.reg,
+		Targets: n.target,
 	}, opts...)
 }
 
--- a/reason.go
+++ b/reason.go
@@ -27,6 +27,7 @@
 	ReasonUpstreamEmpty                   // upstream_empty
 	ReasonUpstreamCrossed                 // upstream_crossed
 	ReasonUpstreamRejected                // upstream_rejected
+	ReasonUpstreamSlow                    // upstream_slow
 	ReasonSuspectRequest                  // suspect_request
 	ReasonClaimConflict                   // claim_conflict
 	ReasonClaimPending                    // claim_pending
--- /dev/null
+++ b/target/tracker_test.go
@@ -0,0 +1,120 @@
+package target_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/target"
+)
+
+var epoch = time.Unix(1_000_020, 0)
+
+// add adds n results, of which late miss the first-token target for the cause.
+func add(t *target.Tracker, at time.Time, ws string, n, late int, cause vane.Reason) {
+	for i := range n {
+		r := target.Result{Class: "c", Workspace: ws, First: 100 * time.Millisecond, FirstTarget: 820 * time.Millisecond}
+		if i < late {
+			r.First, r.Cause = time.Second, cause
+		}
+		t.Add(at, r)
+	}
+}
+
+// find returns the report of the first-token target in a window.
+func find(rs []target.Report, minutes int) target.Report {
+	for _, r := range rs {
+		if r.Kind == target.KindFirst && r.Minutes == minutes {
+			return r
+		}
+	}
+	return target.Report{}
+}
+
+func TestMet(t *testing.T) {
+	for _, tt := range []struct {
+		late int
+		met  bool
+	}{{0, true}, {5, true}, {6, false}, {100, false}} {
+		t.Run(fmt.Sprint(tt.late), func(t *testing.T) {
+			is := is.New(t)
+			tr := target.NewTracker()
+			add(tr, epoch, "a", 100, tt.late, vane.ReasonQueueDeadline)
+			r := find(tr.Reports(epoch), 5)
+			is.Equal(r.Results, 100)
+			is.Equal(r.Met(), tt.met)
+		})
+	}
+}
+
+// TestWindows lets a bad minute leave the short window and then the hour.
+func TestWindows(t *testing.T) {
+	is := is.New(t)
+	tr := target.NewTracker()
+	add(tr, epoch, "a", 10, 10, vane.ReasonUpstreamFailed)
+	later := epoch.Add(6 * time.Minute)
+	add(tr, later, "a", 10, 0, vane.ReasonNone)
+	rs := tr.Reports(later)
+	is.True(find(rs, 5).Met())
+	is.True(!find(rs, 60).Met())
+	is.Equal(find(rs, 60).Cause(), vane.ReasonUpstreamFailed)
+	is.Equal(len(tr.Reports(epoch.Add(3*time.Hour))), 0)
+}
+
+func TestWorstAndCause(t *testing.T) {
+	is := is.New(t)
+	tr := target.NewTracker()
+	add(tr, epoch, "good", 90, 1, vane.ReasonUpstreamFailed)
+	add(tr, epoch, "bad", 10, 8, vane.ReasonQueueDeadline)
+	r := find(tr.Reports(epoch), 5)
+	is.Equal(r.Worst, "bad")
+	is.Equal(r.WorstPart, 0.8)
+	is.Equal(r.Cause(), vane.ReasonQueueDeadline)
+}
+
+// TestOwnRefusals checks that a workspace over its rate does not count as a missed
+// target, but a full queue does.
+func TestOwnRefusals(t *testing.T) {
+	is := is.New(t)
+	tr := target.NewTracker()
+	for _, r := range []vane.Reason{vane.ReasonLimitRate, vane.ReasonBadRequest, vane.ReasonNone, vane.ReasonQueueDeadline} {
+		tr.Add(epoch, target.Result{Class: "c", Workspace: "a", Refused: r})
+	}
+	rs := tr.Reports(epoch)
+	is.Equal(rs[0].Kind, target.KindRefused)
+	is.Equal(rs[0].Results, 2)
+	is.Equal(rs[0].Late, 1)
+}
+
+func TestMergeOverNodes(t *testing.T) {
+	is := is.New(t)
+	a, b := target.NewTracker(), target.NewTracker()
+	add(a, epoch, "x", 100, 0, vane.ReasonNone)
+	add(b, epoch, "y", 100, 30, vane.ReasonNoUpstream)
+	raw, err := json.Marshal(append(a.Reports(epoch), b.Reports(epoch)...)) // as nodes send them
+	is.NoErr(err)
+	var all []target.Report
+	is.NoErr(json.Unmarshal(raw, &all))
+	r := find(target.Merge(all), 5)
+	is.Equal(r.Results, 200)
+	is.Equal(r.Late, 30)
+	is.Equal(r.Worst, "y")
+	is.Equal(r.Cause(), vane.ReasonNoUpstream)
+}
+
+func ExampleTracker() {
+	t := target.NewTracker()
+	t.Add(epoch, target.Result{Class: "quoting", Workspace: "w", First: time.Second, FirstTarget: 820 * time.Millisecond, Cause: vane.ReasonQueueDeadline})
+	for _, r := range t.Reports(epoch) {
+		if r.Minutes == 5 {
+			fmt.Println(r.Kind, r.Met(), r.Cause())
+		}
+	}
+	// Output:
+	// first_token false queue_deadline
+	// refused true none
+}
