--- a/admin/client.go
+++ b/admin/client.go
@@ -13,6 +13,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/event"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/node"
 )
 
@@ -121,7 +122,7 @@
 		for ctx.Err() == nil {
 			var p event.Page
 			if err := c.get(ctx, addr, "/v1/timeline", query(flt, since, since > 0), &p); err != nil {
-				pause(ctx, time.Second)
+				clock.Sleep(ctx, time.Second)
 				continue
 			}
 			since = p.Next
@@ -141,20 +142,8 @@
 		for _, s := range sts {
 			all = all && s.Err == nil && s.Status.Revision >= rev
 		}
-		if all || !pause(ctx, 100*time.Millisecond) {
+		if all || !clock.Sleep(ctx, 100*time.Millisecond) {
 			return sts, all
 		}
 	}
 }
-
-// pause waits d; it returns false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bench/drive.go
+++ b/bench/drive.go
@@ -17,6 +17,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/fake/engine"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/stream"
 	"mustardvane.org/vane/trace"
 )
@@ -254,7 +255,7 @@
 	var mu sync.Mutex
 	done := 0
 	for i, r := range reqs {
-		if !sleepUntil(ctx, begin.Add(time.Duration(r.AtMS)*time.Millisecond)) {
+		if !clock.Until(ctx, begin.Add(time.Duration(r.AtMS)*time.Millisecond)) {
 			break
 		}
 		wg.Go(func() {
@@ -278,8 +279,8 @@
 // connect, as a caller does that holds several.
 func (f *Fleet) sendSomewhere(ctx context.Context, c *Caller, i int, r trace.Request) Result {
 	var res Result
-	for k := range f.Nodes {
-		res = c.Send(ctx, f.Nodes[(i+k)%len(f.Nodes)].Addr(), KeyOf(r.Workspace), r)
+	for k := range f.set {
+		res = c.Send(ctx, f.set[(i+k)%len(f.set)].Listen.Callers, KeyOf(r.Workspace), r)
 		if res.Reason != reasonConnection {
 			break
 		}
@@ -346,18 +347,6 @@
 	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
 }
 
-// sleepUntil waits until t; it returns false if ctx ends first.
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	tm := time.NewTimer(time.Until(t))
-	defer tm.Stop()
-	select {
-	case <-tm.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Entries asks a node which addresses to use.
 func (c *Caller) Entries(ctx context.Context, addr string) ([]string, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/entries", nil)
--- a/bench/replay.go
+++ b/bench/replay.go
@@ -15,6 +15,7 @@
 	"mustardvane.org/vane/config"
 	"mustardvane.org/vane/fake/engine"
 	"mustardvane.org/vane/fake/plat"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/trace"
 )
 
@@ -118,7 +119,7 @@
 func (f *Fleet) schedule(ctx context.Context, faults []Fault, fleet *config.Fleet) {
 	begin := time.Now()
 	for _, x := range faults {
-		if !sleepUntil(ctx, begin.Add(time.Duration(x.AtMS)*time.Millisecond)) {
+		if !clock.Until(ctx, begin.Add(time.Duration(x.AtMS)*time.Millisecond)) {
 			return
 		}
 		x.fleet = fleet
--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/wire"
 )
 
@@ -37,7 +38,7 @@
 			s.mu.Unlock()
 			return
 		}
-		if !sleep(s.ctx, askPause) {
+		if !clock.Sleep(s.ctx, askPause) {
 			return
 		}
 	}
--- a/budget/local.go
+++ b/budget/local.go
@@ -6,6 +6,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
 )
 
 // Terms are the rate and the burst of a workspace.
@@ -43,7 +44,7 @@
 		if end, ok := ctx.Deadline(); ok && time.Until(end) < wait {
 			return nil, overRate(ws, tokens, wait)
 		}
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return nil, overRate(ws, tokens, wait)
 		}
 	}
@@ -110,15 +111,3 @@
 		b.Refund(now, r.mark, r.tokens-float64(used))
 	})
 }
-
-// sleep waits d; it returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
 )
 
 //go:generate stringer -type=State -linecomment -output=state_string.go
@@ -171,7 +172,7 @@
 		if err == nil || vane.KindOf(err) == vane.KindConflict {
 			return err
 		}
-		if !pause(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			klog.ErrorS(err, "outcome of a call not recorded", "claim", c.key)
 			return err
 		}
@@ -188,7 +189,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), finishWait)
 		defer cancel()
-		for pause(ctx, retryPause) {
+		for clock.Sleep(ctx, retryPause) {
 			if err := c.b.st.Delete(ctx, c.key, c.version); err == nil || vane.KindOf(err) == vane.KindConflict {
 				return
 			}
@@ -201,7 +202,7 @@
 func (c *Claim) releaseLost(value []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), finishWait)
 	defer cancel()
-	for pause(ctx, retryPause) {
+	for clock.Sleep(ctx, retryPause) {
 		o, err := c.b.st.Get(ctx, c.key)
 		if err != nil && vane.KindOf(err) != vane.KindNotFound {
 			continue
@@ -214,15 +215,3 @@
 		}
 	}
 }
-
-// pause waits d; it returns false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/config/service.go
+++ b/config/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
 )
 
 // Prefix is the prefix of all objects that the watch brings.
@@ -108,7 +108,7 @@
 		b, err := s.next(ctx, after, listed)
 		if err != nil {
 			listed = listed && vane.KindOf(err) != vane.KindCompacted
-			pause(ctx, wait)
+			clock.Sleep(ctx, clock.Jitter(wait))
 			wait = min(2*wait, watchRetryMax)
 			continue
 		}
@@ -145,13 +145,3 @@
 		}
 	}
 }
-
-// pause waits about d, jittered by half, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"mustardvane.org/vane/auth"
+	"mustardvane.org/vane/internal/reply"
 )
 
 // modelList is the answer of GET /v1/models.
@@ -33,7 +33,7 @@
 	for _, m := range v.Fleet.Models {
 		list.Data = append(list.Data, modelItem{ID: m.Name, Object: "model", OwnedBy: "mustardvane"})
 	}
-	writeJSON(w, list)
+	reply.JSON(w, list)
 }
 
 // EntryList is the answer of GET /v1/entries.
@@ -51,13 +51,7 @@
 			ws = found.Name
 		}
 	}
-	writeJSON(w, EntryList{Entries: s.Entries(ws), TTLSeconds: s.ttl.Seconds()})
-}
-
-// writeJSON answers with v.
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	reply.JSON(w, EntryList{Entries: s.Entries(ws), TTLSeconds: s.ttl.Seconds()})
 }
 
 // withoutCancel keeps the values of ctx and drops its end.
--- a/fake/engine/chat.go
+++ b/fake/engine/chat.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mustardvane.org/vane/fake"
+	"mustardvane.org/vane/internal/clock"
 )
 
 // job is one request in the engine.
@@ -109,7 +109,7 @@
 		return false
 	}
 	d := time.Duration(float64(j.prompt-j.cached) / e.prefill * float64(time.Second) * j.slow())
-	if !sleep(ctx, d) {
+	if !clock.Sleep(ctx, d) {
 		return false
 	}
 	e.cache.store(chain(j.req.CacheSalt, j.text, e.piece))
@@ -155,7 +155,7 @@
 	var b strings.Builder
 	n := j.req.tokens()
 	for i := range n {
-		if !sleep(r.Context(), e.tokenGap(j)) {
+		if !clock.Sleep(r.Context(), e.tokenGap(j)) {
 			return
 		}
 		b.WriteString(Word(j.hash, i))
@@ -182,7 +182,7 @@
 	s := &sender{w: w, f: w.(http.Flusher), id: j.id, model: e.model, created: time.Now().Unix()}
 	n := j.req.tokens()
 	for i := j.req.ResumeOffset; i < n; i++ {
-		if !sleep(r.Context(), e.tokenGap(j)) {
+		if !clock.Sleep(r.Context(), e.tokenGap(j)) {
 			return
 		}
 		if j.faults.CutAfter > 0 && i-j.req.ResumeOffset >= j.faults.CutAfter {
@@ -233,18 +233,3 @@
 func (s *sender) usage(seq int, u *usage) {
 	s.event(seq, completion{Choices: []choice{}, Usage: u})
 }
-
-// sleep waits d; it returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/fake/plat/plat.go
+++ b/fake/plat/plat.go
@@ -15,6 +15,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/fake"
+	"mustardvane.org/vane/internal/reply"
 	"mustardvane.org/vane/store"
 )
 
@@ -299,7 +300,7 @@
 	}
 	p.mu.Unlock()
 	sort.Slice(b.Objects, func(i, j int) bool { return b.Objects[i].Key < b.Objects[j].Key })
-	writeJSON(w, b)
+	reply.JSON(w, b)
 }
 
 // since returns the changes after the revision under the prefix. It returns
@@ -339,13 +340,13 @@
 			return
 		}
 		if len(out) > 0 {
-			writeJSON(w, store.Wire{Revision: rev, Objects: out})
+			reply.JSON(w, store.Wire{Revision: rev, Objects: out})
 			return
 		}
 		select {
 		case <-ch:
 		case <-over:
-			writeJSON(w, store.Wire{Revision: rev, Objects: []store.WireObject{}})
+			reply.JSON(w, store.Wire{Revision: rev, Objects: []store.WireObject{}})
 			return
 		case <-r.Context().Done():
 			return
@@ -363,7 +364,7 @@
 		}
 	}
 	p.mu.Unlock()
-	writeJSON(w, list)
+	reply.JSON(w, list)
 }
 
 func (p *Platform) putHosts(w http.ResponseWriter, r *http.Request) {
@@ -374,9 +375,3 @@
 	}
 	p.SetHosts(ups)
 }
-
-// writeJSON sends v as the answer.
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
 )
 
 // Bounds of the tasks.
@@ -79,7 +79,7 @@
 	defer wg.Wait()
 	d.poll(ctx)
 	ready()
-	for pause(ctx, listEvery) {
+	for clock.Sleep(ctx, clock.Jitter(listEvery)) {
 		d.poll(ctx)
 	}
 	return nil
@@ -216,7 +216,7 @@
 // pollLoads asks this node's share of the engines for their load.
 func (d *Directory) pollLoads(ctx context.Context) {
 	sem := make(chan struct{}, maxPollers)
-	for pause(ctx, loadEvery) {
+	for clock.Sleep(ctx, clock.Jitter(loadEvery)) {
 		var wg sync.WaitGroup
 		for _, u := range d.All() {
 			if u.Role != vane.RoleEngine || !d.mine(u.Name) {
@@ -260,15 +260,3 @@
 	}
 	d.placer.Report(time.Now(), name, l)
 }
-
-// pause waits about d; it returns false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d*9/10 + rand.N(d/5))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,28 @@
+package clock
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Sleep waits for d. It returns false if ctx ends first, or has ended already.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Until waits until the time at. It returns false if ctx ends first.
+func Until(ctx context.Context, at time.Time) bool { return Sleep(ctx, time.Until(at)) }
+
+// Jitter returns a duration within a tenth of d, so that tasks do not act in step.
+func Jitter(d time.Duration) time.Duration { return d*9/10 + rand.N(d/5+1) }
--- /dev/null
+++ b/internal/reply/doc.go
@@ -0,0 +1,6 @@
+// Package reply writes HTTP answers.
+//
+// # Usage
+//
+//	reply.JSON(w, status)
+package reply
--- a/node/admin.go
+++ b/node/admin.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/budget"
 	"mustardvane.org/vane/event"
+	"mustardvane.org/vane/internal/reply"
 	"mustardvane.org/vane/target"
 	"mustardvane.org/vane/wire"
 )
@@ -64,7 +64,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", n.readyz)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.reg, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Status()) })
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { reply.JSON(w, n.Status()) })
 	mux.HandleFunc("GET /v1/timeline", n.timeline)
 	return mux
 }
@@ -128,11 +128,5 @@
 			return
 		}
 	}
-	writeJSON(w, n.ring.Since(seq, f))
-}
-
-// writeJSON answers with v.
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	reply.JSON(w, n.ring.Since(seq, f))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"mustardvane.org/vane/entry"
 	"mustardvane.org/vane/event"
 	"mustardvane.org/vane/hosts"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/kernel"
 	"mustardvane.org/vane/lease"
 	"mustardvane.org/vane/member"
@@ -80,6 +81,7 @@
 	period time.Duration // of the members' pings
 
 	mu          sync.Mutex
+	pauses      int       // of this node that were recorded
 	behindSince time.Time // a newer configuration is known since then
 	floorKey    floorKey
 	floor       map[string]float64
@@ -234,6 +236,9 @@
 // AdminAddr returns the operators' address that the node listens on.
 func (n *Node) AdminAddr() string { return n.admin.Addr() }
 
+// PeerAddr returns the address that other nodes use.
+func (n *Node) PeerAddr() string { return n.set.Listen.Peers }
+
 // Leases returns the number of budget shards that the node holds, and of all.
 func (n *Node) Leases() (held, all int) { return n.keeper.Held(), budgetShards }
 
@@ -250,7 +255,7 @@
 	n.ring.Record(vane.Event{What: vane.EventDraining, Have: float64(n.entry.InFlight())})
 	klog.InfoS("node draining", "node", n.set.Node.Name, "in_flight", n.entry.InFlight())
 	n.leave()
-	wait(ctx, n.set.Drain.EntriesTTL+leaveSpread)
+	clock.Sleep(ctx, n.set.Drain.EntriesTTL+leaveSpread)
 	n.web.quiet()
 	limit, cancel := context.WithTimeout(ctx, n.set.Drain.MaxWait)
 	defer cancel()
@@ -337,13 +342,3 @@
 	}
 	n.ring.Record(vane.Event{What: what, Subject: n.set.Platform.URL})
 }
-
-// wait pauses for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/sync.go
+++ b/node/sync.go
@@ -47,6 +47,7 @@
 		n.peers.Do(func(st *member.State, _ time.Time) { st.Confirm(rev, at) })
 	}
 	know := n.peers.View().Know
+	n.notePause(know)
 	n.noteBehind(rev < know.Revision)
 	if rev > 0 && rev >= know.Revision && n.dir.Loaded() && n.joined() {
 		return
@@ -58,6 +59,16 @@
 	}
 }
 
+// notePause records that the node did not run for a while.
+func (n *Node) notePause(k member.Knowledge) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if k.Pauses > n.pauses {
+		n.pauses = k.Pauses
+		n.ring.Record(vane.Event{What: vane.EventPaused, Subject: n.set.Node.Name, Have: k.LastPause.Seconds()})
+	}
+}
+
 // joined says whether the node has met the others, if there are any to meet.
 func (n *Node) joined() bool {
 	return len(n.peers.View().Members) > 0 || len(n.set.Peers.Seeds) == 0
--- a/route/chat.go
+++ b/route/chat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/stream"
 )
 
@@ -67,7 +68,7 @@
 		return refusal(err).WithExecution(t.exec)
 	}
 	v := rt.failed(ctx, j, a, t.n, ref)
-	if !v.Again || !pause(ctx, v.After) {
+	if !v.Again || !clock.Sleep(ctx, v.After) {
 		if v.Reason == vane.ReasonCallerGone {
 			ref.Reason = v.Reason
 		}
--- a/route/plain.go
+++ b/route/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/retry"
 )
 
@@ -62,7 +63,7 @@
 		now := time.Now()
 		left := callTimeout - now.Sub(c.Begin)
 		v := retry.Decide(retry.Attempt{Number: n + 1, Execution: ref.Execution, Idempotent: c.Idempotent, Left: left}, rt.budget, now)
-		if !v.Again || n == len(ups)-1 || !pause(ctx, v.After) {
+		if !v.Again || n == len(ups)-1 || !clock.Sleep(ctx, v.After) {
 			return Result{}, ref.WithRetryAfter(time.Second)
 		}
 		rt.rec.Record(vane.Event{
--- a/route/router.go
+++ b/route/router.go
@@ -277,21 +277,6 @@
 	return v
 }
 
-// pause waits before a repeat; it returns false if the caller leaves.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // refusal returns err as a refusal.
 func refusal(err error) *vane.Refusal {
 	var r *vane.Refusal
--- a/store/write.go
+++ b/store/write.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
 )
 
 // Bounds of the retries.
@@ -53,7 +54,7 @@
 func (c *Client) resolve(ctx context.Context, key string, want uint64, value []byte, lost error) (uint64, error) {
 	b := newBackoff()
 	for range resolveTries {
-		if !sleep(ctx, b.NextBackOff()) {
+		if !clock.Sleep(ctx, b.NextBackOff()) {
 			break
 		}
 		v, err := c.putOnce(ctx, key, want, value)
@@ -125,15 +126,3 @@
 	return vane.Errorf(vane.KindConflict, "store."+op, "read the object and decide again",
 		"object %s is at version %s, not %d", key, a.header.Get(HeaderVersion), want)
 }
-
-// sleep waits d; it returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
