--- a/bench/caller_test.go
+++ b/bench/caller_test.go
@@ -288,3 +288,48 @@
 	is.True(strings.Contains(err.Error(), "w3") && strings.Contains(err.Error(), "w4")) // the difference
 	is.True(strings.Contains(err.Error(), "--base"))                                    // the remedy
 }
+
+// TestSlowReader lets a caller stop reading. The engine must be held back and the
+// stream ended after the write timeout, and the node's memory must not grow by what
+// the caller does not take.
+func TestSlowReader(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(1), bench.WithEngines(1, engine.WithSpeed(4_000_000, 0)), bench.WithSettings(func(s *config.Settings) {
+		s.Callers.WriteTimeout = 300 * time.Millisecond
+	}))
+	const tokens = 200_000 // far more than the buffers of the connections hold
+	body, err := json.Marshal(map[string]any{
+		"model": bench.Model, "messages": []trace.Message{{Role: "user", Content: "hi"}}, "stream": true, "max_tokens": tokens,
+	})
+	is.NoErr(err)
+	fleet := bench.DefaultFleet("w1", "w2")
+	fleet.Models[0].MaxContext = 0
+	is.NoErr(f.Apply(t.Context(), fleet))
+	hr, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.Nodes[0].Addr()+"/v1/chat/completions", bytes.NewReader(body))
+	is.NoErr(err)
+	hr.Header.Set("Authorization", bearer("w1"))
+	resp, err := http.DefaultClient.Do(hr)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	eventually(t, "the end of the stream", func() bool { return f.Nodes[0].Status().InFlight == 0 && f.Engines[0].Running() == 0 })
+	is.True(f.Engines[0].Log()[0].Generated < tokens/2)
+}
+
+// TestKeyRotation has two keys valid at once and withdraws the older one.
+func TestKeyRotation(t *testing.T) {
+	is := is.New(t)
+	f := start(t, bench.WithNodes(1))
+	url := "http://" + f.Nodes[0].Addr() + "/v1/models"
+	status := func(key string) int { return send(t, "GET", url, "", "Authorization", "Bearer "+key).status }
+	next := config.Key{ID: "second", SHA256: config.HashKey("the-second-key-of-w1")}
+	fleet := bench.DefaultFleet("w1", "w2")
+	fleet.Workspaces[0].Keys = append(fleet.Workspaces[0].Keys, next)
+	is.NoErr(f.Apply(t.Context(), fleet))
+	is.Equal(status(bench.KeyOf("w1")), 200)
+	is.Equal(status("the-second-key-of-w1"), 200)
+	fleet = bench.DefaultFleet("w1", "w2")
+	fleet.Workspaces[0].Keys = []config.Key{next}
+	is.NoErr(f.Apply(t.Context(), fleet))
+	is.Equal(status(bench.KeyOf("w1")), 401)
+	is.Equal(status("the-second-key-of-w1"), 200)
+}
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -103,7 +103,6 @@
 	if err := c.messages(wire.Messages); err != nil {
 		return nil, err
 	}
-	delete(obj, "max_completion_tokens")
 	c.fields = route.NewFields(obj)
 	return c, nil
 }
--- a/route/job.go
+++ b/route/job.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -63,13 +64,19 @@
 
 // reserved are the fields that callers can't set: they would reach another
 // workspace's cache or another class's priority.
-var reserved = []string{"cache_salt", "priority", "resume_offset", "stream", "stream_options", "max_tokens"}
+var reserved = []string{"cache_salt", "priority", "resume_offset", "stream", "stream_options", "max_tokens", "max_completion_tokens"}
+
+// isReserved says whether a field is reserved, in any case: some engines' decoders
+// do not look at it.
+func isReserved(name string) bool {
+	return slices.ContainsFunc(reserved, func(r string) bool { return strings.EqualFold(r, name) })
+}
 
 // NewFields returns the caller's fields without the reserved ones.
 func NewFields(obj map[string]json.RawMessage) Fields {
 	var b bytes.Buffer
 	for _, k := range slices.Sorted(maps.Keys(obj)) {
-		if slices.Contains(reserved, k) {
+		if isReserved(k) {
 			continue
 		}
 		if b.Len() > 0 {
@@ -83,6 +90,9 @@
 	return Fields{rest: b.Bytes()}
 }
 
+// String returns the fields as they are sent.
+func (f Fields) String() string { return string(f.rest) }
+
 // order is the part of a request's body that the router sets.
 type order struct {
 	CacheSalt     string         `json:"cache_salt"`
