A node that starts lets in what its upstreams can take; smaller streams; ceiling

Cause: vanebench experiment streams opened 400 streams at once and got 64: a gate began at 64 requests in flight and grew by one for 64 good first tokens, so that a restarted node refused what the others served.

Change: a gate begins at its bound, shrinks on late first tokens and grows by one with each good one. The relay reads 2 KB at once and the prompt's text is dropped once it is cut. compare prints the highest hit rate that any placing can reach.

--- a/cmd/vanebench/demo.go
+++ b/cmd/vanebench/demo.go
@@ -118,6 +118,7 @@
 		reps[i] = rep
 	}
 	table(w, ps, reps)
+	fmt.Fprintf(w, "\nno way of placing can exceed a hit rate of %.1f %% on this trace\n", 100*trace.Ceiling(reqs, pieceTokens))
 	return verdict(reps)
 }
 
--- a/cmd/vanebench/experiment.go
+++ b/cmd/vanebench/experiment.go
@@ -54,6 +54,7 @@
 	"budget":   budgets,
 	"withdraw": withdraw,
 	"detect":   detect,
+	"streams":  streams,
 }
 
 func experimentCommand() *cli.Command {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -60,6 +60,7 @@
 // answered yet.
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, c *call, ws config.Workspace, v *config.View, req *chat, body []byte) error {
 	prompt := prefix.Cut(ws.Name, req.model, req.msgs, s.piece)
+	req.msgs = nil // the text is not needed while the answer streams
 	if err := checkModel(v, req, prompt); err != nil {
 		return err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -34,7 +34,6 @@
 // Sizes of a node.
 const (
 	ringSize     = 8192 // events kept
-	firstLimit   = 64   // requests in flight before the gate has adapted
 	maxInFlight  = 1024
 	overcommit   = 2 // requests in flight for each slot of the upstreams
 	startTimeout = 10 * time.Second
@@ -113,7 +112,7 @@
 	)
 	n.conf = config.NewService(n.st, n.ring)
 	n.dir = hosts.New(n.st, n.placer, n.ring, hosts.WithShare(n.polls), hosts.WithLoadFunc(n.tellLoad))
-	n.gate = queue.NewGate(queue.NewFair(queue.WithLimit(firstLimit)), maxInFlight)
+	n.gate = queue.NewGate(queue.NewFair(), maxInFlight)
 	n.dir.OnChange(n.resize)
 	n.moves = newMoves(n)
 	n.conf.OnObject(n.moves.Take)
--- a/queue/fair_test.go
+++ b/queue/fair_test.go
@@ -182,3 +182,26 @@
 		is.True(got[vane.ReasonCallerGone] > 0)
 	})
 }
+
+// TestGateAdapts checks that a gate begins at its bound, shrinks on late first
+// tokens and is back soon.
+func TestGateAdapts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := queue.NewFair()
+		g := queue.NewGate(f, 1000)
+		is.Equal(f.Limit(), 1000)
+		g.SetCap(200)
+		is.Equal(f.Limit(), 200)
+		for range 5 {
+			time.Sleep(time.Second)
+			g.FirstToken(2*time.Second, time.Second)
+		}
+		low := f.Limit()
+		is.True(low < 100)
+		for range 200 {
+			g.FirstToken(time.Millisecond, time.Second)
+		}
+		is.Equal(f.Limit(), 200)
+	})
+}
--- a/queue/gate.go
+++ b/queue/gate.go
@@ -11,15 +11,16 @@
 // Bounds of the adaptive limit.
 const (
 	minLimit   = 4
-	growth     = 1.0 // added for each limit's worth of good first tokens
+	growth     = 1.0 // added for each good first token
 	shrink     = 0.8 // factor on a late first token
 	shrinkWait = 500 * time.Millisecond
 	expireTick = 20 * time.Millisecond
 )
 
 // Gate lets goroutines wait in a Fair queue. The number of requests in flight
-// adapts to what the upstreams can take: it grows while first tokens come within
-// their target and shrinks when they come late.
+// adapts to what the upstreams can take: it begins at its bound, so that a node
+// that has just started serves at once, shrinks when first tokens come late and
+// grows again while they come within their target.
 type Gate struct {
 	mu      sync.Mutex
 	f       *Fair
@@ -32,7 +33,8 @@
 
 // NewGate returns a gate around f that never lets more than most requests in.
 func NewGate(f *Fair, most int) *Gate {
-	return &Gate{f: f, waiting: make(map[uint64]chan vane.Reason), limit: float64(f.Limit()), cap: float64(most)}
+	f.SetLimit(most)
+	return &Gate{f: f, waiting: make(map[uint64]chan vane.Reason), limit: float64(most), cap: float64(most)}
 }
 
 // Pass is the right to run one request.
@@ -132,7 +134,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	if took <= target {
-		g.limit = min(g.cap, g.limit+growth/g.limit)
+		g.limit = min(g.cap, g.limit+growth)
 	} else if now.Sub(g.shrunk) > shrinkWait {
 		g.limit = max(minLimit, g.limit*shrink)
 		g.shrunk = now
@@ -145,8 +147,11 @@
 func (g *Gate) SetCap(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := g.cap
 	g.cap = max(minLimit, float64(n))
-	g.limit = min(g.limit, g.cap)
+	if g.limit == before || g.limit > g.cap {
+		g.limit = g.cap
+	}
 	g.f.SetLimit(int(g.limit))
 }
 
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -10,7 +10,7 @@
 
 // Sizes of the reader.
 const (
-	bufferSize = 8 << 10 // bytes read at once
+	bufferSize = 2 << 10 // bytes read at once; longer lines are collected
 	maxEvent   = 1 << 20 // bytes of one event
 )
 
