One ask gets at most half of a pool; test fleets use ports that stay free

Cause: after a restart of all routers the first nodes' floors took the whole pool that the recorded ceilings left, and floors called shares back from others; the rest refused as limit_rate. A run of the tests failed because a port found free was taken by an outgoing connection before the node listened on it.

Change: an ask gets at most half of the pool, and only waiting requests call shares back; test fleets take ports below those of outgoing connections.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -5,8 +5,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/admin"
 	"mustardvane.org/vane/config"
@@ -206,14 +210,35 @@
 	f.Platform.SetHosts(ups)
 }
 
-// freePort returns an address with a port that is free now.
+// Ports of the nodes. They lie below those that the system gives to outgoing
+// connections, so that none of these can take one before the node listens on it.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+	portsEach = 200 // apart for processes that run side by side
+)
+
+// nextPort is the next port to try.
+var nextPort atomic.Int64
+
+// freePort returns an address whose port is free for TCP and UDP.
 func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const span = lastPort - firstPort
+	nextPort.CompareAndSwap(0, int64(os.Getpid())*portsEach)
+	for range span {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%span)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", addr)
+		_ = l.Close()
+		if err != nil {
+			continue
+		}
+		return addr, u.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("bench: no port is free")
 }
 
 // Settings returns the settings of node i, which stay the same over restarts.
--- a/budget/hub.go
+++ b/budget/hub.go
@@ -258,7 +258,7 @@
 		if l.Short() {
 			h.hasten(i)
 		}
-		if lacking := a.GetWant() - g.GetShare(); lacking > minShare {
+		if lacking := a.GetWant() - g.GetShare(); a.GetTokens() > 0 && lacking > minShare {
 			for _, v := range l.Recall(lacking, r.GetNode()) {
 				h.recall(v, a.GetWorkspace())
 			}
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -23,6 +23,9 @@
 	lendable = 0.5
 	// ceilingStep is how far a recorded ceiling is ahead of what was given out.
 	ceilingStep = 0.2
+	// mostPart is the part of the pool that one ask gets at most, so that the first
+	// nodes after a take-over leave something for the others.
+	mostPart = 0.5
 	// minShare is the smallest share worth a transfer.
 	minShare = 1e-6
 	// rounding is the largest difference between equal sums of shares.
@@ -209,7 +212,7 @@
 // give gives shares and tokens out of the pool. Every share that is given out
 // stays below the recorded ceiling.
 func (l *Ledger) give(now time.Time, lt *lot, a *wire.Ask, g *wire.Give) {
-	share := min(a.GetWant(), l.share, l.recorded-l.out)
+	share := min(a.GetWant(), l.share*mostPart, l.recorded-l.out)
 	if share < minShare {
 		share = 0
 	}
