Floors are not borrowed

Cause: with leases ticked every 25 and shares every 100 ms, TestPlatformDown failed each time as limit_unavailable. Printing each loan showed why: before the first holder answered, nodes borrowed from each other for their floors, which used up what peers may lend until a holder answers them again; a node restarted in the outage then got nothing. With the usual ticks the order of the start hid it.

Change: only requests that wait borrow; a test of it that fails without the change.

--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -129,11 +129,12 @@
 	}
 }
 
-// borrow asks peers for what waiting requests need.
+// borrow asks peers for what waiting requests need. A floor is no reason to borrow:
+// it would use up what peers may lend before the holder answers them again.
 func (s *Shares) borrow(req *wire.ExchangeRequest) {
 	ask := &wire.ExchangeRequest{Node: req.Node, Incarnation: req.Incarnation, Shard: req.Shard, Peer: true}
 	for _, a := range req.Asks {
-		if a.GetWant() > 0 {
+		if a.GetWant() > 0 && a.GetTokens() > 0 {
 			ask.Asks = append(ask.Asks, &wire.Ask{Workspace: a.GetWorkspace(), Want: a.GetWant(), Tokens: a.GetTokens()})
 		}
 	}
--- /dev/null
+++ b/budget/shares_test.go
@@ -0,0 +1,48 @@
+package budget_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mustardvane.org/vane/budget"
+	"mustardvane.org/vane/wire"
+)
+
+// alone is a fleet in which no holder answers; peers lend.
+type alone struct{ loans int }
+
+func (*alone) Exchange(context.Context, *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	return nil, errors.New("no holder")
+}
+
+func (a *alone) Borrow(_ context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	a.loans++
+	return &wire.ExchangeReply{Gives: []*wire.Give{{Workspace: r.GetAsks()[0].GetWorkspace(), Share: 0.5, Tokens: 1000, LifeMs: 60_000}}}, nil
+}
+
+// TestFloorIsNotBorrowed checks that a node without a holder borrows for a request
+// that waits, and not for its floor.
+func TestFloorIsNotBorrowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ex := &alone{}
+		s := budget.NewShares("n", 1, 1, terms, ex, budget.WithFloors(func() map[string]float64 { return map[string]float64{modelWS: 0.1} }))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.Run(ctx, func() {}) }()
+		time.Sleep(5 * time.Second)
+		is.Equal(ex.loans, 0)
+		rctx, stop := context.WithTimeout(ctx, time.Second)
+		defer stop()
+		_, err := s.Reserve(rctx, modelWS, 500)
+		is.NoErr(err)
+		is.Equal(ex.loans, 1)
+		cancel()
+		is.NoErr(<-done)
+	})
+}
