Thin whole path on the users' platform: routes, placement, quota, weights orders, mesh

Cause: the router spoke only its own protocols; nothing served routes by host and path, prompts as identified parts, or orders to engines. What was built: store client with exchangeable protocols; mirror, sched, quota, mesh, conns, front, weight, edge in the product; platform/ decodes names and formats. Ruled out: http.Transport towards upstreams (resends and hands late answers on).

--- a/cmd/vaned/main.go
+++ b/cmd/vaned/main.go
@@ -19,6 +19,7 @@
 
 	"mustardvane.org/vane/config"
 	"mustardvane.org/vane/node"
+	"mustardvane.org/vane/platform"
 )
 
 // Exit codes.
@@ -68,6 +69,11 @@
 				Description: "Exits 0 if the file is good and 1 if not.\n\nExample:\n  vaned check /etc/vaned.yaml",
 				Action:      check,
 			},
+			{
+				Name: "platform", Usage: "serve routed traffic on the users' platform until SIGTERM",
+				Description: "The settings file is named by " + platform.SettingsEnv + ".\n\nExample:\n  vaned platform",
+				Action:      servePlatform,
+			},
 		},
 	}
 }
--- /dev/null
+++ b/dialect.go
@@ -0,0 +1,135 @@
+package vane
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Part is one identified part of a prompt. Prompts that start with the same
+// parts share them in the engines' caches.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// CallMeta is what a caller's headers say about a routed request.
+type CallMeta struct {
+	ID        string        // the caller's name for this attempt
+	Key       string        // empty if none was sent
+	Model     string        // empty for plain services
+	Parts     []Part        // the prompt, in order; the last one is the request's own
+	Prompt    int           // prompt tokens
+	Output    int           // generated tokens at most
+	Sized     bool          // Prompt and Output were stated
+	TimeLimit time.Duration // how long the caller waits; zero if not stated
+	LastEvent string        // the stream goes on after this event; empty for a new one
+}
+
+// Tokens returns the tokens that the request is charged, or plain if it does not
+// state its size.
+func (m CallMeta) Tokens(plain int) int {
+	if !m.Sized {
+		return plain
+	}
+	return m.Prompt + m.Output
+}
+
+// Forward is what the router states when it sends a request to an upstream.
+type Forward struct {
+	Workspace string        // empty on public routes
+	TimeLimit time.Duration // what is left of the caller's time
+	Upstream  string        // name of the upstream that is meant
+	Weights   uint64        // weights that are expected; zero for any
+	Priority  int           // 0 is served first; negative for none
+	CacheSalt string        // parts are shared only under equal salts
+	FetchFrom string        // address of a cache that may hold parts; empty for none
+	SaveTo    string        // address of the cache store to save parts to; empty for none
+	LastEvent string        // resume after this event; empty for the whole stream
+}
+
+// AnswerMeta is what an upstream's answer says beside its body.
+type AnswerMeta struct {
+	ID      string // of the request that is answered
+	Signed  bool   // the answer is the upstream's own
+	NotRun  bool   // the upstream states that the request did not run
+	Wrong   bool   // another upstream has the address
+	Load    Load
+	Slots   int
+	HasLoad bool
+	Weights uint64 // zero if not stated
+}
+
+// Dialect translates between HTTP headers and the values above. An
+// implementation decides nothing.
+type Dialect interface {
+	// Call reads the headers of a caller's request.
+	Call(h http.Header) CallMeta
+	// Outgoing returns the headers for an upstream: those of the caller without
+	// the ones that belong to the router, and those that f states.
+	Outgoing(h http.Header, f Forward) http.Header
+	// Answer reads the headers of an upstream's answer.
+	Answer(status int, h http.Header) AnswerMeta
+	// WeightsOf reads the number of weights from a line of an event. It returns
+	// zero if the line states none.
+	WeightsOf(line []byte) uint64
+}
+
+// WeightsOrder asks an engine to load weights.
+type WeightsOrder struct {
+	Model    string
+	Weights  uint64
+	Holder   string // name of the node that holds the lease
+	Fence    uint64 // fencing number of the lease
+	Expected uint64 // number of orders that the engine has accepted so far
+}
+
+// OrderResult is an engine's answer to an order.
+type OrderResult int
+
+// The answers to orders.
+const (
+	OrderUnknown  OrderResult = iota // unknown
+	OrderAccepted                    // accepted
+	OrderHolds                       // holds
+	OrderBusy                        // busy
+	OrderFenced                      // fenced
+	OrderWrong                       // wrong_upstream
+	OrderInvalid                     // invalid
+)
+
+// EngineReport is an engine's own account of its state.
+type EngineReport struct {
+	Weights map[string]uint64 // by model
+	Busy    bool              // an order is being carried out
+	Orders  uint64            // number of accepted orders
+	Load    Load
+	At      time.Time // when the report was asked for
+}
+
+// CacheEvent is one change of a cache's contents.
+type CacheEvent struct {
+	Added  bool
+	Salt   string
+	PartID string
+	Tokens int // tokens stored now
+}
+
+// CacheChanges is what a cache answered to a call for its changes.
+type CacheChanges struct {
+	Epoch  uint64 // changes when the cache lost everything
+	Next   uint64 // pass to the next call
+	Gap    bool   // events before these were lost
+	Events []CacheEvent
+}
+
+// EngineControl is the side of engines and caches that takes no requests.
+type EngineControl interface {
+	// Order sends an order to load weights. An error leaves open whether the
+	// engine will carry it out.
+	Order(ctx context.Context, u Upstream, o WeightsOrder) (OrderResult, error)
+	// Report asks an engine for its state.
+	Report(ctx context.Context, u Upstream) (EngineReport, error)
+	// CacheChanges waits for changes of a cache after the event number since.
+	CacheChanges(ctx context.Context, addr string, since uint64) (CacheChanges, error)
+}
--- /dev/null
+++ b/edge/loader.go
@@ -0,0 +1,153 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
+	"mustardvane.org/vane/lease"
+	"mustardvane.org/vane/mesh"
+	"mustardvane.org/vane/weight"
+)
+
+// Times of the lease on orders and of the loader.
+const (
+	leaseTime   = 2500 * time.Millisecond
+	renewTime   = 800 * time.Millisecond
+	pollTime    = 500 * time.Millisecond
+	loadTick    = 50 * time.Millisecond
+	noticeTime  = 4 * time.Millisecond   // until the other nodes have heard that an engine will load
+	orderMargin = 900 * time.Millisecond // an order must arrive while the lease lasts
+	fenceMargin = 300 * time.Millisecond
+)
+
+// loader sends the orders to load weights while this node holds the lease.
+type loader struct {
+	n *Node
+
+	mu       sync.Mutex
+	planners map[string]*weight.Planner // by model
+	notUntil time.Time                  // on the clock that goes on while suspended
+}
+
+// newLoader returns a loader.
+func newLoader(n *Node) *loader { return &loader{n: n, planners: make(map[string]*weight.Planner)} }
+
+// took notes that the lease was taken. Orders wait until those of another holder
+// are long past.
+func (l *loader) took(t lease.Taken) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.planners = make(map[string]*weight.Planner)
+	if t.Before.Holder != "" && t.Before.Holder != l.n.set.Node {
+		l.notUntil = clock.Suspended().Add(l.n.set.FencePause + fenceMargin)
+	}
+	l.n.log.Info("lease taken", "fence", t.Fence, "before", t.Before.Holder, "released", t.Before.Released)
+}
+
+// Run implements kernel.Service.
+func (l *loader) Run(ctx context.Context, ready func()) error {
+	ready()
+	var wg sync.WaitGroup
+	for clock.Sleep(ctx, loadTick) {
+		for _, a := range l.due() {
+			wg.Go(func() { l.carryOut(ctx, a) })
+		}
+	}
+	wg.Wait()
+	return nil
+}
+
+// due returns the actions that are due, if this node may order.
+func (l *loader) due() []weight.Action {
+	if !l.allowed() {
+		return nil
+	}
+	now := time.Now()
+	v := l.n.mirror.View()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []weight.Action
+	for model, w := range v.Weights {
+		p, ok := l.planners[model]
+		if !ok {
+			p = weight.NewPlanner()
+			l.planners[model] = p
+		}
+		out = append(out, p.Tick(now, l.n.placer.Engines(now, model), w.Number)...)
+	}
+	return out
+}
+
+// allowed says whether an order that is sent now arrives while the lease lasts and
+// well after those of the holder before.
+func (l *loader) allowed() bool {
+	if _, ok := l.n.keeper.HoldsFor(0, orderMargin); !ok {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !clock.Suspended().Before(l.notUntil)
+}
+
+// planner returns the planner of a model.
+func (l *loader) planner(model string, f func(p *weight.Planner)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, ok := l.planners[model]; ok {
+		f(p)
+	}
+}
+
+// carryOut performs an action.
+func (l *loader) carryOut(ctx context.Context, a weight.Action) {
+	model := a.Engine.Model
+	if a.Kind == weight.ActReport {
+		r, err := l.n.ad.Control.Report(ctx, a.Engine)
+		done := false
+		l.planner(model, func(p *weight.Planner) { done = p.Reported(time.Now(), a.Engine.Name, model, r, err) })
+		if done {
+			l.loaded(a.Engine.Name, r.Weights[model])
+		}
+		return
+	}
+	l.announce(a.Engine.Name, a.Engine.Weights)
+	clock.Sleep(ctx, noticeTime)
+	fence, ok := l.n.keeper.HoldsFor(0, orderMargin)
+	res, err := vane.OrderInvalid, error(nil)
+	if ok && l.allowed() {
+		res, err = l.n.ad.Control.Order(ctx, a.Engine, vane.WeightsOrder{
+			Model: model, Weights: a.Weights, Holder: l.n.set.Node, Fence: fence, Expected: a.Expected,
+		})
+	}
+	l.n.log.Info("order", "upstream", a.Engine.Name, "weights", a.Weights, "before", a.Engine.Weights, "fence", fence, "expected", a.Expected, "result", res.String(), "err", errText(err))
+	l.planner(model, func(p *weight.Planner) { p.Answered(time.Now(), a.Engine.Name, res) })
+	if res != vane.OrderAccepted && res != vane.OrderUnknown {
+		l.n.placer.Loading(a.Engine.Name, time.Time{})
+	}
+}
+
+// announce sets an engine aside on all nodes.
+func (l *loader) announce(name string, weights uint64) {
+	l.n.placer.Loading(name, time.Now().Add(weight.LoadTime))
+	l.n.notes.addEngine(mesh.EngineNote{Upstream: name, Weights: weights, LoadingMS: int(weight.LoadTime.Milliseconds())})
+	l.n.mesh.Notify()
+}
+
+// loaded tells all nodes that an engine serves new weights.
+func (l *loader) loaded(name string, weights uint64) {
+	l.n.log.Info("weights loaded", "upstream", name, "weights", weights)
+	l.n.placer.Loading(name, time.Time{})
+	l.n.learned(name, weights)
+	l.n.mesh.Notify()
+}
+
+// errText returns the text of an error, or nothing.
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/front/relay.go
@@ -0,0 +1,109 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/conns"
+	"mustardvane.org/vane/sched"
+)
+
+// Sizes of events.
+const (
+	eventBuffer = 8 << 10 // bytes read at a time
+	maxEvent    = 1 << 20 // bytes of one event
+)
+
+// relay is the caller's side of a stream, over all upstreams that feed it.
+type relay struct {
+	w      http.ResponseWriter
+	flush  func() error
+	lastID string // of the last whole event
+	events int
+}
+
+// stream relays the events of an answer.
+func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, t *run, p sched.Pick, ticket *sched.Ticket, ans *conns.Answer) *vane.Refusal {
+	if t.relay == nil && !h.Dialect.Answer(ans.Status, ans.Header).Signed {
+		return vane.Refuse(vane.ReasonUpstreamCrossed, "the answer of upstream %s is not its own", p.Upstream.Name).WithExecution(vane.MayHaveRun)
+	}
+	br := bufio.NewReaderSize(ans.Body, eventBuffer)
+	var event []byte
+	for {
+		line, err := br.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > maxEvent {
+			return vane.Refuse(vane.ReasonUpstreamFailed, "an event of upstream %s is too long", p.Upstream.Name).WithExecution(vane.MayHaveRun)
+		}
+		if n := h.Dialect.WeightsOf(line); n > 0 {
+			h.Learned(p.Upstream.Name, n)
+		}
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err == nil && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			continue
+		}
+		if err == nil {
+			if t.relay == nil {
+				t.relay = begin(w, ans)
+			}
+			h.Placer.First(time.Now(), ticket)
+			if err := t.relay.send(event, br.Buffered() == 0); err != nil {
+				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
+			}
+			event = event[:0]
+			continue
+		}
+		if err == io.EOF && ans.Whole() {
+			if t.relay == nil {
+				t.relay = begin(w, ans)
+			}
+			if err := t.relay.send(event, true); len(event) > 0 && err != nil {
+				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
+			}
+			h.served(t, p, ans.Status, t.relay.events)
+			return nil
+		}
+		return h.broken(ctx, t, p, err)
+	}
+}
+
+// begin sends the head of the first upstream's answer.
+func begin(w http.ResponseWriter, ans *conns.Answer) *relay {
+	copyHeader(w.Header(), ans.Header)
+	w.Header().Del("Content-Length")
+	w.WriteHeader(ans.Status)
+	rc := http.NewResponseController(w)
+	return &relay{w: w, flush: rc.Flush}
+}
+
+// send passes a whole event on. Events that arrive together are flushed together.
+func (r *relay) send(event []byte, flush bool) error {
+	if id, ok := eventID(event); ok {
+		r.lastID = id
+	}
+	r.events++
+	if _, err := r.w.Write(event); err != nil {
+		return err
+	}
+	if !flush {
+		return nil
+	}
+	return r.flush()
+}
+
+// eventID returns the id of an event.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(v)), true
+		}
+	}
+	return "", false
+}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -37,6 +37,7 @@
 	onLapse  func(shard int, at time.Time)
 	onLose   func(shard int)
 	onDone   func(shard int, value []byte)
+	clock    func() time.Time
 	box      *kernel.Mailbox[answer]
 	hasten   *kernel.Mailbox[int]
 	closing  chan chan struct{}
@@ -76,13 +77,19 @@
 	OnLose  func(shard int)
 	Data    func(shard int, p Purpose, before json.RawMessage) json.RawMessage
 	OnDone  func(shard int, value []byte) // a write of this node stands
+	// Clock is time.Now if nil. Hosts that can be suspended need a clock that goes on
+	// meanwhile.
+	Clock func() time.Time
 }
 
 // NewKeeper returns a keeper.
 func NewKeeper(st vane.Store, rec vane.Recorder, c Config) *Keeper {
 	k := &Keeper{
 		prefix: c.Prefix, st: st, rec: rec, wanted: c.Wanted, onTake: c.OnTake, onLapse: c.OnLapse, onLose: c.OnLose, onDone: c.OnDone,
-		box: kernel.NewMailbox[answer](boxSize), hasten: kernel.NewMailbox[int](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}),
+		box: kernel.NewMailbox[answer](boxSize), hasten: kernel.NewMailbox[int](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}), clock: c.Clock,
+	}
+	if k.clock == nil {
+		k.clock = time.Now
 	}
 	for i := range c.Shards {
 		k.machines = append(k.machines, NewMachine(c.Node, c.Times, WithBoot(c.Boot),
@@ -100,7 +107,15 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.shards[shard]
-	return s.Fence, time.Now().Before(s.Until)
+	return s.Fence, k.clock().Before(s.Until)
+}
+
+// HoldsFor is like Holds, but the lease must last for at least d.
+func (k *Keeper) HoldsFor(shard int, d time.Duration) (uint64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.shards[shard]
+	return s.Fence, k.clock().Add(d).Before(s.Until)
 }
 
 // Holder returns the node that held a shard when this node last read its lease,
@@ -140,7 +155,7 @@
 	for {
 		select {
 		case a := <-k.box.C():
-			k.machines[a.shard].Done(time.Now(), a.act, a.res)
+			k.machines[a.shard].Done(k.clock(), a.act, a.res)
 			k.publish(a.shard)
 			if a.act.Kind == ActWrite && a.res.Err == nil {
 				k.onDone(a.shard, a.act.Value)
@@ -148,7 +163,7 @@
 		case <-tick.C:
 			k.tick(calls, &wg, leaving)
 		case i := <-k.hasten.C():
-			k.machines[i].Hasten(time.Now())
+			k.machines[i].Hasten(k.clock())
 		case released = <-k.closing:
 			leaving = true
 		case <-ctx.Done():
@@ -199,7 +214,7 @@
 
 // tick lets all machines act.
 func (k *Keeper) tick(ctx context.Context, wg *sync.WaitGroup, leaving bool) {
-	now := time.Now()
+	now := k.clock()
 	for i, m := range k.machines {
 		act := m.Tick(now, !leaving && k.wanted(i))
 		k.publish(i)
@@ -226,7 +241,7 @@
 // publish makes a shard's state available and reports what changed.
 func (k *Keeper) publish(i int) {
 	m := k.machines[i]
-	now := time.Now()
+	now := k.clock()
 	fence, held := m.Holds(now)
 	k.mu.Lock()
 	was := k.shards[i]
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,311 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
+)
+
+// Bounds of the messages.
+const (
+	period       = 250 * time.Millisecond // between messages to one node, in a small site
+	smallSite    = 10                     // nodes up to which the period holds; it grows with more
+	minPause     = 20 * time.Millisecond  // between messages that are sent at once
+	maxDatagram  = 60 << 10               // bytes
+	behindTime   = 400 * time.Millisecond // the store's own watch is given so long
+	snapTimeout  = time.Second
+	maxSnapshot  = 64 << 20 // bytes
+	snapshotPath = "/v1/objects"
+	// Silent is how long after its last message a node counts as gone.
+	Silent = 1300 * time.Millisecond
+)
+
+// Deps are what the mesh works for.
+type Deps struct {
+	Compose func(now time.Time, m *Message)
+	Hear    func(now time.Time, m *Message)
+	Mark    func() uint64
+	Export  func() []vane.Object
+	Import  func([]vane.Object)
+	Log     *slog.Logger
+}
+
+// Peer is what is known of another node.
+type Peer struct {
+	vane.PeerRecord
+	Heard   time.Time // of the last message; zero if there was none
+	Ready   bool
+	Leaving bool
+	Fence   uint64
+	StoreOK bool
+	seq     uint64
+	behind  time.Time // since when it knows more than this node
+}
+
+// Alive says whether the node was heard lately.
+func (p Peer) Alive(now time.Time) bool { return !p.Heard.IsZero() && now.Sub(p.Heard) < Silent }
+
+// Mesh exchanges messages with the other nodes.
+type Mesh struct {
+	self vane.PeerRecord
+	Deps
+
+	mu    sync.Mutex
+	peers map[string]*Peer
+	seq   uint64
+	wake  chan struct{}
+	conn  net.PacketConn
+	http  *http.Client
+}
+
+// New returns the mesh of a node.
+func New(self vane.PeerRecord, d Deps) *Mesh {
+	return &Mesh{
+		self: self, Deps: d, peers: make(map[string]*Peer), wake: make(chan struct{}, 1),
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: snapTimeout},
+	}
+}
+
+// SetPeers takes the records of all nodes, the own one included.
+func (m *Mesh) SetPeers(records map[string]vane.PeerRecord) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, r := range records {
+		if name == m.self.Name {
+			continue
+		}
+		p, ok := m.peers[name]
+		if !ok {
+			p = &Peer{}
+			m.peers[name] = p
+		}
+		if r.Boot >= p.Boot {
+			p.PeerRecord = r
+		}
+	}
+	for name, p := range m.peers {
+		if _, ok := records[name]; !ok && !p.Alive(time.Now()) {
+			delete(m.peers, name)
+		}
+	}
+}
+
+// Peers returns what is known of the other nodes.
+func (m *Mesh) Peers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		out = append(out, *p)
+	}
+	return out
+}
+
+// Notify sends the next message at once.
+func (m *Mesh) Notify() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run implements kernel.Service.
+func (m *Mesh) Run(ctx context.Context, ready func()) error {
+	conn, err := net.ListenPacket("udp", m.self.Mesh)
+	if err != nil {
+		return vane.Errorf(vane.KindInvalid, "mesh.listen", "free the port or name another", "can't listen on %s", m.self.Mesh).WithCause(err)
+	}
+	ln, err := net.Listen("tcp", m.self.Mesh)
+	if err != nil {
+		_ = conn.Close()
+		return vane.Errorf(vane.KindInvalid, "mesh.listen", "free the port or name another", "can't listen on %s", m.self.Mesh).WithCause(err)
+	}
+	m.conn = conn
+	mux := http.NewServeMux()
+	mux.HandleFunc(snapshotPath, m.snapshot)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: snapTimeout, WriteTimeout: 2 * snapTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close(); _ = srv.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
+			m.Log.Error("snapshot server ended", "err", err.Error())
+		}
+	})
+	wg.Go(func() { m.receive(ctx) })
+	wg.Go(func() { m.pullLoop(ctx) })
+	ready()
+	m.sendLoop(ctx)
+	wg.Wait()
+	return nil
+}
+
+// sendLoop sends messages until ctx ends.
+func (m *Mesh) sendLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.send()
+		if !clock.Sleep(ctx, minPause) {
+			return
+		}
+		t := time.NewTimer(clock.Jitter(m.pause()) - minPause)
+		select {
+		case <-t.C:
+		case <-m.wake:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// pause returns the time between messages, which grows with the number of nodes so
+// that a node's traffic does not.
+func (m *Mesh) pause() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := len(m.peers)
+	return period * time.Duration(max(1, (n+smallSite-1)/smallSite))
+}
+
+// send sends one message to every node.
+func (m *Mesh) send() {
+	now := time.Now()
+	msg := &Message{Name: m.self.Name, Boot: m.self.Boot, Callers: m.self.Callers, Mark: m.Mark()}
+	m.Compose(now, msg)
+	m.mu.Lock()
+	m.seq++
+	msg.Seq = m.seq
+	addrs := make([]string, 0, len(m.peers))
+	for _, p := range m.peers {
+		addrs = append(addrs, p.Mesh)
+	}
+	m.mu.Unlock()
+	b, err := encode(msg)
+	if err != nil || len(b) > maxDatagram {
+		m.Log.Error("message not sent", "bytes", len(b), "err", err)
+		return
+	}
+	for _, a := range addrs {
+		ua, err := net.ResolveUDPAddr("udp", a)
+		if err != nil {
+			m.Log.Warn("bad address of a node", "addr", a, "err", err.Error())
+			continue
+		}
+		// A datagram that is lost is followed by the next one.
+		_, _ = m.conn.WriteTo(b, ua)
+	}
+}
+
+// receive takes messages until the socket is closed.
+func (m *Mesh) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram+1)
+	for {
+		n, _, err := m.conn.ReadFrom(buf)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			clock.Sleep(ctx, minPause)
+			continue
+		}
+		msg, err := decode(buf[:n])
+		if err != nil {
+			m.Log.Warn("bad message", "err", err.Error())
+			continue
+		}
+		now := time.Now()
+		if m.note(now, msg) {
+			m.Hear(now, msg)
+		}
+	}
+}
+
+// note keeps account of the sender. It returns false for a message that is not
+// newer than the last.
+func (m *Mesh) note(now time.Time, msg *Message) bool {
+	mark := m.Mark() // before the lock, since the source of marks also calls the mesh
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.peers[msg.Name]
+	if !ok || msg.Boot < p.Boot || msg.Boot == p.Boot && msg.Seq <= p.seq {
+		return false
+	}
+	if msg.Boot > p.Boot {
+		p.Boot = msg.Boot
+	}
+	if !p.Alive(now) {
+		m.Log.Info("node heard", "peer", msg.Name, "boot", msg.Boot, "silent_ms", now.Sub(p.Heard).Milliseconds())
+	}
+	p.seq, p.Heard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
+	p.Fence, p.StoreOK, p.Callers = msg.Fence, msg.StoreOK, msg.Callers
+	if msg.Mark <= mark {
+		p.behind = time.Time{}
+	} else if p.behind.IsZero() {
+		p.behind = now
+	}
+	return true
+}
+
+// snapshot serves the objects to another node.
+func (m *Mesh) snapshot(w http.ResponseWriter, _ *http.Request) {
+	var b bytes.Buffer
+	if err := json.NewEncoder(&b).Encode(m.Export()); err != nil {
+		m.Log.Error("snapshot not encoded", "err", err.Error())
+		http.Error(w, "no snapshot", http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(b.Bytes())
+}
+
+// pullLoop fetches snapshots while another node knows more than this one.
+func (m *Mesh) pullLoop(ctx context.Context) {
+	for clock.Sleep(ctx, behindTime/2) {
+		addr, ok := m.ahead(time.Now())
+		if !ok {
+			continue
+		}
+		objs, err := m.pull(ctx, addr)
+		if err != nil {
+			m.Log.Warn("snapshot not fetched", "peer", addr, "err", err.Error())
+			continue
+		}
+		m.Log.Info("snapshot taken from a node", "peer", addr, "objects", len(objs))
+		m.Import(objs)
+	}
+}
+
+// ahead returns the address of a node that has known more for some time.
+func (m *Mesh) ahead(now time.Time) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.Alive(now) && !p.behind.IsZero() && now.Sub(p.behind) > behindTime {
+			return p.Mesh, true
+		}
+	}
+	return "", false
+}
+
+// pull fetches the objects of another node.
+func (m *Mesh) pull(ctx context.Context, addr string) ([]vane.Object, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+snapshotPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := m.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var objs []vane.Object
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxSnapshot)).Decode(&objs)
+	return objs, err
+}
--- /dev/null
+++ b/mesh/message.go
@@ -0,0 +1,62 @@
+package mesh
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	vane "mustardvane.org/vane"
+)
+
+// Message is what a node tells the others. Fields are encoded by position, so that
+// new ones go to the end.
+type Message struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Name     string
+	Boot     uint64
+	Seq      uint64 // of the node's messages; older ones are ignored
+	Ready    bool   // callers may be sent to the node
+	Leaving  bool   // the node stops
+	Mark     uint64 // newest version known of any object of the store
+	Fence    uint64 // of the lease on orders, if the node holds it; else zero
+	InFlight map[string]int
+	Spent    map[string]float64
+	Levels   map[string]float64 // nil unless the node has been running for a while
+	Engines  []EngineNote
+	Lost     []CrashNote
+	Callers  string // address for callers
+	StoreOK  bool   // the node reaches the store
+}
+
+// EngineNote tells about the weights of an engine.
+type EngineNote struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Upstream  string
+	Weights   uint64 // that it serves
+	LoadingMS int    // how much longer it loads at most; zero if it does not
+}
+
+// CrashNote tells of a request during which an upstream crashed.
+type CrashNote struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Workspace   string
+	Fingerprint uint64
+	Upstream    string
+	Incarnation uint64
+}
+
+// encode returns the datagram of a message.
+func encode(m *Message) ([]byte, error) { return msgpack.Marshal(m) }
+
+// decode reads a datagram.
+func decode(b []byte) (*Message, error) {
+	var m Message
+	if err := msgpack.Unmarshal(b, &m); err != nil {
+		return nil, err
+	}
+	if m.Name == "" || m.Boot == 0 {
+		return nil, vane.Errorf(vane.KindInvalid, "mesh.decode", "check what sends to this port", "a message without a sender")
+	}
+	return &m, nil
+}
--- /dev/null
+++ b/mirror/service.go
@@ -0,0 +1,186 @@
+package mirror
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
+)
+
+// Bounds of following the store.
+const (
+	retryMin   = 100 * time.Millisecond // after a first failure
+	retryMax   = 500 * time.Millisecond // a recovered store is noticed within it
+	heldPeriod = 200 * time.Millisecond // between looks at removals that wait
+	silentTime = 700 * time.Millisecond // failures for so long mean that the store is away
+)
+
+// Service follows the store and keeps a [State].
+type Service struct {
+	st       vane.Store
+	log      *slog.Logger
+	onChange func(old, v *View)
+
+	mu       sync.Mutex
+	state    *State
+	failing  map[string]time.Time // by prefix, since when
+	answered time.Time            // last answer of the store
+	kick     chan struct{}
+}
+
+// Option changes a service under construction.
+type Option func(*Service)
+
+// WithChangeFunc calls f after each change of the view, one call at a time.
+func WithChangeFunc(f func(old, v *View)) Option { return func(s *Service) { s.onChange = f } }
+
+// WithLogger sets the log.
+func WithLogger(l *slog.Logger) Option { return func(s *Service) { s.log = l } }
+
+// NewService returns a service that follows st.
+func NewService(st vane.Store, dec Decoder, opts ...Option) *Service {
+	s := &Service{
+		st: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {},
+		failing: make(map[string]time.Time),
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// View returns the current view.
+func (s *Service) View() *View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.View()
+}
+
+// Mark returns the newest version known of any object.
+func (s *Service) Mark() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Mark()
+}
+
+// Reachable says whether the store has answered lately.
+func (s *Service) Reachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.answered.IsZero() && len(s.failing) == 0 && !s.state.away
+}
+
+// Export returns the objects for another node.
+func (s *Service) Export() []vane.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Export()
+}
+
+// Import takes the objects of another node.
+func (s *Service) Import(objs []vane.Object) {
+	s.update(func(now time.Time) bool { return s.state.Apply(now, objs) })
+}
+
+// update changes the state under the lock and reports a new view.
+func (s *Service) update(f func(now time.Time) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.state.View()
+	if f(time.Now()) {
+		s.onChange(old, s.state.View())
+	}
+}
+
+// Run implements kernel.Service. It is ready at once: a node can also learn the
+// objects from its peers.
+func (s *Service) Run(ctx context.Context, ready func()) error {
+	var wg sync.WaitGroup
+	dec := s.state.dec
+	for _, p := range []string{dec.ConfigPrefix(), dec.UpstreamPrefix(), dec.WeightsPrefix(), PeerPrefix} {
+		wg.Go(func() { s.follow(ctx, p) })
+	}
+	wg.Go(func() {
+		for clock.Sleep(ctx, heldPeriod) {
+			s.update(s.state.Tick)
+		}
+	})
+	ready()
+	wg.Wait()
+	return nil
+}
+
+// follow lists the objects under the prefix and watches them until ctx ends.
+func (s *Service) follow(ctx context.Context, prefix string) {
+	pause := retryMin
+	var rev uint64
+	for ctx.Err() == nil {
+		var err error
+		if rev == 0 {
+			rev, err = s.list(ctx, prefix)
+		} else {
+			rev, err = s.watch(ctx, prefix, rev)
+		}
+		s.note(prefix, err)
+		if err == nil {
+			pause = retryMin
+			continue
+		}
+		if vane.KindOf(err) == vane.KindCompacted {
+			rev = 0
+		}
+		clock.Sleep(ctx, clock.Jitter(pause))
+		pause = min(2*pause, retryMax)
+	}
+}
+
+// list reads all objects under the prefix.
+func (s *Service) list(ctx context.Context, prefix string) (uint64, error) {
+	b, err := s.st.List(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	s.note(prefix, nil)
+	s.update(func(now time.Time) bool { return s.state.Replace(now, prefix, b) })
+	return b.Revision, nil
+}
+
+// watch waits for one batch of changes. It returns the revision to go on from.
+func (s *Service) watch(ctx context.Context, prefix string, rev uint64) (uint64, error) {
+	b, err := s.st.Watch(ctx, prefix, rev)
+	if err != nil {
+		return rev, err
+	}
+	s.note(prefix, nil)
+	if len(b.Objects) > 0 {
+		s.update(func(now time.Time) bool { return s.state.Apply(now, b.Objects) })
+	}
+	return max(rev, b.Revision), nil
+}
+
+// note keeps account of whether the store answers.
+func (s *Service) note(prefix string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	was := s.state.away
+	if err == nil || vane.KindOf(err) == vane.KindCompacted {
+		delete(s.failing, prefix)
+		s.answered = now
+		s.state.SetAway(now, false)
+	} else {
+		if _, ok := s.failing[prefix]; !ok {
+			s.failing[prefix] = now
+			s.log.Warn("store call failed", "prefix", prefix, "err", err.Error())
+		}
+		if now.Sub(s.failing[prefix]) > silentTime {
+			s.state.SetAway(now, true)
+		}
+	}
+	if is := s.state.away; is != was {
+		s.log.Info("store reachable", "reachable", !is, "last_answer_age_ms", now.Sub(s.answered).Milliseconds())
+	}
+}
--- /dev/null
+++ b/mirror/state.go
@@ -0,0 +1,214 @@
+package mirror
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/site"
+)
+
+// ReturnGrace is how long after the store's return lapsed entries may still come
+// back; upstreams register again within two seconds.
+const ReturnGrace = 2200 * time.Millisecond
+
+// PeerPrefix is the prefix of the keys under which nodes make themselves known.
+const PeerPrefix = "vane-nodes/"
+
+// Decoder reads the objects of the store.
+type Decoder interface {
+	ConfigPrefix() string
+	UpstreamPrefix() string
+	WeightsPrefix() string
+	Config(o vane.Object) (*site.Config, bool)
+	Upstream(o vane.Object) (vane.Upstream, bool)
+	Weights(o vane.Object) (vane.NamedWeights, bool)
+}
+
+// Weights are the named weights of a model and when this node learned of them.
+type Weights struct {
+	vane.NamedWeights
+	Since time.Time
+}
+
+// View is the decoded copy. It is immutable.
+type View struct {
+	Config    *site.Config // nil if none is known
+	Upstreams map[string]vane.Upstream
+	Weights   map[string]Weights // by model
+	Peers     map[string]vane.PeerRecord
+}
+
+// Named returns the weights that the model is to be served with; zero if none.
+func (v *View) Named(model string) uint64 { return v.Weights[model].Number }
+
+// State is the copy of the objects. It is not safe for concurrent use.
+type State struct {
+	dec     Decoder
+	objects map[string]vane.Object // also removed ones, marked as deleted
+	held    map[string]vane.Object // removals that wait for the end of the grace
+	holdTo  time.Time              // end of the grace
+	away    bool                   // the store does not answer
+	view    *View
+}
+
+// NewState returns an empty copy.
+func NewState(dec Decoder) *State {
+	s := &State{dec: dec, objects: make(map[string]vane.Object), held: make(map[string]vane.Object)}
+	s.view = &View{Upstreams: map[string]vane.Upstream{}, Weights: map[string]Weights{}, Peers: map[string]vane.PeerRecord{}}
+	return s
+}
+
+// View returns the decoded copy.
+func (s *State) View() *View { return s.view }
+
+// SetAway notes whether the store answers.
+func (s *State) SetAway(now time.Time, away bool) {
+	if s.away && !away {
+		s.holdTo = now.Add(ReturnGrace)
+	}
+	s.away = away
+}
+
+// Apply takes changes. Older versions than those known are ignored. It returns
+// true if the view changed.
+func (s *State) Apply(now time.Time, objs []vane.Object) bool {
+	changed := false
+	for _, o := range objs {
+		changed = s.apply(now, o) || changed
+	}
+	return s.rebuilt(now, changed)
+}
+
+// Replace takes all objects under the prefix as of a revision. Known objects that
+// are not among them are removed.
+func (s *State) Replace(now time.Time, prefix string, b vane.Batch) bool {
+	there := make(map[string]bool, len(b.Objects))
+	changed := false
+	for _, o := range b.Objects {
+		there[o.Key] = true
+		changed = s.apply(now, o) || changed
+	}
+	for k, o := range s.objects {
+		if strings.HasPrefix(k, prefix) && !there[k] && !o.Deleted && o.Version <= b.Revision {
+			o.Deleted = true
+			changed = s.apply(now, o) || changed
+		}
+	}
+	return s.rebuilt(now, changed)
+}
+
+// Tick carries out removals whose grace is over.
+func (s *State) Tick(now time.Time) bool {
+	if len(s.held) == 0 || s.holding(now) {
+		return false
+	}
+	for k, o := range s.held {
+		delete(s.held, k)
+		s.objects[k] = o
+	}
+	return s.rebuilt(now, true)
+}
+
+// Export returns the objects under the decoder's prefixes for another node.
+func (s *State) Export() []vane.Object {
+	out := make([]vane.Object, 0, len(s.objects))
+	for o := range maps.Values(s.objects) {
+		out = append(out, o)
+	}
+	return out
+}
+
+// Mark returns the newest version known of any object that nodes hand to each
+// other.
+func (s *State) Mark() uint64 {
+	var m uint64
+	for k, o := range s.objects {
+		if !strings.HasPrefix(k, PeerPrefix) {
+			m = max(m, o.Version)
+		}
+	}
+	return m
+}
+
+// holding says whether removals of upstreams wait.
+func (s *State) holding(now time.Time) bool { return s.away || now.Before(s.holdTo) }
+
+// apply takes one object. It returns true if the object changed.
+func (s *State) apply(now time.Time, o vane.Object) bool {
+	old, ok := s.objects[o.Key]
+	if o.Deleted {
+		if !ok || old.Deleted || o.Version < old.Version {
+			return false
+		}
+		// The value is kept as it was: other nodes need to know only of the removal.
+		o.Value = nil
+		if strings.HasPrefix(o.Key, s.dec.UpstreamPrefix()) && s.holding(now) && !s.leaving(old) {
+			s.held[o.Key] = o
+			return false
+		}
+		delete(s.held, o.Key)
+		s.objects[o.Key] = o
+		return true
+	}
+	if ok && o.Version <= old.Version {
+		if o.Version == old.Version && !old.Deleted {
+			delete(s.held, o.Key)
+		}
+		return false
+	}
+	delete(s.held, o.Key)
+	s.objects[o.Key] = o
+	return true
+}
+
+// leaving says whether an upstream's entry states that it leaves.
+func (s *State) leaving(o vane.Object) bool {
+	u, ok := s.dec.Upstream(o)
+	return ok && u.State == vane.UpstreamLeaving
+}
+
+// rebuilt makes a new view if changed is true, and returns changed.
+func (s *State) rebuilt(now time.Time, changed bool) bool {
+	if !changed {
+		return false
+	}
+	old := s.view
+	v := &View{
+		Config: old.Config, Upstreams: make(map[string]vane.Upstream, len(s.objects)),
+		Weights: make(map[string]Weights), Peers: make(map[string]vane.PeerRecord),
+	}
+	maps.Copy(v.Weights, old.Weights)
+	for k, o := range s.objects {
+		if !o.Deleted {
+			s.decode(now, v, k, o)
+		}
+	}
+	s.view = v
+	return true
+}
+
+// decode adds one object to a view.
+func (s *State) decode(now time.Time, v *View, key string, o vane.Object) {
+	switch {
+	case strings.HasPrefix(key, s.dec.ConfigPrefix()):
+		if c, ok := s.dec.Config(o); ok && (v.Config == nil || c.Version > v.Config.Version) {
+			v.Config = c
+		}
+	case strings.HasPrefix(key, s.dec.UpstreamPrefix()):
+		if u, ok := s.dec.Upstream(o); ok {
+			v.Upstreams[u.Name] = u
+		}
+	case strings.HasPrefix(key, s.dec.WeightsPrefix()):
+		if w, ok := s.dec.Weights(o); ok && w.Number > v.Weights[w.Model].Number {
+			v.Weights[w.Model] = Weights{NamedWeights: w, Since: now}
+		}
+	case strings.HasPrefix(key, PeerPrefix):
+		var p vane.PeerRecord
+		if json.Unmarshal(o.Value, &p) == nil && p.Name != "" && p.Mesh != "" {
+			v.Peers[p.Name] = p
+		}
+	}
+}
--- a/store/metrics.go
+++ b/store/metrics.go
@@ -39,14 +39,14 @@
 }
 
 // observe counts one call.
-func (m *metrics) observe(op string, a *answer, err error, d time.Duration) {
+func (m *metrics) observe(op string, a *Reply, err error, d time.Duration) {
 	outcome := "ok"
 	switch {
 	case err != nil:
 		outcome = vane.KindOf(err).String()
-	case a.status == 404:
+	case a.Status == 404:
 		outcome = vane.KindNotFound.String()
-	case a.status == 412:
+	case a.Status == 409, a.Status == 412:
 		outcome = vane.KindConflict.String()
 	}
 	m.calls.WithLabelValues(op, outcome).Inc()
--- /dev/null
+++ b/store/native.go
@@ -0,0 +1,163 @@
+package store
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	vane "mustardvane.org/vane"
+)
+
+// Header names of the platform's protocol.
+const (
+	HeaderVersion   = "Object-Version"
+	HeaderIfVersion = "If-Version"
+	HeaderRevision  = "Platform-Revision"
+)
+
+// Wire is the form of a list or watch answer.
+type Wire struct {
+	Revision uint64       `json:"revision"`
+	Objects  []WireObject `json:"objects"`
+}
+
+// WireObject is the form of one object in a list or watch answer.
+type WireObject struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value,omitempty"` // base64 in JSON
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// native is the protocol of docs/PLATFORM.md.
+type native struct{}
+
+var _ Protocol = native{}
+
+// Get implements Protocol.
+func (native) Get(key string) Exchange {
+	return Exchange{Method: http.MethodGet, Path: objectPath(key)}
+}
+
+// Put implements Protocol.
+func (native) Put(key string, want uint64, value []byte) Exchange {
+	return Exchange{Method: http.MethodPut, Path: objectPath(key), Header: ifVersion(want), Body: value}
+}
+
+// Delete implements Protocol.
+func (native) Delete(key string, want uint64) Exchange {
+	return Exchange{Method: http.MethodDelete, Path: objectPath(key), Header: ifVersion(want)}
+}
+
+// List implements Protocol. There is only one page.
+func (native) List(prefix, _ string) Exchange {
+	return Exchange{Method: http.MethodGet, Path: "/v1/objects", Query: url.Values{"prefix": {prefix}}}
+}
+
+// Watch implements Protocol.
+func (native) Watch(prefix string, after uint64, wait time.Duration) Exchange {
+	return Exchange{Method: http.MethodGet, Path: "/v1/watch", Query: url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatUint(after, 10)},
+		"wait":   {wait.String()},
+	}}
+}
+
+// Hosts implements Protocol.
+func (native) Hosts() Exchange { return Exchange{Method: http.MethodGet, Path: "/v1/hosts"} }
+
+// Object implements Protocol.
+func (native) Object(key string, r *Reply) (vane.Object, error) {
+	switch r.Status {
+	case http.StatusOK:
+		v, err := version(r)
+		return vane.Object{Key: key, Version: v, Value: r.Body}, err
+	case http.StatusNotFound:
+		return vane.Object{}, Absent(key)
+	}
+	return vane.Object{}, Unexpected("get", r)
+}
+
+// Written implements Protocol.
+func (native) Written(key string, want uint64, r *Reply) (uint64, error) {
+	switch r.Status {
+	case http.StatusOK:
+		return version(r)
+	case http.StatusPreconditionFailed:
+		return 0, Conflict("put", key, want, r.Header.Get(HeaderVersion))
+	}
+	return 0, Unexpected("put", r)
+}
+
+// Removed implements Protocol.
+func (native) Removed(key string, want uint64, r *Reply) error {
+	switch r.Status {
+	case http.StatusOK, http.StatusNotFound:
+		return nil
+	case http.StatusPreconditionFailed:
+		return Conflict("delete", key, want, r.Header.Get(HeaderVersion))
+	}
+	return Unexpected("delete", r)
+}
+
+// Batch implements Protocol.
+func (native) Batch(_ string, r *Reply) (vane.Batch, string, error) {
+	if r.Status == http.StatusGone {
+		return vane.Batch{}, "", Compacted()
+	}
+	if r.Status != http.StatusOK {
+		return vane.Batch{}, "", Unexpected("read", r)
+	}
+	var w Wire
+	if err := json.Unmarshal(r.Body, &w); err != nil {
+		return vane.Batch{}, "", Unexpected("read", r).WithCause(err)
+	}
+	b := vane.Batch{Revision: w.Revision, Objects: make([]vane.Object, 0, len(w.Objects))}
+	for _, o := range w.Objects {
+		b.Objects = append(b.Objects, vane.Object(o))
+	}
+	return b, "", nil
+}
+
+// Upstreams implements Protocol.
+func (native) Upstreams(r *Reply) ([]vane.Upstream, error) {
+	if r.Status != http.StatusOK {
+		return nil, Unexpected("hosts", r)
+	}
+	var ups []vane.Upstream
+	if err := json.Unmarshal(r.Body, &ups); err != nil {
+		return nil, Unexpected("hosts", r).WithCause(err)
+	}
+	return ups, nil
+}
+
+// ifVersion makes a write conditional.
+func ifVersion(want uint64) http.Header {
+	return http.Header{HeaderIfVersion: {strconv.FormatUint(want, 10)}}
+}
+
+// version reads the object's version from the answer's header.
+func version(r *Reply) (uint64, error) {
+	v, err := strconv.ParseUint(r.Header.Get(HeaderVersion), 10, 64)
+	if err != nil {
+		return 0, Unexpected("version", r).WithCause(err)
+	}
+	return v, nil
+}
+
+// objectPath returns the path of an object, with each part escaped.
+func objectPath(key string) string {
+	return "/v1/objects/" + EscapeKey(key)
+}
+
+// EscapeKey returns the key with each part escaped for use in a path.
+func EscapeKey(key string) string {
+	parts := strings.Split(key, "/")
+	for i, p := range parts {
+		parts[i] = url.PathEscape(p)
+	}
+	return strings.Join(parts, "/")
+}
--- a/store/write.go
+++ b/store/write.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -28,11 +26,11 @@
 }
 
 // read performs a call that may be repeated, with jittered backoff.
-func (c *Client) read(ctx context.Context, r call) (*answer, error) {
-	r.method, r.limit = http.MethodGet, c.timeout
+func (c *Client) read(ctx context.Context, r call) (*Reply, error) {
+	r.limit = c.timeout
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	op := func() (*answer, error) { return c.do(ctx, r) }
+	op := func() (*Reply, error) { return c.do(ctx, r) }
 	return backoff.Retry(ctx, op, backoff.WithBackOff(newBackoff()), backoff.WithMaxTries(readTries))
 }
 
@@ -87,42 +85,18 @@
 
 // putOnce sends one conditional write.
 func (c *Client) putOnce(ctx context.Context, key string, want uint64, value []byte) (uint64, error) {
-	a, err := c.do(ctx, call{
-		op: "put", method: http.MethodPut, path: objectPath(key), body: value, limit: c.timeout,
-		header: http.Header{HeaderIfVersion: {strconv.FormatUint(want, 10)}},
-	})
+	a, err := c.do(ctx, call{op: "put", Exchange: c.proto.Put(key, want, value), limit: c.timeout})
 	if err != nil {
 		return 0, err
 	}
-	if a.status == http.StatusPreconditionFailed {
-		return 0, conflict("put", key, want, a)
-	}
-	if a.status != http.StatusOK {
-		return 0, unexpected("put", a)
-	}
-	return version(a)
+	return c.proto.Written(key, want, a)
 }
 
 // Delete implements vane.Store. An object that is already gone is no error.
 func (c *Client) Delete(ctx context.Context, key string, want uint64) error {
-	a, err := c.do(ctx, call{
-		op: "delete", method: http.MethodDelete, path: objectPath(key), limit: c.timeout,
-		header: http.Header{HeaderIfVersion: {strconv.FormatUint(want, 10)}},
-	})
-	switch {
-	case err != nil:
+	a, err := c.do(ctx, call{op: "delete", Exchange: c.proto.Delete(key, want), limit: c.timeout})
+	if err != nil {
 		return err
-	case a.status == http.StatusOK, a.status == http.StatusNotFound:
-		return nil
-	case a.status == http.StatusPreconditionFailed:
-		return conflict("delete", key, want, a)
-	default:
-		return unexpected("delete", a)
 	}
-}
-
-// conflict reports a lost conditional update.
-func conflict(op, key string, want uint64, a *answer) error {
-	return vane.Errorf(vane.KindConflict, "store."+op, "read the object and decide again",
-		"object %s is at version %s, not %d", key, a.header.Get(HeaderVersion), want)
+	return c.proto.Removed(key, want, a)
 }
--- a/upstream.go
+++ b/upstream.go
@@ -31,6 +31,8 @@
 	Version     string        `json:"version,omitempty"` // version of the weights, for RoleEngine
 	Incarnation uint64        `json:"incarnation"`       // changes whenever the process starts anew
 	Slots       int           `json:"slots,omitempty"`   // requests that it batches at once
+	Release     string        `json:"release,omitempty"` // version of the upstream's software
+	Weights     uint64        `json:"weights,omitempty"` // number of the loaded weights, for engines that count them; zero if none
 }
 
 // WithState returns a copy of u in the state s.
