Load the oldest weights first; one home for parts that no cache holds

Cause: engines two versions behind waited behind newer ones; the price of reading again kept requests on old weights although a first read costs nothing. Ruled out: more loads at a time (2.3 loads a second whatever the number). Conclusion: the limit needs a guard in placement, not only speed.

--- a/sched/price.go
+++ b/sched/price.go
@@ -22,6 +22,7 @@
 const (
 	prefillPerMS  = 90.0 // prompt tokens that an engine computes in a millisecond
 	stepPerRun    = 0.6  // milliseconds that a running request adds to the first token of another
+	engineMS      = 90.0 // from a request to its first token at an idle engine
 	fetchMS       = 8.0  // fetching shared parts from another cache
 	waitingMS     = 35.0 // that a request in an upstream's queue adds
 	defaultTarget = 500 * time.Millisecond
@@ -31,7 +32,7 @@
 // lateRisk returns the risk that an answer is late, for an estimated time as a
 // part of the objective.
 func lateRisk(x float64) float64 {
-	const sure, lost = 0.35, 1.0 // estimates err by a factor of about two
+	const sure, lost = 0.5, 1.1 // estimates err by a factor of about two
 	switch {
 	case x <= sure:
 		return 0
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -112,13 +112,14 @@
 		q.Objective = defaultTarget
 	}
 	named := p.view.Weights[q.Model]
+	homes := p.homes(now, q)
 	var best Pick
 	found := false
 	for _, u := range p.bySvc[q.Service] {
 		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) {
 			continue
 		}
-		c := p.price(now, q, u, named)
+		c := p.price(now, q, u, named, homes[u.Weights])
 		if !found || c.Price < best.Price {
 			best, found = c, true
 		}
@@ -126,8 +127,30 @@
 	return best, found
 }
 
+// homes returns the upstream that all nodes prefer for the prompt, for each number
+// of weights in use.
+func (p *Placer) homes(now time.Time, q Query) map[uint64]string {
+	shared := q.Shared()
+	if len(shared) == 0 {
+		return nil
+	}
+	part := shared[len(shared)-1].ID
+	out := make(map[uint64]string)
+	best := make(map[uint64]float64)
+	for _, u := range p.bySvc[q.Service] {
+		if u.Role != vane.RoleEngine || !u.usable(now) {
+			continue
+		}
+		a := affinity(part, u.Name)
+		if b, ok := best[u.Weights]; !ok || a < b {
+			best[u.Weights], out[u.Weights] = a, u.Name
+		}
+	}
+	return out
+}
+
 // price returns what sending the request to u would cost.
-func (p *Placer) price(now time.Time, q Query, u *upstream, named mirror.Weights) Pick {
+func (p *Placer) price(now time.Time, q Query, u *upstream, named mirror.Weights, home string) Pick {
 	c := Pick{Upstream: u.Upstream, Weights: u.Weights, LoadAge: now.Sub(u.loadAt)}
 	price := 0.0
 	if u.DataCentre != p.dc {
@@ -139,7 +162,7 @@
 			price += oldShare
 		}
 		c.Salt = q.Wall + "|" + q.Model + "|" + strconv.FormatUint(u.Weights, 10)
-		ms += p.prompt(q, u, &c, &price)
+		ms += engineMS + p.prompt(q, u, &c, &price, home)
 	}
 	if u.doubted(now) {
 		price += unknownShare
@@ -152,7 +175,7 @@
 
 // prompt adds what the prompt costs at u to price and returns the milliseconds to
 // compute what is missing.
-func (p *Placer) prompt(q Query, u *upstream, c *Pick, price *float64) float64 {
+func (p *Placer) prompt(q Query, u *upstream, c *Pick, price *float64, home string) float64 {
 	shared := q.Shared()
 	tokens, local, stored := 0, 0, 0
 	localOK, storedOK := true, true
@@ -181,10 +204,12 @@
 	}
 	missing := tokens - have
 	if len(shared) > 0 {
-		a := affinity(shared[len(shared)-1].ID, u.Name)
-		// A part that no cache is known to hold is computed at the upstream that all
-		// nodes prefer, whatever its data centre.
-		*price += homeShare*a + rereadShare*float64(missing)*a
+		*price += homeShare * affinity(shared[len(shared)-1].ID, u.Name)
+		if u.Name != home {
+			// What no cache is known to hold is computed at one upstream, whatever its
+			// data centre: elsewhere it would be computed again.
+			*price += rereadShare * float64(missing)
+		}
 	}
 	c.Missing = max(0, q.Prompt-have)
 	return ms + float64(c.Missing)/prefillPerMS
--- a/weight/planner.go
+++ b/weight/planner.go
@@ -1,6 +1,7 @@
 package weight
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -98,7 +99,8 @@
 	}
 }
 
-// start begins the work on further engines, the least busy first.
+// start begins the work on further engines: those with the oldest weights first,
+// since their time is up first, and of these the least busy.
 func (p *Planner) start(now time.Time, engines []sched.Engine, named uint64) {
 	limit := (len(engines)+loadShare-1)/loadShare + overlap
 	var due []sched.Engine
@@ -107,7 +109,9 @@
 			due = append(due, e)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b sched.Engine) int { return a.InFlight - b.InFlight })
+	slices.SortStableFunc(due, func(a, b sched.Engine) int {
+		return cmp.Or(cmp.Compare(a.Weights, b.Weights), cmp.Compare(a.InFlight, b.InFlight))
+	})
 	for _, e := range due {
 		if len(p.jobs) >= limit {
 			return
