Trial: nodes tell each other which engine reads which part; guard on old weights

Cause: homes change while weights load, and the cache store's link (140 Gbit/s) is saturated by saves and fetches at the worst load.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -85,6 +85,7 @@
 	if fence, ok := n.keeper.Holds(0); ok {
 		m.Fence = fence
 	}
+	m.Reads = n.placer.News()
 	m.StoreOK = n.mirror.Reachable()
 	n.notes.fill(now, m)
 }
@@ -92,6 +93,7 @@
 // hear takes a message of another node.
 func (n *Node) hear(now time.Time, m *mesh.Message) {
 	n.placer.SetPeer(m.Name, m.InFlight)
+	n.placer.Hear(m.Reads)
 	n.quota.hear(now, m)
 	for _, e := range m.Engines {
 		n.placer.Serves(e.Upstream, e.Weights)
--- a/edge/node.go
+++ b/edge/node.go
@@ -94,7 +94,7 @@
 	}
 	n.st = store.New("http://"+set.Store, store.WithProtocol(ad.Protocol), store.WithWatchWait(watchWait), store.WithMetrics(store.NewMetrics(n.reg)))
 	n.cache = newCacheWatch(ad.Control, log)
-	n.placer = sched.New(set.DataCentre, n.cache)
+	n.placer = sched.New(set.DataCentre, n.cache, sched.WithWeightsLimit(set.WeightsLimit))
 	n.quota = newLimiter()
 	n.mirror = mirror.NewService(n.st, ad.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.changed))
 	n.mesh = mesh.New(n.record(), mesh.Deps{
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -23,8 +23,9 @@
 	Levels   map[string]float64 // nil unless the node has been running for a while
 	Engines  []EngineNote
 	Lost     []CrashNote
-	Callers  string // address for callers
-	StoreOK  bool   // the node reaches the store
+	Callers  string              // address for callers
+	StoreOK  bool                // the node reaches the store
+	Reads    map[string][]uint64 // prompt parts that engines were sent, in packed form
 }
 
 // EngineNote tells about the weights of an engine.
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,7 +31,28 @@
 // Weights are the named weights of a model and when this node learned of them.
 type Weights struct {
 	vane.NamedWeights
-	Since time.Time
+	Since   time.Time
+	History []Naming // the last ones that were named, oldest first
+}
+
+// Naming is one number of weights and when this node learned that it was named.
+type Naming struct {
+	Number uint64
+	Since  time.Time
+}
+
+// maxNamings bounds the history: older weights are out of use.
+const maxNamings = 16
+
+// Replaced returns for how long an engine with weights of the number has been
+// behind; zero if it is not.
+func (w Weights) Replaced(now time.Time, number uint64) time.Duration {
+	for _, n := range w.History {
+		if n.Number > number {
+			return now.Sub(n.Since)
+		}
+	}
+	return 0
 }
 
 // View is the decoded copy. It is immutable.
@@ -203,7 +225,8 @@
 		}
 	case strings.HasPrefix(key, s.dec.WeightsPrefix()):
 		if w, ok := s.dec.Weights(o); ok && w.Number > v.Weights[w.Model].Number {
-			v.Weights[w.Model] = Weights{NamedWeights: w, Since: now}
+			h := append(slices.Clone(v.Weights[w.Model].History), Naming{w.Number, now})
+			v.Weights[w.Model] = Weights{NamedWeights: w, Since: now, History: h[max(0, len(h)-maxNamings):]}
 		}
 	case strings.HasPrefix(key, PeerPrefix):
 		var p vane.PeerRecord
--- a/sched/price.go
+++ b/sched/price.go
@@ -23,12 +23,22 @@
 	prefillPerMS  = 90.0 // prompt tokens that an engine computes in a millisecond
 	stepPerRun    = 0.6  // milliseconds that a running request adds to the first token of another
 	engineMS      = 90.0 // from a request to its first token at an idle engine
-	fetchMS       = 8.0  // fetching shared parts from another cache
+	engineFetchMS = 6.0  // fetching shared parts from another engine
 	waitingMS     = 35.0 // that a request in an upstream's queue adds
 	defaultTarget = 500 * time.Millisecond
+	defaultLimit  = 12 * time.Second
+	startMargin   = 1500 * time.Millisecond // a request may wait so long at an engine that is busy
 	oldGrace      = 1500 * time.Millisecond // replaced weights cost nothing for so long
 )
 
+// heldChance is the chance that shared parts are still held by an engine that is
+// believed to hold them.
+const heldChance = 0.85
+
+// engineWaitMS is the wait for the cache store's link from which on other engines
+// are asked for parts.
+const engineWaitMS = 40.0
+
 // lateRisk returns the risk that an answer is late, for an estimated time as a
 // part of the objective.
 func lateRisk(x float64) float64 {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -42,6 +42,8 @@
 	Estimate time.Duration
 	LoadAge  time.Duration // age of the upstream's own word on its load
 	Missing  int           // tokens expected to be computed
+
+	moves bool // shared parts will be moved from the cache store
 }
 
 // Ticket is a request that was sent to an upstream.
@@ -56,6 +58,7 @@
 // Placer chooses upstreams. It is safe for concurrent use.
 type Placer struct {
 	dc    string
+	limit time.Duration // by when named weights must be in use
 	cache Cache
 
 	mu    sync.Mutex
@@ -63,6 +66,9 @@
 	ups   map[string]*upstream
 	bySvc map[string][]*upstream
 	peers map[string]map[string]int // requests in flight by node and upstream
+	saves *saveLog
+	news  map[string][]uint64 // parts read since the last message to the other nodes
+	store storeLoad
 }
 
 // Cache knows what the cache store holds.
@@ -73,12 +79,23 @@
 	Addr() (string, bool)
 }
 
+// Option changes a placer under construction.
+type Option func(*Placer)
+
+// WithWeightsLimit sets by when named weights must be in use. Engines that are
+// behind for longer get no requests.
+func WithWeightsLimit(d time.Duration) Option { return func(p *Placer) { p.limit = d } }
+
 // New returns a placer of a node in the data centre.
-func New(dataCentre string, c Cache) *Placer {
-	return &Placer{
-		dc: dataCentre, cache: c, view: &mirror.View{}, ups: make(map[string]*upstream),
-		bySvc: make(map[string][]*upstream), peers: make(map[string]map[string]int),
+func New(dataCentre string, c Cache, opts ...Option) *Placer {
+	p := &Placer{
+		dc: dataCentre, limit: defaultLimit, cache: c, view: &mirror.View{}, ups: make(map[string]*upstream),
+		bySvc: make(map[string][]*upstream), peers: make(map[string]map[string]int), saves: newSaveLog(), news: make(map[string][]uint64),
+	}
+	for _, o := range opts {
+		o(p)
 	}
+	return p
 }
 
 // Update takes a new view of the upstreams.
@@ -86,6 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.view = v
+	p.store.update(v)
 	p.bySvc = make(map[string][]*upstream)
 	for name := range p.ups {
 		if _, ok := v.Upstreams[name]; !ok {
@@ -112,14 +130,14 @@
 		q.Objective = defaultTarget
 	}
 	named := p.view.Weights[q.Model]
-	homes := p.homes(now, q)
+	where := p.holders(now, q)
 	var best Pick
 	found := false
 	for _, u := range p.bySvc[q.Service] {
-		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) {
+		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.outdated(now, u, named) {
 			continue
 		}
-		c := p.price(now, q, u, named, homes[u.Weights])
+		c := p.price(now, q, u, named, where[u.Weights])
 		if !found || c.Price < best.Price {
 			best, found = c, true
 		}
@@ -127,30 +145,69 @@
 	return best, found
 }
 
-// homes returns the upstream that all nodes prefer for the prompt, for each number
-// of weights in use.
-func (p *Placer) homes(now time.Time, q Query) map[uint64]string {
+// outdated says whether an engine must not get requests any more because of its
+// weights. A request may wait at the engine before it begins.
+func (p *Placer) outdated(now time.Time, u *upstream, named mirror.Weights) bool {
+	return u.Role == vane.RoleEngine && named.Replaced(now, u.Weights) > p.limit-startMargin
+}
+
+// holders is where the shared parts of a prompt are, among the engines of one
+// number of weights.
+type holders struct {
+	home   *upstream   // that all nodes prefer for parts that nobody holds
+	best   float64     // affinity of home
+	copies []*upstream // that are believed to hold all shared parts
+}
+
+// source returns an engine other than u to fetch from, of the data centre dc if
+// there is one.
+func (h *holders) source(u *upstream, now time.Time) *upstream {
+	var out *upstream
+	for _, c := range h.copies {
+		if c != u && !now.Before(c.asideUntil) && (out == nil || c.DataCentre == u.DataCentre) {
+			out = c
+		}
+	}
+	return out
+}
+
+// holders looks for the shared parts of a prompt.
+func (p *Placer) holders(now time.Time, q Query) map[uint64]*holders {
 	shared := q.Shared()
 	if len(shared) == 0 {
 		return nil
 	}
 	part := shared[len(shared)-1].ID
-	out := make(map[uint64]string)
-	best := make(map[uint64]float64)
+	out := make(map[uint64]*holders)
+	keys := make(map[uint64][]uint64)
 	for _, u := range p.bySvc[q.Service] {
-		if u.Role != vane.RoleEngine || !u.usable(now) {
+		if u.Role != vane.RoleEngine {
 			continue
 		}
-		a := affinity(part, u.Name)
-		if b, ok := best[u.Weights]; !ok || a < b {
-			best[u.Weights], out[u.Weights] = a, u.Name
+		h, ok := out[u.Weights]
+		if !ok {
+			h = &holders{}
+			out[u.Weights] = h
+			keys[u.Weights] = partKeys(salt(q, u.Weights), shared)
+		}
+		if u.parts.hasAll(keys[u.Weights]) {
+			h.copies = append(h.copies, u)
+		}
+		if a := affinity(part, u.Name); u.usable(now) && (h.home == nil || a < h.best) {
+			h.home, h.best = u, a
 		}
 	}
 	return out
 }
 
+// salt returns the name under which an engine caches the prompt's parts: requests
+// share them only within the same wall and for the same weights.
+func salt(q Query, weights uint64) string {
+	return q.Wall + "|" + q.Model + "|" + strconv.FormatUint(weights, 10)
+}
+
 // price returns what sending the request to u would cost.
-func (p *Placer) price(now time.Time, q Query, u *upstream, named mirror.Weights, home string) Pick {
+func (p *Placer) price(now time.Time, q Query, u *upstream, named mirror.Weights, h *holders) Pick {
 	c := Pick{Upstream: u.Upstream, Weights: u.Weights, LoadAge: now.Sub(u.loadAt)}
 	price := 0.0
 	if u.DataCentre != p.dc {
@@ -158,11 +215,11 @@
 	}
 	ms := u.queueMS(p.inFlight(u.Name))
 	if u.Role == vane.RoleEngine {
-		if u.Weights < named.Number && now.Sub(named.Since) > oldGrace {
+		if named.Replaced(now, u.Weights) > oldGrace {
 			price += oldShare
 		}
-		c.Salt = q.Wall + "|" + q.Model + "|" + strconv.FormatUint(u.Weights, 10)
-		ms += engineMS + p.prompt(q, u, &c, &price, home)
+		c.Salt = salt(q, u.Weights)
+		ms += engineMS + p.prompt(now, q, u, &c, &price, h)
 	}
 	if u.doubted(now) {
 		price += unknownShare
@@ -173,48 +230,58 @@
 	return c
 }
 
-// prompt adds what the prompt costs at u to price and returns the milliseconds to
-// compute what is missing.
-func (p *Placer) prompt(q Query, u *upstream, c *Pick, price *float64, home string) float64 {
+// prompt adds what the prompt costs at u to price and returns the milliseconds
+// until it is computed. h is where its shared parts are.
+func (p *Placer) prompt(now time.Time, q Query, u *upstream, c *Pick, price *float64, h *holders) float64 {
 	shared := q.Shared()
-	tokens, local, stored := 0, 0, 0
-	localOK, storedOK := true, true
-	for _, part := range shared {
-		tokens += part.Tokens
-		localOK = localOK && u.parts.has(c.Salt, part.ID)
-		storedOK = storedOK && p.cache.Holds(c.Salt, part.ID)
-		if localOK {
-			local = tokens
-		}
-		if storedOK {
-			stored = tokens
-		}
+	if len(shared) == 0 {
+		c.Missing = q.Prompt
+		return float64(c.Missing) / prefillPerMS
 	}
+	tokens, stored := p.stored(c.Salt, shared)
+	last := shared[len(shared)-1].ID
+	held := slices.Contains(h.copies, u)
+	src := h.source(u, now)
 	addr, up := p.cache.Addr()
-	ms := 0.0
-	have := local
-	if up && stored > 0 {
-		c.Fetch = addr
-		if stored > local {
-			have, ms = stored, fetchMS
-		}
+	wait := p.store.wait(now)
+	absent, ms := float64(tokens), 0.0 // shared tokens that must be computed, and the time to fetch the others
+	switch {
+	case up && stored > 0 && (held || src == nil || wait < engineWaitMS):
+		c.Fetch, absent, ms = addr, float64(tokens-stored), wait
+		c.moves = !held
+	case src != nil:
+		c.Fetch, absent, ms = src.Addr, float64(tokens)*(1-heldChance), engineFetchMS
 	}
-	if up && stored < tokens {
+	if up && stored < tokens && p.saves.due(now, c.Salt, last) {
 		c.Save = addr
 	}
-	missing := tokens - have
-	if len(shared) > 0 {
-		*price += homeShare * affinity(shared[len(shared)-1].ID, u.Name)
-		if u.Name != home {
-			// What no cache is known to hold is computed at one upstream, whatever its
-			// data centre: elsewhere it would be computed again.
-			*price += rereadShare * float64(missing)
-		}
+	if held {
+		ms *= 1 - heldChance
+		absent *= 1 - heldChance
 	}
-	c.Missing = max(0, q.Prompt-have)
+	*price += homeShare * affinity(last, u.Name)
+	if u != h.home || len(h.copies) > 0 {
+		// What is computed here was computed before, or is being computed, elsewhere.
+		*price += rereadShare * absent
+	}
+	c.Missing = max(0, q.Prompt-tokens+int(absent))
 	return ms + float64(c.Missing)/prefillPerMS
 }
 
+// stored returns the tokens of the shared parts, and how many of them, from the
+// first on, the cache store holds.
+func (p *Placer) stored(salt string, shared []vane.Part) (tokens, stored int) {
+	all := true
+	for _, part := range shared {
+		tokens += part.Tokens
+		all = all && p.cache.Holds(salt, part.ID)
+		if all {
+			stored = tokens
+		}
+	}
+	return tokens, stored
+}
+
 // inFlight returns the requests that other nodes have in flight at an upstream.
 func (p *Placer) inFlight(name string) int {
 	n := 0
@@ -231,13 +298,53 @@
 	t := &Ticket{name: c.Upstream.Name, tokens: c.Missing, sent: now}
 	if u, ok := p.ups[t.name]; ok {
 		u.begin(t)
-		for _, part := range q.Shared() {
-			u.parts.add(c.Salt, part.ID, part.Tokens)
+		p.read(u, q, c)
+		if c.moves {
+			p.store.moved(now, q.Prompt-c.Missing)
+		}
+		if shared := q.Shared(); c.Save != "" && len(shared) > 0 {
+			p.saves.note(now, c.Salt, shared[len(shared)-1].ID)
+			p.store.moved(now, q.Prompt)
 		}
 	}
 	return t
 }
 
+// read notes that an engine will hold the parts of a prompt, and keeps that as
+// news for the other nodes.
+func (p *Placer) read(u *upstream, q Query, c Pick) {
+	for i, k := range partKeys(c.Salt, q.Parts) {
+		n := q.Parts[i].Tokens
+		u.parts.add(k, n)
+		if len(p.news[u.Name]) < maxNews {
+			p.news[u.Name] = append(p.news[u.Name], packPart(k, n))
+		}
+	}
+}
+
+// News returns what was read since the last call, by engine, in a form for
+// [Placer.Hear].
+func (p *Placer) News() map[string][]uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := p.news
+	p.news = make(map[string][]uint64)
+	return out
+}
+
+// Hear takes another node's news of what engines read.
+func (p *Placer) Hear(news map[string][]uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, parts := range news {
+		if u, ok := p.ups[name]; ok {
+			for _, v := range parts {
+				u.parts.add(unpackPart(v))
+			}
+		}
+	}
+}
+
 // First notes the first bytes of the answer.
 func (p *Placer) First(now time.Time, t *Ticket) {
 	p.mu.Lock()
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -3,10 +3,7 @@
 import (
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/simplelru"
-
 	vane "mustardvane.org/vane"
-	"mustardvane.org/vane/mirror"
 )
 
 // Times for which an upstream is set aside.
@@ -142,59 +139,3 @@
 	}
 	return false
 }
-
-// partSet is what an upstream's cache is believed to hold: the parts used last, up
-// to the size of its memory.
-type partSet struct {
-	lru   *simplelru.LRU[partKey, int]
-	size  int // tokens
-	limit int // tokens
-}
-
-// partKey names a cached part.
-type partKey struct{ salt, part string }
-
-// Sizes of part sets.
-const (
-	maxParts     = 4096
-	usableShare  = 0.5 // of an engine's memory; the rest serves running requests
-	defaultCache = 100_000
-)
-
-// newPartSet returns an empty set for the engine u.
-func newPartSet(v *mirror.View, u vane.Upstream) *partSet {
-	size := defaultCache
-	if v.Config != nil {
-		if s, ok := v.Config.Service(u.Service); ok && s.CacheSize > 0 {
-			size = s.CacheSize
-		}
-	}
-	l, _ := simplelru.NewLRU[partKey, int](maxParts, nil)
-	return &partSet{lru: l, limit: int(usableShare * float64(size))}
-}
-
-// has says whether the part is believed to be held.
-func (s *partSet) has(salt, part string) bool { return s.lru.Contains(partKey{salt, part}) }
-
-// add notes the use of a part.
-func (s *partSet) add(salt, part string, tokens int) {
-	k := partKey{salt, part}
-	if _, ok := s.lru.Get(k); ok {
-		return
-	}
-	s.size += tokens
-	s.lru.Add(k, tokens)
-	for s.size > s.limit {
-		_, n, ok := s.lru.RemoveOldest()
-		if !ok {
-			break
-		}
-		s.size -= n
-	}
-}
-
-// clear empties the set.
-func (s *partSet) clear() {
-	s.lru.Purge()
-	s.size = 0
-}
--- a/site.go
+++ b/site.go
@@ -50,6 +50,8 @@
 	CacheAddr  string   // address of the cache store; empty for other services
 	CacheZone  string   // data centre of the cache store
 	CacheSize  int      // tokens that one engine or the cache store holds
+	LinkMbps   float64  // of one engine or the cache store
+	TokenBytes float64  // size of a cached token
 	MaxWatches int      // calls for cache changes that one cache holds at once
 }
 
--- a/weight/planner.go
+++ b/weight/planner.go
@@ -12,7 +12,7 @@
 // Times and shares of the plan.
 const (
 	loadShare   = 6                       // one of so many engines loads at a time; more slow each other
-	overlap     = 1                       // further engines that wait for their running requests to end
+	drainShare  = 6                       // one of so many more waits for its running requests to end
 	firstLook   = 1300 * time.Millisecond // a load takes at least as long
 	nextLook    = 200 * time.Millisecond  // reports lag by about as much
 	unsureLook  = 300 * time.Millisecond  // after an order without an answer
@@ -102,7 +102,7 @@
 // start begins the work on further engines: those with the oldest weights first,
 // since their time is up first, and of these the least busy.
 func (p *Planner) start(now time.Time, engines []sched.Engine, named uint64) {
-	limit := (len(engines)+loadShare-1)/loadShare + overlap
+	limit := (len(engines)+loadShare-1)/loadShare + len(engines)/drainShare
 	var due []sched.Engine
 	for _, e := range engines {
 		if _, open := p.jobs[e.Name]; !open && e.Weights < named && !e.Set {
