A node that starts reads the cache store's contents; a held part stands for those before it

Cause: the store's events go back 500 entries; the first-level parts were not among them, so that after a restart of all nodes nothing counted as stored. Ruled out: the link of the store (its utilisation was under 0.6 then).

--- a/dialect.go
+++ b/dialect.go
@@ -130,6 +130,8 @@
 	Order(ctx context.Context, u Upstream, o WeightsOrder) (OrderResult, error)
 	// Report asks an engine for its state.
 	Report(ctx context.Context, u Upstream) (EngineReport, error)
+	// CacheContents returns everything that a cache holds, as events that add it.
+	CacheContents(ctx context.Context, addr string) (CacheChanges, error)
 	// CacheChanges waits for changes of a cache after the event number since.
 	CacheChanges(ctx context.Context, addr string, since uint64) (CacheChanges, error)
 }
--- a/edge/cache.go
+++ b/edge/cache.go
@@ -91,11 +91,24 @@
 			c.failed(ctx, addr, err)
 			continue
 		}
+		if ch.Gap || ch.Epoch != c.known() && since > 0 {
+			if ch, err = c.ctl.CacheContents(ctx, addr); err != nil {
+				c.failed(ctx, addr, err)
+				continue
+			}
+		}
 		since = c.take(addr, ch, since)
 	}
 	return nil
 }
 
+// known returns the epoch of the store that the picture is of.
+func (c *cacheWatch) known() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.epoch
+}
+
 // failed notes that the store does not answer.
 func (c *cacheWatch) failed(ctx context.Context, addr string, err error) {
 	c.mu.Lock()
@@ -115,15 +128,12 @@
 		return since
 	}
 	if !c.up {
-		c.log.Info("cache store reached", "addr", addr, "epoch", ch.Epoch)
+		c.log.Info("cache store reached", "addr", addr, "epoch", ch.Epoch, "since", since, "next", ch.Next, "gap", ch.Gap, "events", len(ch.Events))
 	}
 	c.up = true
 	if ch.Epoch != c.epoch {
 		c.epoch = ch.Epoch
 		c.held.Purge()
-		if since > 0 {
-			return 0
-		}
 	}
 	for _, e := range ch.Events {
 		k := heldPart{e.Salt, e.PartID}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -42,6 +42,10 @@
 	Estimate time.Duration
 	LoadAge  time.Duration // age of the upstream's own word on its load
 	Missing  int           // tokens expected to be computed
+	Shared   int           // tokens that other requests may have in common
+	Stored   int           // of these, tokens that the cache store holds
+	Copies   int           // engines that are believed to hold all shared parts
+	Held     bool          // the chosen one is among them
 
 	moves bool // shared parts will be moved from the cache store
 }
@@ -241,6 +245,7 @@
 	tokens, stored := p.stored(c.Salt, shared)
 	last := shared[len(shared)-1].ID
 	held := slices.Contains(h.copies, u)
+	c.Shared, c.Stored, c.Copies, c.Held = tokens, stored, len(h.copies), held
 	src := h.source(u, now)
 	addr, up := p.cache.Addr()
 	wait := p.store.wait(now)
@@ -268,14 +273,13 @@
 	return ms + float64(c.Missing)/prefillPerMS
 }
 
-// stored returns the tokens of the shared parts, and how many of them, from the
-// first on, the cache store holds.
+// stored returns the tokens of the shared parts, and how many of them the cache
+// store holds. A part is saved with all parts before it, which are used at least as
+// often, so that a held part stands for those as well.
 func (p *Placer) stored(salt string, shared []vane.Part) (tokens, stored int) {
-	all := true
 	for _, part := range shared {
 		tokens += part.Tokens
-		all = all && p.cache.Holds(salt, part.ID)
-		if all {
+		if p.cache.Holds(salt, part.ID) {
 			stored = tokens
 		}
 	}
