--- a/edge/loader.go
+++ b/edge/loader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -9,14 +10,15 @@
 	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/lease"
 	"mustardvane.org/vane/mesh"
+	"mustardvane.org/vane/mirror"
 	"mustardvane.org/vane/weight"
 )
 
 // Times of the lease on orders and of the loader.
 const (
-	leaseTime   = 2500 * time.Millisecond
-	renewTime   = 800 * time.Millisecond
-	pollTime    = 500 * time.Millisecond
+	leaseTime   = 1800 * time.Millisecond
+	renewTime   = 600 * time.Millisecond
+	pollTime    = 300 * time.Millisecond
 	loadTick    = 50 * time.Millisecond
 	noticeTime  = 4 * time.Millisecond   // until the other nodes have heard that an engine will load
 	orderMargin = 900 * time.Millisecond // an order must arrive while the lease lasts
@@ -29,11 +31,14 @@
 
 	mu       sync.Mutex
 	planners map[string]*weight.Planner // by model
+	recorded map[string]uint64          // newest weights whose naming was recorded, by model
 	notUntil time.Time                  // on the clock that goes on while suspended
 }
 
 // newLoader returns a loader.
-func newLoader(n *Node) *loader { return &loader{n: n, planners: make(map[string]*weight.Planner)} }
+func newLoader(n *Node) *loader {
+	return &loader{n: n, planners: make(map[string]*weight.Planner), recorded: make(map[string]uint64)}
+}
 
 // took notes that the lease was taken. Orders wait until those of another holder
 // are long past.
@@ -52,6 +57,9 @@
 	ready()
 	var wg sync.WaitGroup
 	for clock.Sleep(ctx, loadTick) {
+		if w, ok := l.unrecorded(); ok {
+			wg.Go(func() { l.record(ctx, w) })
+		}
 		for _, a := range l.due() {
 			wg.Go(func() { l.carryOut(ctx, a) })
 		}
@@ -60,6 +68,34 @@
 	return nil
 }
 
+// unrecorded returns weights whose naming the holder of the lease has to record.
+func (l *loader) unrecorded() (mirror.Weights, bool) {
+	if _, ok := l.n.keeper.Holds(0); !ok {
+		return mirror.Weights{}, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for model, w := range l.n.mirror.View().Weights {
+		if w.Number > l.recorded[model] {
+			l.recorded[model] = w.Number
+			return w, true
+		}
+	}
+	return mirror.Weights{}, false
+}
+
+// record writes when weights were named, so that nodes that start later know it.
+func (l *loader) record(ctx context.Context, w mirror.Weights) {
+	key := mirror.NamingsKey(w.Model)
+	value, err := json.Marshal(w.Record())
+	if err == nil {
+		err = l.n.write(ctx, key, value)
+	}
+	if err != nil {
+		l.n.log.Warn("naming of weights not recorded", "model", w.Model, "weights", w.Number, "err", err.Error())
+	}
+}
+
 // due returns the actions that are due, if this node may order.
 func (l *loader) due() []weight.Action {
 	if !l.allowed() {
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -101,6 +101,9 @@
 			n.placer.Loading(e.Upstream, now.Add(time.Duration(e.LoadingMS)*time.Millisecond))
 		}
 	}
+	if m.Fence > 0 {
+		n.keeper.Hint(0, m.Fence)
+	}
 	for _, c := range m.Lost {
 		n.crash.Add(crash.Strike{Name: crash.Name{Workspace: c.Workspace, Fingerprint: c.Fingerprint}, Upstream: c.Upstream, Incarnation: c.Incarnation})
 	}
@@ -134,12 +137,17 @@
 // been gone for long.
 func (n *Node) join(ctx context.Context, ready func()) error {
 	ready()
-	key := mirror.PeerPrefix + n.set.Node
+	key := mirror.PeerKey(n.set.Node)
 	value, err := json.Marshal(n.record())
 	if err != nil {
 		return vane.Errorf(vane.KindInternal, "edge.join", "report the failure", "the record can't be encoded").WithCause(err)
 	}
-	for n.writeRecord(ctx, key, value) != nil {
+	for {
+		err := n.write(ctx, key, value)
+		if err == nil {
+			break
+		}
+		n.log.Warn("not joined yet", "err", err.Error())
 		if !clock.Sleep(ctx, clock.Jitter(joinRetry)) {
 			return nil
 		}
@@ -152,8 +160,8 @@
 	return nil
 }
 
-// writeRecord writes the node's record once.
-func (n *Node) writeRecord(ctx context.Context, key string, value []byte) error {
+// write replaces an object whatever its version, or creates it.
+func (n *Node) write(ctx context.Context, key string, value []byte) error {
 	_, err := n.st.Put(ctx, key, 0, value)
 	if vane.KindOf(err) == vane.KindConflict {
 		var o vane.Object
@@ -161,9 +169,6 @@
 			_, err = n.st.Put(ctx, key, o.Version, value)
 		}
 	}
-	if err != nil {
-		n.log.Warn("not joined yet", "err", err.Error())
-	}
 	return err
 }
 
@@ -189,7 +194,7 @@
 
 // remove deletes the record of a node.
 func (n *Node) remove(ctx context.Context, name string) {
-	key := mirror.PeerPrefix + name
+	key := mirror.PeerKey(name)
 	o, err := n.st.Get(ctx, key)
 	if err == nil {
 		err = n.st.Delete(ctx, key, o.Version)
--- a/edge/node.go
+++ b/edge/node.go
@@ -29,12 +29,12 @@
 // Sizes and times of a node.
 const (
 	ringSize     = 1024             // events kept
-	watchWait    = 4 * time.Second  // a store that fell silent is noticed soon after it
+	watchWait    = 2 * time.Second  // a watch that fell silent is noticed soon after it
 	startTimeout = 10 * time.Second // for the listeners
-	stopTimeout  = time.Second
+	stopTimeout  = 150 * time.Millisecond
 	tickPeriod   = 100 * time.Millisecond
 	silentLimit  = 1200 * time.Millisecond // an upstream that keeps requests waiting for so long is set aside
-	drainMargin  = 800 * time.Millisecond  // of the grace, to end the process
+	drainMargin  = 450 * time.Millisecond  // of the grace, to end the process
 	leaseKind    = "vane-leases"
 )
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -67,6 +67,6 @@
 // ttl returns how long callers may keep a directory answer. A stopping node waits
 // three times as long before it closes its listener, within its grace.
 func (s Settings) ttl() time.Duration {
-	const most = 2 * time.Second // some callers keep an answer three times as long
+	const most = 900 * time.Millisecond // some callers keep an answer three times as long
 	return min(most, s.DirectoryTTLMax, s.Grace/4)
 }
--- a/edge/web.go
+++ b/edge/web.go
@@ -53,7 +53,7 @@
 
 // close closes all idle connections, and then the rest.
 func (w *web) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), drainMargin/4)
+	ctx, cancel := context.WithTimeout(context.Background(), drainMargin/3)
 	defer cancel()
 	if w.srv.Shutdown(ctx) != nil {
 		_ = w.srv.Close()
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -40,6 +40,7 @@
 	clock    func() time.Time
 	box      *kernel.Mailbox[answer]
 	hasten   *kernel.Mailbox[int]
+	hints    *kernel.Mailbox[hint]
 	closing  chan chan struct{}
 
 	mu     sync.Mutex
@@ -86,7 +87,7 @@
 func NewKeeper(st vane.Store, rec vane.Recorder, c Config) *Keeper {
 	k := &Keeper{
 		prefix: c.Prefix, st: st, rec: rec, wanted: c.Wanted, onTake: c.OnTake, onLapse: c.OnLapse, onLose: c.OnLose, onDone: c.OnDone,
-		box: kernel.NewMailbox[answer](boxSize), hasten: kernel.NewMailbox[int](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}), clock: c.Clock,
+		box: kernel.NewMailbox[answer](boxSize), hasten: kernel.NewMailbox[int](boxSize), hints: kernel.NewMailbox[hint](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}), clock: c.Clock,
 	}
 	if k.clock == nil {
 		k.clock = time.Now
@@ -126,6 +127,16 @@
 	return k.shards[shard].Other
 }
 
+// Hint takes word of a holder that its lease on a shard has the version now.
+func (k *Keeper) Hint(shard int, version uint64) { k.hints.Send(hint{shard, version, k.clock()}) }
+
+// hint is the word of a holder on its lease.
+type hint struct {
+	shard   int
+	version uint64
+	at      time.Time
+}
+
 // Hasten makes this node write the record of a shard that it holds again soon.
 func (k *Keeper) Hasten(shard int) { k.hasten.Send(shard) }
 
@@ -164,6 +175,8 @@
 			k.tick(calls, &wg, leaving)
 		case i := <-k.hasten.C():
 			k.machines[i].Hasten(k.clock())
+		case h := <-k.hints.C():
+			k.machines[h.shard].Hint(h.version, h.at)
 		case released = <-k.closing:
 			leaving = true
 		case <-ctx.Done():
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -102,6 +102,8 @@
 	sentAt           time.Time // of that write
 	doubt            bool      // the outcome of an own write is not known
 	record           Record    // of the newest read
+	hint             uint64    // version that the holder told of
+	hintAt           time.Time // when it did
 	took             bool      // the lease was taken and not yet reported
 	resumed          bool      // it was taken again without another holder in between
 	heldFrom, heldTo uint64    // nonces of the writes of the newest holding
@@ -133,6 +135,14 @@
 	return m.version, m.phase == holding
 }
 
+// Hint takes word that the lease had the version at a time, as its holder said.
+// A read that shows the same version need not wait from its own time on.
+func (m *Machine) Hint(version uint64, at time.Time) {
+	if version != m.hint {
+		m.hint, m.hintAt = version, at
+	}
+}
+
 // Record returns what the lease object held when it was last read.
 func (m *Machine) Record() Record { return m.record }
 
@@ -287,6 +297,9 @@
 	}
 	if changed {
 		m.version, m.seenAt = r.Object.Version, now
+		if m.hint != 0 && m.hint == m.version && m.hintAt.Before(now) {
+			m.seenAt = m.hintAt
+		}
 	}
 	if m.mine() && m.record.Nonce == m.pending && !m.record.Released {
 		m.hold(now, r.Object.Version)
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -15,8 +15,57 @@
 // back; upstreams register again within two seconds.
 const ReturnGrace = 2200 * time.Millisecond
 
-// PeerPrefix is the prefix of the keys under which nodes make themselves known.
-const PeerPrefix = "vane-nodes/"
+// Keys of the objects that the nodes write themselves.
+const (
+	OwnPrefix     = "vane-state/"
+	peerPrefix    = OwnPrefix + "node."    // followed by the name of a node
+	namingsPrefix = OwnPrefix + "weights." // followed by the name of a model
+)
+
+// PeerKey returns the key under which a node makes itself known.
+func PeerKey(node string) string { return peerPrefix + node }
+
+// NamingsKey returns the key of the record of when a model's weights were named.
+func NamingsKey(model string) string { return namingsPrefix + model }
+
+// Namings is the record of when a model's weights were named, for nodes that start
+// later.
+type Namings struct {
+	Model   string   `json:"model"`
+	Numbers []uint64 `json:"numbers"`
+	AtMS    []int64  `json:"at_ms"` // Unix milliseconds, by the clock of the node that wrote them
+}
+
+// Record returns the history as a record.
+func (w Weights) Record() Namings {
+	n := Namings{Model: w.Model}
+	for _, h := range w.History {
+		n.Numbers = append(n.Numbers, h.Number)
+		n.AtMS = append(n.AtMS, h.Since.UnixMilli())
+	}
+	return n
+}
+
+// merge returns the history with the times of a record where those are earlier.
+func (w Weights) merge(n Namings) Weights {
+	h := slices.Clone(w.History)
+	for i, number := range n.Numbers {
+		if i >= len(n.AtMS) {
+			break
+		}
+		at := time.UnixMilli(n.AtMS[i])
+		j := slices.IndexFunc(h, func(x Naming) bool { return x.Number >= number })
+		switch {
+		case j < 0:
+		case h[j].Number == number && at.Before(h[j].Since):
+			h[j].Since = at
+		case h[j].Number > number:
+			h = slices.Insert(h, j, Naming{number, at})
+		}
+	}
+	w.History = h[max(0, len(h)-maxNamings):]
+	return w
+}
 
 // Decoder reads the objects of the store.
 type Decoder interface {
@@ -148,7 +197,7 @@
 func (s *State) Mark() uint64 {
 	var m uint64
 	for k, o := range s.objects {
-		if !strings.HasPrefix(k, PeerPrefix) {
+		if !strings.HasPrefix(k, OwnPrefix) {
 			m = max(m, o.Version)
 		}
 	}
@@ -208,6 +257,14 @@
 			s.decode(now, v, k, o)
 		}
 	}
+	for k, o := range s.objects {
+		var n Namings
+		if strings.HasPrefix(k, namingsPrefix) && !o.Deleted && json.Unmarshal(o.Value, &n) == nil {
+			if w, ok := v.Weights[n.Model]; ok {
+				v.Weights[n.Model] = w.merge(n)
+			}
+		}
+	}
 	s.view = v
 	return true
 }
@@ -228,7 +285,9 @@
 			h := append(slices.Clone(v.Weights[w.Model].History), Naming{w.Number, now})
 			v.Weights[w.Model] = Weights{NamedWeights: w, Since: now, History: h[max(0, len(h)-maxNamings):]}
 		}
-	case strings.HasPrefix(key, PeerPrefix):
+	case strings.HasPrefix(key, namingsPrefix):
+		// The record is merged after the weights themselves.
+	case strings.HasPrefix(key, peerPrefix):
 		var p vane.PeerRecord
 		if json.Unmarshal(o.Value, &p) == nil && p.Name != "" && p.Mesh != "" {
 			v.Peers[p.Name] = p
--- a/store/client.go
+++ b/store/client.go
@@ -21,7 +21,7 @@
 	defaultTimeout = time.Second
 	defaultWatch   = 2 * time.Second        // how long the platform holds a watch
 	dialTimeout    = 500 * time.Millisecond // ten times a slow answer of the platform
-	watchSlack     = time.Second            // added to it before the client gives up
+	watchSlack     = 600 * time.Millisecond // added to it before the client gives up; a slow platform takes half of it
 	maxValue       = 1 << 20                // bytes of one object
 	maxAnswer      = 64 << 20               // bytes of a list
 	breakerTrips   = 5                      // consecutive failures that open the breaker
