--- /dev/null
+++ b/mirror/state_test.go
@@ -0,0 +1,130 @@
+package mirror_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/mirror"
+	"mustardvane.org/vane/site"
+)
+
+var begin = time.Unix(9000, 0)
+
+// plain decodes objects whose values are words: a state for upstreams, numbers for
+// the rest.
+type plain struct{}
+
+func (plain) ConfigPrefix() string   { return "c/" }
+func (plain) UpstreamPrefix() string { return "u/" }
+func (plain) WeightsPrefix() string  { return "w/" }
+
+func (plain) Config(o vane.Object) (*site.Config, bool) {
+	return site.New(uint64(len(o.Value))), len(o.Value) > 0
+}
+
+func (plain) Upstream(o vane.Object) (vane.Upstream, bool) {
+	u := vane.Upstream{Name: strings.TrimPrefix(o.Key, "u/")}
+	if string(o.Value) == "leaving" {
+		u.State = vane.UpstreamLeaving
+	}
+	return u, string(o.Value) != "junk"
+}
+
+func (plain) Weights(o vane.Object) (vane.NamedWeights, bool) {
+	return vane.NamedWeights{Model: "m", Number: uint64(len(o.Value))}, true
+}
+
+func obj(key, value string, version uint64) vane.Object {
+	return vane.Object{Key: key, Value: []byte(value), Version: version}
+}
+
+func gone(key string, version uint64) vane.Object {
+	return vane.Object{Key: key, Version: version, Deleted: true}
+}
+
+func TestNeverBack(t *testing.T) {
+	is := is.New(t)
+	s := mirror.NewState(plain{})
+	is.True(s.Apply(begin, []vane.Object{obj("c/main", "12345", 10), obj("u/a", "live", 11)}))
+	is.True(!s.Apply(begin, []vane.Object{obj("c/main", "1234", 9)})) // an older object
+	is.True(!s.Apply(begin, []vane.Object{gone("u/a", 10)}))          // an older removal
+	is.True(s.Apply(begin, []vane.Object{obj("c/main", "123", 12)}))  // newer, but an older configuration
+	is.Equal(s.View().Config.Version, uint64(5))
+	is.Equal(len(s.View().Upstreams), 1)
+	is.True(s.Apply(begin, []vane.Object{gone("u/a", 11)}))
+	is.Equal(len(s.View().Upstreams), 0)
+}
+
+func TestMalformedEntryNamesNothing(t *testing.T) {
+	is := is.New(t)
+	s := mirror.NewState(plain{})
+	s.Apply(begin, []vane.Object{obj("u/a", "live", 1), obj("u/b", "junk", 2)})
+	is.Equal(len(s.View().Upstreams), 1)
+}
+
+// Entries lapse while the store is away and come back after it; a server that said
+// that it leaves does not.
+func TestRemovalsAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	s := mirror.NewState(plain{})
+	s.Replace(begin, "u/", vane.Batch{Revision: 3, Objects: []vane.Object{obj("u/a", "live", 1), obj("u/b", "live", 2), obj("u/c", "leaving", 3)}})
+	s.SetAway(begin, true)
+	back := begin.Add(5 * time.Second)
+	s.SetAway(back, false)
+	s.Replace(back, "u/", vane.Batch{Revision: 9})
+	is.Equal(len(s.View().Upstreams), 2) // a and b are kept for the moment
+	s.Apply(back.Add(time.Second), []vane.Object{obj("u/a", "live", 10)})
+	s.Tick(back.Add(mirror.ReturnGrace / 2))
+	is.Equal(len(s.View().Upstreams), 2)
+	is.True(s.Tick(back.Add(mirror.ReturnGrace + time.Millisecond)))
+	is.Equal(len(s.View().Upstreams), 1) // b did not come back
+	_, ok := s.View().Upstreams["a"]
+	is.True(ok)
+}
+
+func TestRemovalWithoutOutageBindsAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := mirror.NewState(plain{})
+	s.Apply(begin, []vane.Object{obj("u/a", "live", 1)})
+	s.Apply(begin, []vane.Object{gone("u/a", 1)})
+	is.Equal(len(s.View().Upstreams), 0)
+}
+
+func TestWeightsHistory(t *testing.T) {
+	is := is.New(t)
+	s := mirror.NewState(plain{})
+	s.Apply(begin, []vane.Object{obj("w/m", "1", 1)})
+	s.Apply(begin.Add(2*time.Second), []vane.Object{obj("w/m", "12", 2)})
+	s.Apply(begin.Add(6*time.Second), []vane.Object{obj("w/m", "1234", 3)})
+	w := s.View().Weights["m"]
+	now := begin.Add(10 * time.Second)
+	is.Equal(w.Replaced(now, 4), time.Duration(0))
+	is.Equal(w.Replaced(now, 2), 4*time.Second)
+	is.Equal(w.Replaced(now, 1), 8*time.Second)
+
+	// A node that starts later learns the times from the record.
+	late := mirror.NewState(plain{})
+	late.Apply(now, []vane.Object{obj("w/m", "1234", 3)})
+	is.Equal(late.View().Weights["m"].Replaced(now, 1), time.Duration(0))
+	late.Apply(now, []vane.Object{obj(mirror.NamingsKey("m"),
+		`{"model":"m","numbers":[1,2,4],"at_ms":[9000000,9002000,9006000]}`, 4)})
+	is.Equal(late.View().Weights["m"].Replaced(now, 2), 4*time.Second)
+	is.Equal(late.View().Weights["m"].Replaced(now, 1), 8*time.Second)
+}
+
+func TestSnapshotOfAnotherNode(t *testing.T) {
+	is := is.New(t)
+	a, b := mirror.NewState(plain{}), mirror.NewState(plain{})
+	a.Apply(begin, []vane.Object{obj("c/main", "123", 5), obj("u/a", "live", 6), obj("u/b", "live", 7)})
+	b.Apply(begin, a.Export())
+	is.Equal(b.Mark(), uint64(7))
+	a.Apply(begin, []vane.Object{gone("u/a", 8), obj("c/main", "1234", 9)})
+	is.True(a.Mark() > b.Mark())
+	b.Apply(begin, a.Export())
+	is.Equal(len(b.View().Upstreams), 1)
+	is.Equal(b.View().Config.Version, uint64(4))
+}
--- /dev/null
+++ b/weight/planner_test.go
@@ -0,0 +1,174 @@
+package weight_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/sched"
+	"mustardvane.org/vane/weight"
+)
+
+var begin = time.Unix(7000, 0)
+
+// engine is a scripted engine.
+type engine struct {
+	weights uint64
+	orders  uint64
+	target  uint64
+	doneAt  time.Time
+	inUse   int
+}
+
+// site is a set of scripted engines that load three at a time at full speed.
+type site struct {
+	engines []*engine
+	loads   int
+	lose    func() bool // an order's answer is lost and it is carried out late
+	late    []func(now time.Time)
+	lateAt  []time.Time
+}
+
+func newSite(n int) *site {
+	s := &site{lose: func() bool { return false }}
+	for range n {
+		s.engines = append(s.engines, &engine{weights: 1})
+	}
+	return s
+}
+
+func name(i int) string { return fmt.Sprintf("e%02d", i) }
+
+func (s *site) view() []sched.Engine {
+	var out []sched.Engine
+	for i, e := range s.engines {
+		out = append(out, sched.Engine{Upstream: vane.Upstream{Name: name(i), Weights: e.weights, Model: "m"}, InFlight: e.inUse})
+	}
+	return out
+}
+
+func (s *site) busy() (n int) {
+	for _, e := range s.engines {
+		if e.target > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *site) tick(now time.Time) {
+	for i := range s.late {
+		if s.late[i] != nil && !now.Before(s.lateAt[i]) {
+			s.late[i](now)
+			s.late[i] = nil
+		}
+	}
+	for _, e := range s.engines {
+		if e.target > 0 && !now.Before(e.doneAt) {
+			e.weights, e.target = e.target, 0
+		}
+	}
+}
+
+func (s *site) order(now time.Time, i int, weights, expected uint64) vane.OrderResult {
+	e := s.engines[i]
+	if e.target > 0 || e.orders != expected {
+		return vane.OrderBusy
+	}
+	e.orders++
+	e.target = weights
+	e.doneAt = now.Add(1300 * time.Millisecond * time.Duration(max(3, s.busy())) / 3)
+	s.loads++
+	return vane.OrderAccepted
+}
+
+// run plays the planner against the site until all engines serve the weights.
+func (s *site) run(p *weight.Planner, named func(now time.Time) uint64, limit time.Duration) (time.Duration, bool) {
+	for now := begin; now.Sub(begin) < limit; now = now.Add(50 * time.Millisecond) {
+		s.tick(now)
+		for _, a := range p.Tick(now, s.view(), named(now)) {
+			var i int
+			_, _ = fmt.Sscanf(a.Engine.Name, "e%d", &i)
+			e := s.engines[i]
+			if a.Kind == weight.ActReport {
+				p.Reported(now, a.Engine.Name, "m", vane.EngineReport{Weights: map[string]uint64{"m": e.weights}, Busy: e.target > 0, Orders: e.orders}, nil)
+				continue
+			}
+			if s.lose() {
+				s.late = append(s.late, func(now time.Time) { s.order(now, i, a.Weights, a.Expected) })
+				s.lateAt = append(s.lateAt, now.Add(3*time.Second))
+				p.Answered(now, a.Engine.Name, vane.OrderUnknown)
+				continue
+			}
+			p.Answered(now, a.Engine.Name, s.order(now, i, a.Weights, a.Expected))
+		}
+		done := true
+		for _, e := range s.engines {
+			done = done && e.weights >= named(now) && e.target == 0
+		}
+		if done && now.Sub(begin) > time.Second {
+			return now.Sub(begin), true
+		}
+	}
+	return limit, false
+}
+
+func TestAllEnginesLoadWithinTheLimit(t *testing.T) {
+	is := is.New(t)
+	s := newSite(18)
+	took, ok := s.run(weight.NewPlanner(), func(time.Time) uint64 { return 2 }, 12*time.Second)
+	is.True(ok)
+	is.True(took <= 10*time.Second)
+	is.Equal(s.loads, 18) // each engine loads once
+}
+
+// Weights that are named while others load: engines that are far behind go first,
+// and none loads weights that were replaced before its order.
+func TestOldestWeightsFirst(t *testing.T) {
+	is := is.New(t)
+	s := newSite(18)
+	var oldest time.Time
+	named := func(now time.Time) uint64 {
+		left := 0
+		for _, e := range s.engines {
+			if e.weights == 1 {
+				left++
+			}
+		}
+		if left > 0 {
+			oldest = now
+		}
+		if now.Sub(begin) > 4*time.Second {
+			return 3
+		}
+		return 2
+	}
+	_, ok := s.run(weight.NewPlanner(), named, 30*time.Second)
+	is.True(ok)
+	is.True(oldest.Sub(begin) <= 12*time.Second)
+}
+
+// Orders whose answers are lost and that are carried out seconds later never undo
+// newer weights, and no engine loads twice for one naming.
+func TestLateOrders(t *testing.T) {
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			r := rand.New(rand.NewPCG(seed, 1))
+			s := newSite(12)
+			s.lose = func() bool { return r.IntN(2) == 0 }
+			_, ok := s.run(weight.NewPlanner(), func(time.Time) uint64 { return 2 }, 40*time.Second)
+			is.True(ok)
+			s.tick(begin.Add(time.Minute))
+			s.tick(begin.Add(2 * time.Minute))
+			for _, e := range s.engines {
+				is.Equal(e.weights, uint64(2))
+				is.Equal(e.orders, uint64(1))
+			}
+		})
+	}
+}
