--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -152,7 +152,7 @@
 			return nil
 		}
 	}
-	n.log.Info("joined", "node", n.set.Node, "boot", n.boot)
+	n.log.Info("joined", "boot", n.boot)
 	n.mesh.Notify()
 	for clock.Sleep(ctx, clock.Jitter(forgetEvery)) {
 		n.forget(ctx)
--- a/edge/node.go
+++ b/edge/node.go
@@ -80,6 +80,7 @@
 	mu      sync.Mutex
 	retries map[string]*retry.Window
 	leaving bool
+	left    time.Time // when it began to leave
 	peers   int
 }
 
@@ -110,7 +111,7 @@
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: ad.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Suspect: n.crash,
-		Retries: n.window, Leaving: n.isLeaving, Learned: n.learned, Log: log, Metrics: front.NewMetrics(n.reg),
+		Retries: n.window, Leaving: n.isLeaving, Closing: n.isClosing, Learned: n.learned, Log: log, Metrics: front.NewMetrics(n.reg),
 	})
 	return n, n.register()
 }
@@ -162,7 +163,7 @@
 			return err
 		}
 	}
-	n.log.Info("started", "node", n.set.Node, "boot", n.boot, "callers", n.set.Callers, "data_centre", n.set.DataCentre)
+	n.log.Info("started", "boot", n.boot, "callers", n.set.Callers, "data_centre", n.set.DataCentre)
 	select {
 	case <-ctx.Done():
 	case err := <-n.kernel.Failed():
@@ -173,7 +174,7 @@
 	defer stop()
 	err := n.kernel.Stop(end)
 	n.pool.Close()
-	n.log.Info("stopped", "node", n.set.Node)
+	n.log.Info("stopped")
 	return err
 }
 
@@ -182,7 +183,7 @@
 func (n *Node) drain(callers *web) {
 	begin := time.Now()
 	n.mu.Lock()
-	n.leaving = true
+	n.leaving, n.left = true, begin
 	n.mu.Unlock()
 	n.mesh.Notify()
 	n.log.Info("draining", "in_flight", n.handler.InFlight())
@@ -205,6 +206,14 @@
 	return n.leaving
 }
 
+// isClosing says whether callers have had time to learn that the node is stopping.
+// The streams that it still runs have the rest of the grace to end.
+func (n *Node) isClosing() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving && time.Since(n.left) > 3*n.set.ttl()
+}
+
 // window returns the bound on repeats to a service.
 func (n *Node) window(service string) *retry.Window {
 	n.mu.Lock()
--- a/front/handler.go
+++ b/front/handler.go
@@ -53,6 +53,7 @@
 	Suspect Suspects
 	Retries func(service string) *retry.Window
 	Leaving func() bool
+	Closing func() bool                           // streams that begin now may not end before the node stops
 	Learned func(upstream string, weights uint64) // an answer showed other weights
 	Log     *slog.Logger
 	Metrics *Metrics
@@ -115,6 +116,9 @@
 		return vane.Refuse(vane.ReasonModelUnknown, "no route for this host and path; check both")
 	}
 	c.route = route
+	if route.Kind == vane.RouteStream && h.Closing() {
+		return vane.Refuse(vane.ReasonLeaving, "this node is stopping; ask another one").WithRetryAfter(minRetryAfter)
+	}
 	if cfg.Keyed() && !route.Public {
 		c.tenancy, c.keyed = cfg.ByKey(c.meta.Key)
 		if !c.keyed {
--- a/front/relay.go
+++ b/front/relay.go
@@ -54,7 +54,7 @@
 				t.relay = begin(w, ans)
 			}
 			h.Placer.First(time.Now(), ticket)
-			if err := t.relay.send(event, br.Buffered() == 0); err != nil {
+			if err := t.relay.send(event, !moreBuffered(br)); err != nil {
 				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
 			}
 			event = event[:0]
@@ -74,6 +74,13 @@
 	}
 }
 
+// moreBuffered says whether another whole event has already arrived.
+func moreBuffered(br *bufio.Reader) bool {
+	// Peeking at what is buffered does not fail.
+	b, _ := br.Peek(br.Buffered())
+	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
+}
+
 // begin sends the head of the first upstream's answer.
 func begin(w http.ResponseWriter, ans *conns.Answer) *relay {
 	copyHeader(w.Header(), ans.Header)
