--- a/edge/loader.go
+++ b/edge/loader.go
@@ -22,6 +22,7 @@
 	loadTick    = 50 * time.Millisecond
 	noticeTime  = 4 * time.Millisecond   // until the other nodes have heard that an engine will load
 	orderMargin = 900 * time.Millisecond // an order must arrive while the lease lasts
+	notLoading  = -1                     // in a note: the engine is not loading after all
 	fenceMargin = 300 * time.Millisecond
 )
 
@@ -162,6 +163,7 @@
 	l.planner(model, func(p *weight.Planner) { p.Answered(time.Now(), a.Engine.Name, res) })
 	if res != vane.OrderAccepted && res != vane.OrderUnknown {
 		l.n.placer.Loading(a.Engine.Name, time.Time{})
+		l.n.notes.addEngine(mesh.EngineNote{Upstream: a.Engine.Name, LoadingMS: notLoading})
 	}
 }
 
@@ -176,7 +178,8 @@
 func (l *loader) loaded(name string, weights uint64) {
 	l.n.log.Info("weights loaded", "upstream", name, "weights", weights)
 	l.n.placer.Loading(name, time.Time{})
-	l.n.learned(name, weights)
+	l.n.placer.Serves(name, weights)
+	l.n.notes.addEngine(mesh.EngineNote{Upstream: name, Weights: weights})
 	l.n.mesh.Notify()
 }
 
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -86,7 +86,7 @@
 		m.Fence = fence
 	}
 	m.Reads = n.placer.News()
-	m.StoreOK = n.mirror.Reachable()
+	m.StoreOK = n.mirror.Reachable() && n.mesh.Prompt()
 	n.notes.fill(now, m)
 }
 
@@ -97,7 +97,7 @@
 	n.quota.hear(now, m)
 	for _, e := range m.Engines {
 		n.placer.Serves(e.Upstream, e.Weights)
-		if e.LoadingMS > 0 {
+		if e.LoadingMS != 0 {
 			n.placer.Loading(e.Upstream, now.Add(time.Duration(e.LoadingMS)*time.Millisecond))
 		}
 	}
@@ -118,12 +118,11 @@
 	if _, ok := n.keeper.Holds(0); ok {
 		return true
 	}
-	now := time.Now()
-	if !n.mirror.Reachable() {
+	if !n.mirror.Reachable() || !n.mesh.Prompt() {
 		return false
 	}
 	for _, p := range n.mesh.Peers() {
-		if !p.Alive(now) || p.Leaving {
+		if !p.Alive || p.Leaving {
 			continue
 		}
 		if p.Fence > 0 || p.StoreOK && p.Name < n.set.Node {
--- a/edge/node.go
+++ b/edge/node.go
@@ -97,9 +97,9 @@
 	n.cache = newCacheWatch(ad.Control, log)
 	n.placer = sched.New(set.DataCentre, n.cache, sched.WithWeightsLimit(set.WeightsLimit))
 	n.quota = newLimiter()
-	n.mirror = mirror.NewService(n.st, ad.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.changed))
+	n.mirror = mirror.NewService(n.st, ad.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.changed), mirror.WithPrompt(func() bool { return n.mesh.Prompt() }))
 	n.mesh = mesh.New(n.record(), mesh.Deps{
-		Compose: n.compose, Hear: n.hear, Mark: n.mirror.Mark, Export: n.mirror.Export, Import: n.mirror.Import, Log: log,
+		Compose: n.compose, Hear: n.hear, Marks: n.mirror.Marks, Export: n.mirror.Export, Import: n.mirror.Import, Log: log,
 	})
 	n.crash = crash.NewBook(n.ring, crash.WithShare(n.notes.addCrash, func(crash.Name) {}))
 	n.loader = newLoader(n)
@@ -274,11 +274,9 @@
 	}
 }
 
-// learned takes the news that an upstream serves other weights.
-func (n *Node) learned(upstream string, weights uint64) {
-	n.placer.Serves(upstream, weights)
-	n.notes.addEngine(mesh.EngineNote{Upstream: upstream, Weights: weights})
-}
+// learned takes what an answer shows of an upstream's weights. The other nodes learn
+// it from the holder of the lease.
+func (n *Node) learned(upstream string, weights uint64) { n.placer.Serves(upstream, weights) }
 
 // watch looks for upstreams that fell silent.
 func (n *Node) watch(ctx context.Context, ready func()) error {
--- /dev/null
+++ b/edge/node_test.go
@@ -0,0 +1,354 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/edge"
+	"mustardvane.org/vane/fake/plat"
+	"mustardvane.org/vane/site"
+	"mustardvane.org/vane/store"
+)
+
+// patience bounds the waits of these tests; nothing is concluded from how long they
+// take.
+const patience = 30 * time.Second
+
+// decoder reads objects in the product's own form.
+type decoder struct{}
+
+func (decoder) ConfigPrefix() string   { return "config/" }
+func (decoder) UpstreamPrefix() string { return "upstreams/" }
+func (decoder) WeightsPrefix() string  { return "weights/" }
+
+func (decoder) Config(o vane.Object) (*site.Config, bool) {
+	var v struct {
+		Version uint64       `json:"version"`
+		Routes  []vane.Route `json:"routes"`
+	}
+	if json.Unmarshal(o.Value, &v) != nil {
+		return nil, false
+	}
+	return site.New(v.Version, site.WithRoutes(v.Routes...)), true
+}
+
+func (decoder) Upstream(o vane.Object) (vane.Upstream, bool) {
+	var u vane.Upstream
+	return u, json.Unmarshal(o.Value, &u) == nil
+}
+
+func (decoder) Weights(o vane.Object) (vane.NamedWeights, bool) {
+	var w vane.NamedWeights
+	return w, json.Unmarshal(o.Value, &w) == nil
+}
+
+// dialect is the least that a request needs.
+type dialect struct{}
+
+func (dialect) Call(h http.Header) vane.CallMeta { return vane.CallMeta{ID: h.Get("Id"), Model: "m"} }
+func (dialect) Outgoing(h http.Header, _ vane.Forward) http.Header {
+	return http.Header{"Id": h["Id"]}
+}
+func (dialect) Answer(_ int, h http.Header) vane.AnswerMeta {
+	return vane.AnswerMeta{ID: h.Get("Id"), Signed: true}
+}
+func (dialect) WeightsOf([]byte) uint64 { return 0 }
+
+// directory answers with a plain list.
+type directory struct{}
+
+func (directory) Path() string                               { return "/entries" }
+func (directory) ReadyPath() string                          { return "/ready" }
+func (directory) Zone(*http.Request) string                  { return "" }
+func (directory) Answer(addrs []string, _ time.Duration) any { return addrs }
+
+// order is an order that an engine got.
+type order struct {
+	vane.WeightsOrder
+	engine string
+	at     time.Time
+}
+
+// engines are scripted engines that load at once.
+type engines struct {
+	mu      sync.Mutex
+	weights map[string]uint64
+	seq     map[string]uint64
+	orders  []order
+}
+
+func (e *engines) Order(_ context.Context, u vane.Upstream, o vane.WeightsOrder) (vane.OrderResult, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Expected != e.seq[u.Name] {
+		return vane.OrderBusy, nil
+	}
+	e.seq[u.Name]++
+	e.weights[u.Name] = o.Weights
+	e.orders = append(e.orders, order{o, u.Name, time.Now()})
+	return vane.OrderAccepted, nil
+}
+
+func (e *engines) Report(_ context.Context, u vane.Upstream) (vane.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return vane.EngineReport{Weights: map[string]uint64{"m": e.weights[u.Name]}, Orders: e.seq[u.Name]}, nil
+}
+
+func (*engines) CacheContents(context.Context, string) (vane.CacheChanges, error) {
+	return vane.CacheChanges{}, nil
+}
+
+func (*engines) CacheChanges(context.Context, string, uint64) (vane.CacheChanges, error) {
+	return vane.CacheChanges{}, nil
+}
+
+func (e *engines) loaded(n uint64, count int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	got := 0
+	for _, w := range e.weights {
+		if w == n {
+			got++
+		}
+	}
+	return got == count
+}
+
+// fleet is a set of nodes before scripted engines.
+type fleet struct {
+	t       *testing.T
+	plat    *plat.Platform
+	st      *store.Client
+	engines *engines
+	url     string
+	sets    []edge.Settings
+	stop    []context.CancelFunc
+	done    []chan error
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
+
+func newFleet(t *testing.T, nodes int, upstream http.Handler) *fleet {
+	t.Helper()
+	f := &fleet{t: t, plat: plat.New(), engines: &engines{weights: map[string]uint64{}, seq: map[string]uint64{}}}
+	ps := httptest.NewServer(f.plat)
+	us := httptest.NewServer(upstream)
+	f.url = strings.TrimPrefix(ps.URL, "http://")
+	f.st = store.New(ps.URL)
+	for i := range nodes {
+		set := edge.DefaultSettings()
+		set.Node, set.DataCentre, set.IP, set.Store = fmt.Sprintf("n%d", i), "dc", "127.0.0.1", f.url
+		set.Callers = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+		set.Ready = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+		set.Directory = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+		set.MeshPort, set.MetricsPort = freePort(t), freePort(t)
+		set.Grace, set.DirectoryTTLMax, set.FencePause = 2*time.Second, 300*time.Millisecond, 500*time.Millisecond
+		f.sets = append(f.sets, set)
+	}
+	for i := range 4 {
+		u := vane.Upstream{Name: fmt.Sprintf("e%d", i), Addr: strings.TrimPrefix(us.URL, "http://"), DataCentre: "dc", Role: vane.RoleEngine, Service: "llm", Model: "m", Weights: 1, Slots: 8}
+		f.engines.weights[u.Name] = 1
+		f.put("upstreams/"+u.Name, u)
+	}
+	for i := range nodes {
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range f.stop {
+			f.stop[i]()
+			<-f.done[i]
+		}
+		us.Close()
+		ps.Close()
+	})
+	return f
+}
+
+func (f *fleet) start(i int) {
+	ad := edge.Adapter{Protocol: store.Native(), Decoder: decoder{}, Dialect: dialect{}, Control: f.engines, Directory: directory{}}
+	n, err := edge.New(f.sets[i], ad, slog.New(slog.DiscardHandler))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx); close(done) }()
+	f.stop, f.done = append(f.stop, cancel), append(f.done, done)
+}
+
+// put writes an object whatever its version.
+func (f *fleet) put(key string, v any) {
+	f.t.Helper()
+	b, err := json.Marshal(v)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	want := uint64(0)
+	if o, err := f.st.Get(f.t.Context(), key); err == nil {
+		want = o.Version
+	}
+	if _, err := f.st.Put(f.t.Context(), key, want, b); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) configure(version int) {
+	f.put("config/main", map[string]any{"version": version, "routes": []vane.Route{{
+		Name: "r", Host: "h", PathPrefix: "/r/", Kind: vane.RouteStream, MaxAttempts: 1, Timeout: 10 * time.Second, Services: []vane.Share{{Service: "llm", Weight: 1}},
+	}}})
+}
+
+// until waits for a condition.
+func (f *fleet) until(what string, cond func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); !cond(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("still not: %s", what)
+		}
+	}
+}
+
+// entries returns what the directory of node i answers.
+func (f *fleet) entries(i int) []string {
+	resp, err := http.Get("http://" + f.sets[i].Directory + "/entries")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var out []string
+	if json.NewDecoder(resp.Body).Decode(&out) != nil {
+		return nil
+	}
+	return out
+}
+
+// ask sends a request to node i.
+func (f *fleet) ask(i int, path string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.sets[i].Callers+path, strings.NewReader("x"))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "id")
+	return http.DefaultClient.Do(req)
+}
+
+// echo answers with the request's id and two events, the second after a while.
+func echo(pause time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		_, _ = io.WriteString(w, "id: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(pause)
+		_, _ = io.WriteString(w, "id: 2\n\n")
+	})
+}
+
+// A node without a configuration refuses as not run; with one it is listed by all.
+func TestReadiness(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 3, echo(0))
+	f.until("a node listens", func() bool { r, err := f.ask(0, "/r/x"); return err == nil && r.StatusCode == 503 })
+	f.configure(1)
+	for i := range 3 {
+		f.until("all nodes are listed", func() bool { return len(f.entries(i)) == 3 })
+	}
+	resp, err := f.ask(1, "/r/x")
+	is.NoErr(err)
+	b, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "id: 1\n\nid: 2\n\n")
+}
+
+// Weights are loaded by one holder at a time, with rising fences and a pause
+// between two holders.
+func TestOneHolderOrders(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 3, echo(0))
+	f.configure(1)
+	f.put("weights/m", vane.NamedWeights{Model: "m", Number: 2})
+	f.until("all engines have the weights", func() bool { return f.engines.loaded(2, 4) })
+	f.engines.mu.Lock()
+	first := f.engines.orders[0].Holder
+	f.engines.mu.Unlock()
+	for i, s := range f.sets {
+		if s.Node == first {
+			f.stop[i]()
+		}
+	}
+	f.put("weights/m", vane.NamedWeights{Model: "m", Number: 3})
+	f.until("all engines have the next weights", func() bool { return f.engines.loaded(3, 4) })
+	f.engines.mu.Lock()
+	defer f.engines.mu.Unlock()
+	var last order
+	for _, o := range f.engines.orders {
+		is.True(o.Fence >= last.Fence)
+		if last.Holder != "" && o.Holder != last.Holder {
+			is.True(o.at.Sub(last.at) >= f.sets[0].FencePause)
+		}
+		last = o
+	}
+}
+
+// A planned stop cuts no stream, and the others stop naming the node.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 2, echo(700*time.Millisecond))
+	f.configure(1)
+	f.until("both nodes are listed", func() bool { return len(f.entries(1)) == 2 })
+	resp, err := f.ask(0, "/r/x")
+	is.NoErr(err)
+	br := bufio.NewReader(resp.Body)
+	line, err := br.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "id: 1\n")
+	f.stop[0]()
+	f.until("the node is not listed", func() bool { e := f.entries(1); return len(e) == 1 && e[0] == f.sets[1].Callers })
+	rest, err := io.ReadAll(br)
+	is.NoErr(err)
+	is.Equal(string(rest), "\nid: 2\n\n")
+}
+
+// With the store away, a configuration that one node knows reaches the others, and
+// nothing that is known is forgotten.
+func TestStoreAway(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 2, echo(0))
+	f.configure(1)
+	f.until("both nodes are listed", func() bool { return len(f.entries(0)) == 2 })
+	f.plat.SetFaults(plat.Faults{Down: true})
+	time.Sleep(3 * time.Second) // longer than a watch
+	resp, err := f.ask(0, "/r/x")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	f.plat.SetFaults(plat.Faults{})
+	f.put("config/main", map[string]any{"version": 2, "routes": []vane.Route{}})
+	f.until("the new configuration is in force", func() bool { r, err := f.ask(1, "/r/x"); return err == nil && r.StatusCode == 404 })
+}
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -54,6 +54,7 @@
 		}
 	}
 	l.b.SetPeers(now, names)
+	l.b.SetInterval(mesh.Interval(len(names)))
 }
 
 // publish returns what the other nodes are told.
--- a/edge/web.go
+++ b/edge/web.go
@@ -95,7 +95,6 @@
 // addresses returns the addresses of the nodes that are ready. A node that hears
 // no other one may be cut off itself, and then names all that it knows.
 func (n *Node) addresses() []string {
-	now := time.Now()
 	var ready, known []string
 	if n.isReady() {
 		ready = append(ready, n.set.Callers)
@@ -105,7 +104,7 @@
 			continue
 		}
 		known = append(known, p.Callers)
-		if p.Ready && p.Alive(now) {
+		if p.Ready && p.Alive {
 			ready = append(ready, p.Callers)
 		}
 	}
--- a/enums_string.go
+++ b/enums_string.go
@@ -28,26 +28,27 @@
 	_ = x[ReasonUpstreamCrossed-17]
 	_ = x[ReasonUpstreamRejected-18]
 	_ = x[ReasonUpstreamSlow-19]
-	_ = x[ReasonSuspectRequest-20]
-	_ = x[ReasonClaimConflict-21]
-	_ = x[ReasonClaimPending-22]
-	_ = x[ReasonClaimUnknown-23]
-	_ = x[ReasonClaimUnavailable-24]
-	_ = x[ReasonClaimKeyMissing-25]
-	_ = x[ReasonResumeInvalid-26]
-	_ = x[ReasonLeaving-27]
-	_ = x[ReasonNotReady-28]
-	_ = x[ReasonCallerGone-29]
-	_ = x[ReasonRetryBudget-30]
-	_ = x[ReasonVersionFails-31]
-	_ = x[ReasonVersionSlowFirst-32]
-	_ = x[ReasonVersionSlowTokens-33]
-	_ = x[ReasonInternal-34]
+	_ = x[ReasonUpstreamFull-20]
+	_ = x[ReasonSuspectRequest-21]
+	_ = x[ReasonClaimConflict-22]
+	_ = x[ReasonClaimPending-23]
+	_ = x[ReasonClaimUnknown-24]
+	_ = x[ReasonClaimUnavailable-25]
+	_ = x[ReasonClaimKeyMissing-26]
+	_ = x[ReasonResumeInvalid-27]
+	_ = x[ReasonLeaving-28]
+	_ = x[ReasonNotReady-29]
+	_ = x[ReasonCallerGone-30]
+	_ = x[ReasonRetryBudget-31]
+	_ = x[ReasonVersionFails-32]
+	_ = x[ReasonVersionSlowFirst-33]
+	_ = x[ReasonVersionSlowTokens-34]
+	_ = x[ReasonInternal-35]
 }
 
-const _Reason_name = "nonebad_requestbody_too_largekey_missingkey_unknownkey_unconfirmedroute_unknownmethod_not_allowedmodel_unknownlimit_ratelimit_burstlimit_unavailablequeue_deadlinequeue_fullno_upstreamupstream_failedupstream_emptyupstream_crossedupstream_rejectedupstream_slowsuspect_requestclaim_conflictclaim_pendingclaim_unknownclaim_unavailableclaim_key_missingresume_invalidnode_leavingnode_not_readycaller_goneretry_budgetversion_failsversion_slow_first_tokenversion_slow_tokensinternal"
+const _Reason_name = "nonebad_requestbody_too_largekey_missingkey_unknownkey_unconfirmedroute_unknownmethod_not_allowedmodel_unknownlimit_ratelimit_burstlimit_unavailablequeue_deadlinequeue_fullno_upstreamupstream_failedupstream_emptyupstream_crossedupstream_rejectedupstream_slowupstream_fullsuspect_requestclaim_conflictclaim_pendingclaim_unknownclaim_unavailableclaim_key_missingresume_invalidnode_leavingnode_not_readycaller_goneretry_budgetversion_failsversion_slow_first_tokenversion_slow_tokensinternal"
 
-var _Reason_index = [...]uint16{0, 4, 15, 29, 40, 51, 66, 79, 97, 110, 120, 131, 148, 162, 172, 183, 198, 212, 228, 245, 258, 273, 287, 300, 313, 330, 347, 361, 373, 387, 398, 410, 423, 447, 466, 474}
+var _Reason_index = [...]uint16{0, 4, 15, 29, 40, 51, 66, 79, 97, 110, 120, 131, 148, 162, 172, 183, 198, 212, 228, 245, 258, 271, 286, 300, 313, 326, 343, 360, 374, 386, 400, 411, 423, 436, 460, 479, 487}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/front/serve.go
+++ b/front/serve.go
@@ -182,7 +182,7 @@
 	}
 	if m.NotRun {
 		h.notRun(t, p, ans, m)
-		return vane.Refuse(vane.ReasonUpstreamRejected, "upstream %s did not take the request (status %d)", p.Upstream.Name, ans.Status).WithRetryAfter(busyRetryAfter)
+		return vane.Refuse(vane.ReasonUpstreamFull, "upstream %s did not take the request (status %d)", p.Upstream.Name, ans.Status).WithRetryAfter(busyRetryAfter)
 	}
 	if t.route.Kind == vane.RouteStream && ans.Status < http.StatusMultipleChoices {
 		return h.stream(ctx, w, t, p, ticket, ans)
@@ -215,12 +215,7 @@
 func (h *Handler) notRun(t *run, p sched.Pick, ans *conns.Answer, m vane.AnswerMeta) {
 	// The body of a refusal is of no use, but the connection is.
 	_, _ = io.CopyN(io.Discard, ans.Body, maxAnswer)
-	now := time.Now()
-	if m.Wrong {
-		h.Placer.Full(now, p.Upstream.Name)
-	} else {
-		h.Placer.Full(now, p.Upstream.Name)
-	}
+	h.Placer.Full(time.Now(), p.Upstream.Name)
 	h.Log.Info("not taken", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "status", ans.Status, "weights", m.Weights, "running", m.Load.Running, "waiting", m.Load.Waiting)
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -11,29 +11,35 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/internal/clock"
 )
 
 // Bounds of the messages.
 const (
-	period       = 250 * time.Millisecond // between messages to one node, in a small site
-	smallSite    = 10                     // nodes up to which the period holds; it grows with more
-	minPause     = 20 * time.Millisecond  // between messages that are sent at once
-	maxDatagram  = 60 << 10               // bytes
-	behindTime   = 400 * time.Millisecond // the store's own watch is given so long
+	period       = 250 * time.Millisecond  // between messages to one node, in a small site
+	smallSite    = 10                      // other nodes up to which all are told of everything at once
+	perMessage   = 20                      // other nodes for which the period grows by itself
+	farEvery     = 2                       // in a large site, nodes of other data centres get every second message
+	minPause     = 20 * time.Millisecond   // between messages that are sent at once
+	maxDatagram  = 60 << 10                // bytes
+	behindTime   = 400 * time.Millisecond  // the store's own watch is given so long
+	upstreamTime = 1200 * time.Millisecond // the same for upstreams, which change often
 	snapTimeout  = time.Second
 	maxSnapshot  = 64 << 20 // bytes
 	snapshotPath = "/v1/objects"
-	// Silent is how long after its last message a node counts as gone.
-	Silent = 1300 * time.Millisecond
+	silentTime   = 1300 * time.Millisecond // after its last message a node counts as gone, in a small site
+	missed       = 3                       // messages in a row that may be lost, in a large site
+	prompt       = 8                       // nodes that follow the store promptly
 )
 
 // Deps are what the mesh works for.
 type Deps struct {
 	Compose func(now time.Time, m *Message)
 	Hear    func(now time.Time, m *Message)
-	Mark    func() uint64
+	Marks   func() (upstreams, others uint64) // newest versions known of the store's objects
 	Export  func() []vane.Object
 	Import  func([]vane.Object)
 	Log     *slog.Logger
@@ -47,13 +53,12 @@
 	Leaving bool
 	Fence   uint64
 	StoreOK bool
+	Alive   bool // it was heard lately
 	seq     uint64
 	behind  time.Time // since when it knows more than this node
+	upAhead time.Time // since when it knows newer upstreams
 }
 
-// Alive says whether the node was heard lately.
-func (p Peer) Alive(now time.Time) bool { return !p.Heard.IsZero() && now.Sub(p.Heard) < Silent }
-
 // Mesh exchanges messages with the other nodes.
 type Mesh struct {
 	self vane.PeerRecord
@@ -93,7 +98,7 @@
 		}
 	}
 	for name, p := range m.peers {
-		if _, ok := records[name]; !ok && !p.Alive(time.Now()) {
+		if _, ok := records[name]; !ok && !m.alive(p, time.Now()) {
 			delete(m.peers, name)
 		}
 	}
@@ -104,8 +109,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make([]Peer, 0, len(m.peers))
+	now := time.Now()
 	for _, p := range m.peers {
-		out = append(out, *p)
+		c := *p
+		c.Alive = m.alive(p, now)
+		out = append(out, c)
 	}
 	return out
 }
@@ -172,20 +180,66 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := len(m.peers)
-	return period * time.Duration(max(1, (n+smallSite-1)/smallSite))
+	return stretch(n)
+}
+
+// stretch returns the time between messages to one node of the own data centre, in
+// a site of n other nodes.
+func stretch(n int) time.Duration {
+	return period * time.Duration(max(1, (n+perMessage-1)/perMessage))
+}
+
+// Interval returns the longest time between two messages to one node, in a site of n
+// other nodes.
+func Interval(n int) time.Duration {
+	if n <= smallSite {
+		return stretch(n)
+	}
+	return farEvery * stretch(n)
+}
+
+// alive says whether a node was heard lately.
+func (m *Mesh) alive(p *Peer, now time.Time) bool {
+	limit := silentTime
+	if n := len(m.peers); n > smallSite {
+		limit = missed * Interval(n)
+	}
+	return !p.Heard.IsZero() && now.Sub(p.Heard) < limit
+}
+
+// Prompt says whether this node is one of the few that follow the store promptly.
+// All nodes of a small site are.
+func (m *Mesh) Prompt() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.peers) <= smallSite {
+		return true
+	}
+	now := time.Now()
+	own := xxhash.Sum64String(m.self.Name)
+	before := 0
+	for _, p := range m.peers {
+		if m.alive(p, now) && !p.Leaving && xxhash.Sum64String(p.Name) < own {
+			before++
+		}
+	}
+	return before < prompt
 }
 
 // send sends one message to every node.
 func (m *Mesh) send() {
 	now := time.Now()
-	msg := &Message{Name: m.self.Name, Boot: m.self.Boot, Callers: m.self.Callers, Mark: m.Mark()}
+	msg := &Message{Name: m.self.Name, Boot: m.self.Boot, Callers: m.self.Callers}
+	msg.UpMark, msg.Mark = m.Marks()
 	m.Compose(now, msg)
 	m.mu.Lock()
 	m.seq++
 	msg.Seq = m.seq
 	addrs := make([]string, 0, len(m.peers))
 	for _, p := range m.peers {
-		addrs = append(addrs, p.Mesh)
+		if len(m.peers) <= smallSite || p.DataCentre == m.self.DataCentre || m.seq%farEvery == 0 {
+			addrs = append(addrs, p.Mesh)
+		}
 	}
 	m.mu.Unlock()
 	b, err := encode(msg)
@@ -231,7 +285,7 @@
 // note keeps account of the sender. It returns false for a message that is not
 // newer than the last.
 func (m *Mesh) note(now time.Time, msg *Message) bool {
-	mark := m.Mark() // before the lock, since the source of marks also calls the mesh
+	upMark, mark := m.Marks() // before the lock, since the source of marks also calls the mesh
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, ok := m.peers[msg.Name]
@@ -241,19 +295,25 @@
 	if msg.Boot > p.Boot {
 		p.Boot = msg.Boot
 	}
-	if !p.Alive(now) {
+	if !m.alive(p, now) {
 		m.Log.Info("node heard", "peer", msg.Name, "boot", msg.Boot, "silent_ms", now.Sub(p.Heard).Milliseconds())
 	}
 	p.seq, p.Heard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
 	p.Fence, p.StoreOK, p.Callers = msg.Fence, msg.StoreOK, msg.Callers
-	if msg.Mark <= mark {
-		p.behind = time.Time{}
-	} else if p.behind.IsZero() {
-		p.behind = now
-	}
+	since(&p.behind, now, msg.Mark > mark)
+	since(&p.upAhead, now, msg.UpMark > upMark)
 	return true
 }
 
+// since keeps the time from which on a condition holds.
+func since(at *time.Time, now time.Time, holds bool) {
+	if !holds {
+		*at = time.Time{}
+	} else if at.IsZero() {
+		*at = now
+	}
+}
+
 // snapshot serves the objects to another node.
 func (m *Mesh) snapshot(w http.ResponseWriter, _ *http.Request) {
 	var b bytes.Buffer
@@ -287,7 +347,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if p.Alive(now) && !p.behind.IsZero() && now.Sub(p.behind) > behindTime {
+		late := !p.behind.IsZero() && now.Sub(p.behind) > behindTime
+		old := !p.upAhead.IsZero() && now.Sub(p.upAhead) > upstreamTime
+		if m.alive(p, now) && (late || old) {
 			return p.Mesh, true
 		}
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -1,22 +1,22 @@
 package mesh
 
 import (
+	"bytes"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	vane "mustardvane.org/vane"
 )
 
-// Message is what a node tells the others. Fields are encoded by position, so that
-// new ones go to the end.
+// Message is what a node tells the others. Structs are encoded by the position of
+// their fields, so that new ones go to the end.
 type Message struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	Name     string
 	Boot     uint64
 	Seq      uint64 // of the node's messages; older ones are ignored
 	Ready    bool   // callers may be sent to the node
 	Leaving  bool   // the node stops
-	Mark     uint64 // newest version known of any object of the store
+	Mark     uint64 // newest version known of any object of the store but upstreams
 	Fence    uint64 // of the lease on orders, if the node holds it; else zero
 	InFlight map[string]int
 	Spent    map[string]float64
@@ -25,22 +25,19 @@
 	Lost     []CrashNote
 	Callers  string              // address for callers
 	StoreOK  bool                // the node reaches the store
+	UpMark   uint64              // newest version known of any upstream
 	Reads    map[string][]uint64 // prompt parts that engines were sent, in packed form
 }
 
 // EngineNote tells about the weights of an engine.
 type EngineNote struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	Upstream  string
 	Weights   uint64 // that it serves
-	LoadingMS int    // how much longer it loads at most; zero if it does not
+	LoadingMS int    // how much longer it loads at most; zero if that is not known, negative if it does not
 }
 
 // CrashNote tells of a request during which an upstream crashed.
 type CrashNote struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	Workspace   string
 	Fingerprint uint64
 	Upstream    string
@@ -48,7 +45,13 @@
 }
 
 // encode returns the datagram of a message.
-func encode(m *Message) ([]byte, error) { return msgpack.Marshal(m) }
+func encode(m *Message) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	err := e.Encode(m)
+	return b.Bytes(), err
+}
 
 // decode reads a datagram.
 func decode(b []byte) (*Message, error) {
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -14,13 +14,24 @@
 const (
 	retryMin   = 100 * time.Millisecond // after a first failure
 	retryMax   = 500 * time.Millisecond // a recovered store is noticed within it
+	gatherTime = 150 * time.Millisecond // changes of upstreams within it come in one batch
+	idleTime   = 600 * time.Millisecond // the same for a node that need not be prompt
 	heldPeriod = 200 * time.Millisecond // between looks at removals that wait
 	silentTime = 700 * time.Millisecond // failures for so long mean that the store is away
 )
 
+// Store is the platform's store as the service uses it.
+type Store interface {
+	List(ctx context.Context, prefix string) (vane.Batch, error)
+	Watch(ctx context.Context, prefix string, after uint64) (vane.Batch, error)
+	// WatchRelaxed may return changes that are some seconds late, at less cost.
+	WatchRelaxed(ctx context.Context, prefix string, after uint64) (vane.Batch, error)
+}
+
 // Service follows the store and keeps a [State].
 type Service struct {
-	st       vane.Store
+	st       Store
+	prompt   func() bool
 	log      *slog.Logger
 	onChange func(old, v *View)
 
@@ -28,7 +39,6 @@
 	state    *State
 	failing  map[string]time.Time // by prefix, since when
 	answered time.Time            // last answer of the store
-	kick     chan struct{}
 }
 
 // Option changes a service under construction.
@@ -37,13 +47,18 @@
 // WithChangeFunc calls f after each change of the view, one call at a time.
 func WithChangeFunc(f func(old, v *View)) Option { return func(s *Service) { s.onChange = f } }
 
+// WithPrompt sets a function that says whether this node must follow the store
+// promptly. In a large site a few nodes do, and the others learn from them that
+// they are behind.
+func WithPrompt(f func() bool) Option { return func(s *Service) { s.prompt = f } }
+
 // WithLogger sets the log.
 func WithLogger(l *slog.Logger) Option { return func(s *Service) { s.log = l } }
 
 // NewService returns a service that follows st.
-func NewService(st vane.Store, dec Decoder, opts ...Option) *Service {
+func NewService(st Store, dec Decoder, opts ...Option) *Service {
 	s := &Service{
-		st: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {},
+		st: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, prompt: func() bool { return true },
 		failing: make(map[string]time.Time),
 	}
 	for _, o := range opts {
@@ -59,11 +74,12 @@
 	return s.state.View()
 }
 
-// Mark returns the newest version known of any object.
-func (s *Service) Mark() uint64 {
+// Marks returns the newest version known of any upstream, and of any other object
+// that nodes hand to each other.
+func (s *Service) Marks() (upstreams, others uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Mark()
+	return s.state.Marks()
 }
 
 // Reachable says whether the store has answered lately.
@@ -150,13 +166,20 @@
 
 // watch waits for one batch of changes. It returns the revision to go on from.
 func (s *Service) watch(ctx context.Context, prefix string, rev uint64) (uint64, error) {
-	b, err := s.st.Watch(ctx, prefix, rev)
+	watch, pause := s.st.Watch, gatherTime
+	if !s.prompt() {
+		watch, pause = s.st.WatchRelaxed, idleTime
+	}
+	b, err := watch(ctx, prefix, rev)
 	if err != nil {
 		return rev, err
 	}
 	s.note(prefix, nil)
 	if len(b.Objects) > 0 {
 		s.update(func(now time.Time) bool { return s.state.Apply(now, b.Objects) })
+		if prefix == s.state.dec.UpstreamPrefix() {
+			clock.Sleep(ctx, pause)
+		}
 	}
 	return max(rev, b.Revision), nil
 }
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -192,16 +192,18 @@
 	return out
 }
 
-// Mark returns the newest version known of any object that nodes hand to each
-// other.
-func (s *State) Mark() uint64 {
-	var m uint64
+// Marks returns the newest version known of any upstream, and of any other object
+// that nodes hand to each other.
+func (s *State) Marks() (upstreams, others uint64) {
 	for k, o := range s.objects {
-		if !strings.HasPrefix(k, OwnPrefix) {
-			m = max(m, o.Version)
+		switch {
+		case strings.HasPrefix(k, s.dec.UpstreamPrefix()):
+			upstreams = max(upstreams, o.Version)
+		case !strings.HasPrefix(k, OwnPrefix):
+			others = max(others, o.Version)
 		}
 	}
-	return m
+	return upstreams, others
 }
 
 // holding says whether removals of upstreams wait.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -6,7 +6,9 @@
 
 // Times of the protocol.
 const (
-	silence   = 900 * time.Millisecond // several messages of a node are missing
+	silence   = 900 * time.Millisecond // several messages of a node are missing, in a small site
+	missed    = 3                      // messages in a row that may be lost
+	smoothing = 0.5                    // weight of the newest message in a node's rate of use
 	joinTime  = 1500 * time.Millisecond
 	startPart = 0.5 // of the burst, for a node that does not know what was spent before its start
 )
@@ -30,7 +32,8 @@
 	boot    uint64
 	heard   time.Time
 	spent   map[string]float64
-	assumed map[string]float64 // taken from the buckets during its silence
+	assumed map[string]float64 // taken from the buckets since its last message
+	rate    map[string]float64 // units a second that it used lately
 }
 
 // Buckets are the buckets of all workspaces. It is not safe for concurrent use.
@@ -39,13 +42,17 @@
 	joined  bool // the levels of another node were taken over
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	silence time.Duration
 }
 
 // New returns buckets of a node that starts now.
 func New(now time.Time) *Buckets {
-	return &Buckets{start: now, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+	return &Buckets{start: now, buckets: make(map[string]*bucket), peers: make(map[string]*peer), silence: silence}
 }
 
+// SetInterval sets the time between two messages of a node.
+func (b *Buckets) SetInterval(d time.Duration) { b.silence = max(silence, missed*d) }
+
 // SetTerms replaces the bounds. Workspaces without a rate have no bucket.
 func (b *Buckets) SetTerms(now time.Time, terms map[string]Terms) {
 	for ws := range b.buckets {
@@ -75,7 +82,7 @@
 	for _, n := range names {
 		keep[n] = true
 		if _, ok := b.peers[n]; !ok {
-			b.peers[n] = &peer{heard: now, spent: make(map[string]float64), assumed: make(map[string]float64)}
+			b.peers[n] = &peer{heard: now, spent: make(map[string]float64), assumed: make(map[string]float64), rate: make(map[string]float64)}
 		}
 	}
 	for n := range b.peers {
@@ -96,10 +103,13 @@
 	k.level += d * k.terms.Rate
 	share := k.terms.Rate / float64(1+len(b.peers))
 	for _, p := range b.peers {
-		if now.Sub(p.heard) > silence {
-			k.level -= d * share
-			p.assumed[ws] += d * share
+		// Between two messages a node is assumed to go on as before.
+		use := min(p.rate[ws], k.terms.Rate)
+		if now.Sub(p.heard) > b.silence {
+			use = share
 		}
+		k.level -= d * use
+		p.assumed[ws] += d * use
 	}
 	k.level = min(k.level, k.terms.Burst)
 }
@@ -186,6 +196,9 @@
 		}
 		k.level = min(k.level-delta+p.assumed[ws], k.terms.Burst)
 		p.spent[ws], p.assumed[ws] = total, 0
+		if d := now.Sub(p.heard).Seconds(); p.boot == boot && d > 0 {
+			p.rate[ws] += smoothing * (max(0, delta)/d - p.rate[ws])
+		}
 	}
 	p.boot, p.heard = boot, now
 	if levels != nil && !b.Settled(now) {
--- a/reason.go
+++ b/reason.go
@@ -28,6 +28,7 @@
 	ReasonUpstreamCrossed                 // upstream_crossed
 	ReasonUpstreamRejected                // upstream_rejected
 	ReasonUpstreamSlow                    // upstream_slow
+	ReasonUpstreamFull                    // upstream_full
 	ReasonSuspectRequest                  // suspect_request
 	ReasonClaimConflict                   // claim_conflict
 	ReasonClaimPending                    // claim_pending
--- a/store/client.go
+++ b/store/client.go
@@ -22,6 +22,7 @@
 	defaultWatch   = 2 * time.Second        // how long the platform holds a watch
 	dialTimeout    = 500 * time.Millisecond // ten times a slow answer of the platform
 	watchSlack     = 600 * time.Millisecond // added to it before the client gives up; a slow platform takes half of it
+	relaxedWatch   = 15 * time.Second       // of watches that need not be prompt; below the platform's limit
 	maxValue       = 1 << 20                // bytes of one object
 	maxAnswer      = 64 << 20               // bytes of a list
 	breakerTrips   = 5                      // consecutive failures that open the breaker
@@ -219,8 +220,19 @@
 
 // Watch implements vane.Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (vane.Batch, error) {
-	x := c.proto.Watch(prefix, after, c.watch)
-	a, err := c.do(ctx, call{op: "watch", Exchange: x, limit: c.watch + watchSlack})
+	return c.follow(ctx, prefix, after, c.watch, false)
+}
+
+// WatchRelaxed is like Watch, but waits longer and may return changes that are some
+// seconds late.
+func (c *Client) WatchRelaxed(ctx context.Context, prefix string, after uint64) (vane.Batch, error) {
+	return c.follow(ctx, prefix, after, relaxedWatch, true)
+}
+
+// follow waits for one batch of changes.
+func (c *Client) follow(ctx context.Context, prefix string, after uint64, wait time.Duration, relaxed bool) (vane.Batch, error) {
+	x := c.proto.Watch(prefix, after, wait, relaxed)
+	a, err := c.do(ctx, call{op: "watch", Exchange: x, limit: wait + watchSlack})
 	if err != nil {
 		return vane.Batch{}, err
 	}
--- a/store/native.go
+++ b/store/native.go
@@ -58,7 +58,7 @@
 }
 
 // Watch implements Protocol.
-func (native) Watch(prefix string, after uint64, wait time.Duration) Exchange {
+func (native) Watch(prefix string, after uint64, wait time.Duration, _ bool) Exchange {
 	return Exchange{Method: http.MethodGet, Path: "/v1/watch", Query: url.Values{
 		"prefix": {prefix},
 		"after":  {strconv.FormatUint(after, 10)},
@@ -161,3 +161,6 @@
 	}
 	return strings.Join(parts, "/")
 }
+
+// Native returns the protocol of docs/PLATFORM.md.
+func Native() Protocol { return native{} }
--- a/store/protocol.go
+++ b/store/protocol.go
@@ -34,7 +34,9 @@
 	Delete(key string, want uint64) Exchange
 	// List asks for a page; the first one is empty.
 	List(prefix, page string) Exchange
-	Watch(prefix string, after uint64, wait time.Duration) Exchange
+	// Watch asks for changes after a revision. A relaxed watch may be answered with
+	// changes that are some seconds late, if that costs the platform less.
+	Watch(prefix string, after uint64, wait time.Duration, relaxed bool) Exchange
 	Hosts() Exchange
 
 	// Object decodes the answer to Get.
