--- a/edge/loader.go
+++ b/edge/loader.go
@@ -22,6 +22,7 @@
 	loadTick    = 50 * time.Millisecond
 	noticeTime  = 4 * time.Millisecond   // until the other nodes have heard that an engine will load
 	orderMargin = 900 * time.Millisecond // an order must arrive while the lease lasts
+	checkPause  = 500 * time.Millisecond // between two questions to an engine in doubt
 	notLoading  = -1                     // in a note: the engine is not loading after all
 	fenceMargin = 300 * time.Millisecond
 )
@@ -33,12 +34,13 @@
 	mu       sync.Mutex
 	planners map[string]*weight.Planner // by model
 	recorded map[string]uint64          // newest weights whose naming was recorded, by model
+	checked  map[string]time.Time       // last report of an engine whose weights were in doubt
 	notUntil time.Time                  // on the clock that goes on while suspended
 }
 
 // newLoader returns a loader.
 func newLoader(n *Node) *loader {
-	return &loader{n: n, planners: make(map[string]*weight.Planner), recorded: make(map[string]uint64)}
+	return &loader{n: n, planners: make(map[string]*weight.Planner), recorded: make(map[string]uint64), checked: make(map[string]time.Time)}
 }
 
 // took notes that the lease was taken. Orders wait until those of another holder
@@ -97,11 +99,10 @@
 	}
 }
 
-// due returns the actions that are due, if this node may order.
+// due returns the actions that are due. Without the lease, orders that were sent
+// before are still followed.
 func (l *loader) due() []weight.Action {
-	if !l.allowed() {
-		return nil
-	}
+	may := l.allowed()
 	now := time.Now()
 	v := l.n.mirror.View()
 	l.mu.Lock()
@@ -109,11 +110,14 @@
 	var out []weight.Action
 	for model, w := range v.Weights {
 		p, ok := l.planners[model]
+		if !ok && !may {
+			continue
+		}
 		if !ok {
 			p = weight.NewPlanner()
 			l.planners[model] = p
 		}
-		out = append(out, p.Tick(now, l.n.placer.Engines(now, model), w.Number)...)
+		out = append(out, p.Tick(now, l.n.placer.Engines(now, model), w.Number, may)...)
 	}
 	return out
 }
@@ -167,6 +171,30 @@
 	}
 }
 
+// check asks an engine which weights it serves, after it turned a request away
+// because of them.
+func (l *loader) check(u vane.Upstream) {
+	l.mu.Lock()
+	now := time.Now()
+	due := u.Role == vane.RoleEngine && now.Sub(l.checked[u.Name]) > checkPause
+	if due {
+		l.checked[u.Name] = now
+	}
+	l.mu.Unlock()
+	if !due {
+		return
+	}
+	go func() {
+		r, err := l.n.ad.Control.Report(context.Background(), u)
+		if err != nil {
+			l.n.log.Warn("weights in doubt", "upstream", u.Name, "believed", u.Weights, "err", err.Error())
+			return
+		}
+		l.n.log.Info("weights in doubt", "upstream", u.Name, "believed", u.Weights, "serves", r.Weights[u.Model], "busy", r.Busy)
+		l.n.placer.Corrected(u.Name, r.Weights[u.Model])
+	}()
+}
+
 // announce sets an engine aside on all nodes.
 func (l *loader) announce(name string, weights uint64) {
 	l.n.placer.Loading(name, time.Now().Add(weight.LoadTime))
--- a/front/handler.go
+++ b/front/handler.go
@@ -55,6 +55,7 @@
 	Leaving func() bool
 	Closing func() bool                           // streams that begin now may not end before the node stops
 	Learned func(upstream string, weights uint64) // an answer showed other weights
+	Doubted func(u vane.Upstream)                 // an answer showed that an upstream is not what it was believed to be
 	Log     *slog.Logger
 	Metrics *Metrics
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -399,6 +399,16 @@
 	}
 }
 
+// Corrected notes the weights that an upstream says it serves, older ones included.
+func (p *Placer) Corrected(name string, weights uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u, ok := p.ups[name]; ok && weights > 0 && weights != u.Weights {
+		u.Weights = weights
+		u.parts.clear()
+	}
+}
+
 // Loading sets an upstream aside while it loads weights, until at most the given
 // time. A zero time ends it.
 func (p *Placer) Loading(name string, until time.Time) {
--- a/store/client.go
+++ b/store/client.go
@@ -107,6 +107,9 @@
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// opWatch is the operation of calls that wait for changes.
+const opWatch = "watch"
+
 // call is one exchange with the platform and its time limit.
 type call struct {
 	Exchange
@@ -114,12 +117,20 @@
 	limit time.Duration
 }
 
-// do performs the call once, through the breaker.
+// do performs the call once, through the breaker. Watches go past it: one that
+// waits as the breaker's trial call would keep all other calls back.
 func (c *Client) do(ctx context.Context, r call) (*Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.limit)
 	defer cancel()
 	start := time.Now()
-	a, err := c.breaker.Execute(func() (*Reply, error) { return c.roundTrip(ctx, r) })
+	send := func() (*Reply, error) { return c.roundTrip(ctx, r) }
+	var a *Reply
+	var err error
+	if r.op == opWatch {
+		a, err = send()
+	} else {
+		a, err = c.breaker.Execute(send)
+	}
 	c.metrics.observe(r.op, a, err, time.Since(start))
 	if err == nil {
 		return a, nil
@@ -232,7 +243,7 @@
 // follow waits for one batch of changes.
 func (c *Client) follow(ctx context.Context, prefix string, after uint64, wait time.Duration, relaxed bool) (vane.Batch, error) {
 	x := c.proto.Watch(prefix, after, wait, relaxed)
-	a, err := c.do(ctx, call{op: "watch", Exchange: x, limit: wait + watchSlack})
+	a, err := c.do(ctx, call{op: opWatch, Exchange: x, limit: wait + watchSlack})
 	if err != nil {
 		return vane.Batch{}, err
 	}
--- a/store/metrics.go
+++ b/store/metrics.go
@@ -50,7 +50,7 @@
 		outcome = vane.KindConflict.String()
 	}
 	m.calls.WithLabelValues(op, outcome).Inc()
-	if op != "watch" {
+	if op != opWatch {
 		m.seconds.WithLabelValues(op).Observe(d.Seconds())
 	}
 }
--- a/weight/planner.go
+++ b/weight/planner.go
@@ -62,17 +62,20 @@
 func (p *Planner) Open() int { return len(p.jobs) }
 
 // Tick returns the actions that are due. named is the number of the weights that
-// the engines are to serve.
-func (p *Planner) Tick(now time.Time, engines []sched.Engine, named uint64) []Action {
+// the engines are to serve. Without the right to order, only the outcome of orders
+// that were sent before is followed.
+func (p *Planner) Tick(now time.Time, engines []sched.Engine, named uint64, mayOrder bool) []Action {
 	byName := make(map[string]sched.Engine, len(engines))
 	for _, e := range engines {
 		byName[e.Name] = e
 	}
 	p.prune(now, byName)
-	p.start(now, engines, named)
+	if mayOrder {
+		p.start(now, engines, named)
+	}
 	var out []Action
 	for name, j := range p.jobs {
-		if j.calling || now.Before(j.next) {
+		if j.calling || now.Before(j.next) || !mayOrder && !j.ordered {
 			continue
 		}
 		e := byName[name]
--- a/weight/planner_test.go
+++ b/weight/planner_test.go
@@ -90,7 +90,7 @@
 func (s *site) run(p *weight.Planner, named func(now time.Time) uint64, limit time.Duration) (time.Duration, bool) {
 	for now := begin; now.Sub(begin) < limit; now = now.Add(50 * time.Millisecond) {
 		s.tick(now)
-		for _, a := range p.Tick(now, s.view(), named(now)) {
+		for _, a := range p.Tick(now, s.view(), named(now), true) {
 			var i int
 			_, _ = fmt.Sscanf(a.Engine.Name, "e%d", &i)
 			e := s.engines[i]
@@ -152,6 +152,30 @@
 	is.True(oldest.Sub(begin) <= 12*time.Second)
 }
 
+// A holder that loses the lease sends no orders any more, but still learns what
+// became of those that it sent.
+func TestWithoutTheRightToOrder(t *testing.T) {
+	is := is.New(t)
+	s := newSite(6)
+	p := weight.NewPlanner()
+	for _, a := range p.Tick(begin, s.view(), 2, true) {
+		p.Reported(begin, a.Engine.Name, "m", vane.EngineReport{}, nil)
+	}
+	sent := p.Tick(begin, s.view(), 2, true)
+	is.True(len(sent) > 0)
+	for _, a := range sent {
+		is.Equal(a.Kind, weight.ActOrder)
+		p.Answered(begin, a.Engine.Name, vane.OrderAccepted)
+	}
+	for now := begin; now.Sub(begin) < 5*time.Second; now = now.Add(50 * time.Millisecond) {
+		for _, a := range p.Tick(now, s.view(), 2, false) {
+			is.Equal(a.Kind, weight.ActReport)
+			p.Reported(now, a.Engine.Name, "m", vane.EngineReport{Weights: map[string]uint64{"m": 2}, Orders: 1}, nil)
+		}
+	}
+	is.Equal(p.Open(), 0)
+}
+
 // Orders whose answers are lost and that are carried out seconds later never undo
 // newer weights, and no engine loads twice for one naming.
 func TestLateOrders(t *testing.T) {
