--- a/front/handler.go
+++ b/front/handler.go
@@ -83,8 +83,9 @@
 	body     []byte
 	begin    time.Time
 	deadline time.Time
-	cost     float64
-	print    uint64 // fingerprint of the request's content
+	cost     float64 // units taken from the workspace's quota
+	asked    float64 // units that the request is charged
+	print    uint64  // fingerprint of the request's content
 }
 
 // ServeHTTP implements http.Handler.
@@ -143,7 +144,8 @@
 		return asRefusal(err)
 	}
 	if c.keyed && c.tenancy.Quota.Rate > 0 {
-		c.cost = c.tenancy.Quota.Cost(c.meta)
+		c.asked = c.tenancy.Quota.Cost(c.meta)
+		c.cost = c.asked
 		if wait, ok := h.Quota.Take(c.tenancy.Workspace, c.cost); !ok {
 			c.cost = 0
 			return vane.Refuse(vane.ReasonLimitRate, "workspace %s is over its rate; come back later", c.tenancy.Workspace).WithRetryAfter(max(wait, minRetryAfter))
@@ -219,7 +221,7 @@
 	}
 	h.Metrics.refused(c.route.Name, ref.Reason)
 	h.Log.Info("refused", "request_id", c.meta.ID, "route", c.route.Name, "workspace", c.tenancy.Workspace, "status", status,
-		"reason", ref.Reason.String(), "execution", ref.Execution.String(), "retry_after_ms", ref.RetryAfter.Milliseconds(),
+		"reason", ref.Reason.String(), "units", c.asked, "rate", c.tenancy.Quota.Rate, "config", c.version(), "execution", ref.Execution.String(), "retry_after_ms", ref.RetryAfter.Milliseconds(),
 		"elapsed_ms", time.Since(c.begin).Milliseconds(), "detail", ref.Message)
 	if ref.RetryAfter > 0 && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) {
 		w.Header().Set("Retry-After", strconv.FormatFloat(ref.RetryAfter.Seconds(), 'f', 3, 64))
@@ -227,6 +229,14 @@
 	http.Error(w, ref.Message, status)
 }
 
+// version returns the version of the configuration that the request was handled by.
+func (c *call) version() uint64 {
+	if c.view.Config == nil {
+		return 0
+	}
+	return c.view.Config.Version
+}
+
 // asRefusal returns err as a refusal.
 func asRefusal(err error) *vane.Refusal {
 	if r, ok := err.(*vane.Refusal); ok {
