--- a/edge/loader.go
+++ b/edge/loader.go
@@ -11,6 +11,7 @@
 	"mustardvane.org/vane/lease"
 	"mustardvane.org/vane/mesh"
 	"mustardvane.org/vane/mirror"
+	"mustardvane.org/vane/sched"
 	"mustardvane.org/vane/weight"
 )
 
@@ -117,11 +118,20 @@
 			p = weight.NewPlanner()
 			l.planners[model] = p
 		}
-		out = append(out, p.Tick(now, l.n.placer.Engines(now, model), w.Number, may)...)
+		out = append(out, p.Tick(now, l.n.placer.Engines(now, model), w.Number, l.left(now, w), may)...)
 	}
 	return out
 }
 
+// left returns the time by which all engines must have the weights.
+func (l *loader) left(now time.Time, w mirror.Weights) time.Duration {
+	oldest := w.Number
+	for _, e := range l.n.placer.Engines(now, w.Model) {
+		oldest = min(oldest, e.Weights)
+	}
+	return l.n.set.WeightsLimit - sched.StartMargin - w.Replaced(now, oldest)
+}
+
 // allowed says whether an order that is sent now arrives while the lease lasts and
 // well after those of the holder before.
 func (l *loader) allowed() bool {
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -16,6 +16,7 @@
 // Times of the node's dealings with the others.
 const (
 	noteLife    = 1500 * time.Millisecond // news are repeated for so long, since datagrams get lost
+	asideLife   = 300 * time.Millisecond  // one or two messages
 	maxNotes    = 64
 	joinRetry   = 500 * time.Millisecond
 	forgetAfter = 15 * time.Second // records of nodes that were silent for so long are removed
@@ -27,6 +28,7 @@
 	mu      sync.Mutex
 	engines map[string]timed[mesh.EngineNote]
 	crashes []timed[mesh.CrashNote]
+	aside   map[string]time.Time // upstreams that failed, and until when that is told
 }
 
 // timed is a piece of news and the time until which it is repeated.
@@ -36,7 +38,9 @@
 }
 
 // newNotes returns an empty set.
-func newNotes() *notes { return &notes{engines: make(map[string]timed[mesh.EngineNote])} }
+func newNotes() *notes {
+	return &notes{engines: make(map[string]timed[mesh.EngineNote]), aside: make(map[string]time.Time)}
+}
 
 // addEngine adds news of an engine; they replace older ones.
 func (n *notes) addEngine(e mesh.EngineNote) {
@@ -45,6 +49,13 @@
 	n.engines[e.Upstream] = timed[mesh.EngineNote]{e, time.Now().Add(noteLife)}
 }
 
+// addAside adds the news that an upstream does not answer this node.
+func (n *notes) addAside(upstream string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.aside[upstream] = time.Now().Add(asideLife)
+}
+
 // addCrash adds the news of a crash.
 func (n *notes) addCrash(s crash.Strike) {
 	n.mu.Lock()
@@ -67,6 +78,13 @@
 		}
 		m.Engines = append(m.Engines, e.what)
 	}
+	for name, until := range n.aside {
+		if now.After(until) {
+			delete(n.aside, name)
+			continue
+		}
+		m.Aside = append(m.Aside, name)
+	}
 	kept := n.crashes[:0]
 	for _, c := range n.crashes {
 		if now.Before(c.until) {
@@ -101,6 +119,9 @@
 			n.placer.Loading(e.Upstream, now.Add(time.Duration(e.LoadingMS)*time.Millisecond))
 		}
 	}
+	for _, name := range m.Aside {
+		n.placer.Suspect(now, name)
+	}
 	if m.Fence > 0 {
 		n.keeper.Hint(0, m.Fence)
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -111,7 +111,7 @@
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: ad.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Suspect: n.crash,
-		Retries: n.window, Leaving: n.isLeaving, Closing: n.isClosing, Learned: n.learned, Doubted: n.loader.check, Log: log, Metrics: front.NewMetrics(n.reg),
+		Retries: n.window, Leaving: n.isLeaving, Closing: n.isClosing, Learned: n.learned, Doubted: n.loader.check, Failed: n.failed, Log: log, Metrics: front.NewMetrics(n.reg),
 	})
 	return n, n.register()
 }
@@ -278,11 +278,19 @@
 // it from the holder of the lease.
 func (n *Node) learned(upstream string, weights uint64) { n.placer.Serves(upstream, weights) }
 
+// failed tells the other nodes that an upstream does not answer.
+func (n *Node) failed(u vane.Upstream) {
+	n.notes.addAside(u.Name)
+	n.mesh.Notify()
+}
+
 // watch looks for upstreams that fell silent.
 func (n *Node) watch(ctx context.Context, ready func()) error {
 	ready()
 	for clock.Sleep(ctx, tickPeriod) {
 		for _, name := range n.placer.Overdue(time.Now(), silentLimit) {
+			n.notes.addAside(name)
+			n.mesh.Notify()
 			n.log.Warn("upstream set aside", "upstream", name, "cause", "silent", "limit_ms", silentLimit.Milliseconds())
 		}
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -26,6 +26,7 @@
 	Callers  string              // address for callers
 	StoreOK  bool                // the node reaches the store
 	UpMark   uint64              // newest version known of any upstream
+	Aside    []string            // upstreams that do not answer the node
 	Reads    map[string][]uint64 // prompt parts that engines were sent, in packed form
 }
 
--- a/sched/price.go
+++ b/sched/price.go
@@ -27,7 +27,6 @@
 	waitingMS     = 35.0 // that a request in an upstream's queue adds
 	defaultTarget = 500 * time.Millisecond
 	defaultLimit  = 12 * time.Second
-	startMargin   = 1500 * time.Millisecond // a request may wait so long at an engine that is busy
 	oldGrace      = 1500 * time.Millisecond // replaced weights cost nothing for so long
 )
 
@@ -39,6 +38,10 @@
 // are asked for parts.
 const engineWaitMS = 40.0
 
+// StartMargin is how long a request may wait at a busy engine before it begins:
+// engines get no new requests so long before the limit of their weights.
+const StartMargin = 1500 * time.Millisecond
+
 // lateRisk returns the risk that an answer is late, for an estimated time as a
 // part of the objective.
 func lateRisk(x float64) float64 {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -152,7 +152,7 @@
 // outdated says whether an engine must not get requests any more because of its
 // weights. A request may wait at the engine before it begins.
 func (p *Placer) outdated(now time.Time, u *upstream, named mirror.Weights) bool {
-	return u.Role == vane.RoleEngine && named.Replaced(now, u.Weights) > p.limit-startMargin
+	return u.Role == vane.RoleEngine && named.Replaced(now, u.Weights) > p.limit-StartMargin
 }
 
 // holders is where the shared parts of a prompt are, among the engines of one
@@ -430,6 +430,16 @@
 	return 0
 }
 
+// Suspect takes another node's word that an upstream does not answer. It counts only
+// if this node has no newer sign of life.
+func (p *Placer) Suspect(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u, ok := p.ups[name]; ok && now.Sub(u.heard) > freshSign {
+		u.failed(now)
+	}
+}
+
 // Full notes that an upstream refused a request for lack of room.
 func (p *Placer) Full(now time.Time, name string) {
 	p.mu.Lock()
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -11,6 +11,7 @@
 	asideMin  = 700 * time.Millisecond // after a first failure
 	asideMax  = 6 * time.Second        // a crashed upstream is back after seconds
 	doubtTime = 2 * time.Second        // after the time aside
+	freshSign = 250 * time.Millisecond // bytes of an answer within it outweigh another node's word
 	fullPause = 150 * time.Millisecond // an upstream's queue empties in some steps
 )
 
--- a/weight/planner.go
+++ b/weight/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,8 @@
 const (
 	loadShare   = 6                       // one of so many engines loads at a time; more slow each other
 	drainShare  = 6                       // one of so many more waits for its running requests to end
+	busyEngine  = 4                       // requests in flight from which on an engine is busy
+	usualLoad   = 2600 * time.Millisecond // from an order to its end, running requests included
 	firstLook   = 1300 * time.Millisecond // a load takes at least as long
 	nextLook    = 200 * time.Millisecond  // reports lag by about as much
 	unsureLook  = 300 * time.Millisecond  // after an order without an answer
@@ -62,16 +65,16 @@
 func (p *Planner) Open() int { return len(p.jobs) }
 
 // Tick returns the actions that are due. named is the number of the weights that
-// the engines are to serve. Without the right to order, only the outcome of orders
-// that were sent before is followed.
-func (p *Planner) Tick(now time.Time, engines []sched.Engine, named uint64, mayOrder bool) []Action {
+// the engines are to serve, and left the time by which they must. Without the right
+// to order, only the outcome of orders that were sent before is followed.
+func (p *Planner) Tick(now time.Time, engines []sched.Engine, named uint64, left time.Duration, mayOrder bool) []Action {
 	byName := make(map[string]sched.Engine, len(engines))
 	for _, e := range engines {
 		byName[e.Name] = e
 	}
 	p.prune(now, byName)
 	if mayOrder {
-		p.start(now, engines, named)
+		p.start(now, engines, named, left)
 	}
 	var out []Action
 	for name, j := range p.jobs {
@@ -104,8 +107,8 @@
 
 // start begins the work on further engines: those with the oldest weights first,
 // since their time is up first, and of these the least busy.
-func (p *Planner) start(now time.Time, engines []sched.Engine, named uint64) {
-	limit := (len(engines)+loadShare-1)/loadShare + len(engines)/drainShare
+func (p *Planner) start(now time.Time, engines []sched.Engine, named uint64, left time.Duration) {
+	limit := p.limit(engines, named, left)
 	var due []sched.Engine
 	for _, e := range engines {
 		if _, open := p.jobs[e.Name]; !open && e.Weights < named && !e.Set {
@@ -123,6 +126,26 @@
 	}
 }
 
+// limit returns how many engines may be worked on at a time. While engines are busy
+// it is as low as the time that is left allows, since each engine that loads is
+// missed.
+func (p *Planner) limit(engines []sched.Engine, named uint64, left time.Duration) int {
+	least := (len(engines) + loadShare - 1) / loadShare
+	most := least + len(engines)/drainShare
+	behind, inFlight := 0, 0
+	for _, e := range engines {
+		inFlight += e.InFlight
+		if e.Weights < named {
+			behind++
+		}
+	}
+	if inFlight <= busyEngine*len(engines) || left <= 0 {
+		return most
+	}
+	need := int(math.Ceil(float64(behind) * float64(usualLoad) / float64(left)))
+	return min(max(need, least), most)
+}
+
 // Answered takes the answer to an order.
 func (p *Planner) Answered(now time.Time, name string, r vane.OrderResult) {
 	j, ok := p.jobs[name]
--- a/weight/planner_test.go
+++ b/weight/planner_test.go
@@ -90,7 +90,7 @@
 func (s *site) run(p *weight.Planner, named func(now time.Time) uint64, limit time.Duration) (time.Duration, bool) {
 	for now := begin; now.Sub(begin) < limit; now = now.Add(50 * time.Millisecond) {
 		s.tick(now)
-		for _, a := range p.Tick(now, s.view(), named(now), true) {
+		for _, a := range p.Tick(now, s.view(), named(now), 10*time.Second-now.Sub(begin), true) {
 			var i int
 			_, _ = fmt.Sscanf(a.Engine.Name, "e%d", &i)
 			e := s.engines[i]
@@ -126,6 +126,31 @@
 	is.Equal(s.loads, 18) // each engine loads once
 }
 
+// While engines are busy, no more of them load at a time than the limit demands, and
+// all load within it nevertheless.
+func TestBusyEnginesLoadInTime(t *testing.T) {
+	is := is.New(t)
+	s := newSite(12)
+	for _, e := range s.engines {
+		e.inUse = 10
+	}
+	p := weight.NewPlanner()
+	p.Tick(begin, s.view(), 2, 11*time.Second, true)
+	is.Equal(p.Open(), 3)
+	for _, e := range s.engines {
+		e.inUse = 1
+	}
+	p = weight.NewPlanner()
+	p.Tick(begin, s.view(), 2, 11*time.Second, true)
+	is.Equal(p.Open(), 4)
+	for _, e := range s.engines {
+		e.inUse = 10
+	}
+	took, ok := s.run(weight.NewPlanner(), func(time.Time) uint64 { return 2 }, 12*time.Second)
+	is.True(ok)
+	is.True(took <= 11*time.Second)
+}
+
 // Weights that are named while others load: engines that are far behind go first,
 // and none loads weights that were replaced before its order.
 func TestOldestWeightsFirst(t *testing.T) {
@@ -158,17 +183,17 @@
 	is := is.New(t)
 	s := newSite(6)
 	p := weight.NewPlanner()
-	for _, a := range p.Tick(begin, s.view(), 2, true) {
+	for _, a := range p.Tick(begin, s.view(), 2, 10*time.Second, true) {
 		p.Reported(begin, a.Engine.Name, "m", vane.EngineReport{}, nil)
 	}
-	sent := p.Tick(begin, s.view(), 2, true)
+	sent := p.Tick(begin, s.view(), 2, 10*time.Second, true)
 	is.True(len(sent) > 0)
 	for _, a := range sent {
 		is.Equal(a.Kind, weight.ActOrder)
 		p.Answered(begin, a.Engine.Name, vane.OrderAccepted)
 	}
 	for now := begin; now.Sub(begin) < 5*time.Second; now = now.Add(50 * time.Millisecond) {
-		for _, a := range p.Tick(now, s.view(), 2, false) {
+		for _, a := range p.Tick(now, s.view(), 2, 10*time.Second, false) {
 			is.Equal(a.Kind, weight.ActReport)
 			p.Reported(now, a.Engine.Name, "m", vane.EngineReport{Weights: map[string]uint64{"m": 2}, Orders: 1}, nil)
 		}
