--- a/cmd/vanebench/main.go
+++ b/cmd/vanebench/main.go
@@ -22,6 +22,6 @@
 		Name: "vanebench", Usage: "demo, load and experiments on stand-ins",
 		Description:           "Examples:\n  vanebench demo\n  vanebench generate --seed 7 > trace.jsonl\n  vanebench compare --trace trace.jsonl",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(), generateCommand(), compareCommand(), replayCommand(), experimentCommand()},
+		Commands:              []*cli.Command{demoCommand(), generateCommand(), compareCommand(), replayCommand(), experimentCommand(), soakCommand()},
 	}
 }
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"errors"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mustardvane.org/vane/platform/stand"
+)
+
+// The checks see each broken promise.
+func TestCheck(t *testing.T) {
+	run := func(id string) stand.Run { return stand.Run{ID: id, Tenant: "a", Server: "i", Path: paths[unsafe]} }
+	good := result{id: "1", tenant: "a", kind: unsafe, status: 200, body: stand.Body("1")}
+	for _, tt := range []struct {
+		name string
+		res  result
+		runs []stand.Run
+		want string
+	}{
+		{"good", good, []stand.Run{run("1")}, ""},
+		{"twice", good, []stand.Run{run("1"), run("1")}, "once"},
+		{"untrue refusal", result{id: "1", tenant: "a", kind: unsafe, status: 503}, []stand.Run{run("1")}, "not run"},
+		{"true refusal", result{id: "1", tenant: "a", kind: unsafe, status: 503}, nil, ""},
+		{"may have run", result{id: "1", tenant: "a", kind: unsafe, status: 502}, []stand.Run{run("1")}, ""},
+		{"another's answer", result{id: "1", tenant: "a", kind: unsafe, status: 200, body: stand.Body("2")}, []stand.Run{run("1")}, "whole"},
+		{"short stream", result{id: "1", tenant: "a", kind: stream, status: 200, body: stand.Event("1", 1)}, nil, "whole"},
+		{"broken stream", result{id: "1", tenant: "a", kind: stream, status: 200, body: stand.Event("1", 1), err: errors.New("reset")}, nil, ""},
+		{"another workspace", good, []stand.Run{{ID: "1", Tenant: "b", Path: paths[unsafe]}}, "workspace"},
+		{"key passed on", good, []stand.Run{{ID: "1", Tenant: "a", Path: paths[unsafe], KeySeen: true}}, "key"},
+		{"denied", result{id: "1", tenant: "a", kind: unsafe, status: 401}, nil, "denied"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got := check([]result{tt.res}, tt.runs)
+			if tt.want == "" {
+				is.Equal(len(got), 0)
+				return
+			}
+			is.Equal(len(got), 1)
+			is.Equal(got[0].Check, tt.want)
+		})
+	}
+}
+
+// A short soak of whole processes. Seeds that ever failed are added here.
+func TestSeeds(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "vaned")
+	if out, err := exec.Command("go", "build", "-o", bin, "mustardvane.org/vane/cmd/vaned").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, seed := range []uint64{1, 2} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			res, err := Run(t.Context(), Options{Binary: bin, Dir: t.TempDir(), Seed: seed, Length: 4 * time.Second})
+			is.NoErr(err)
+			for _, v := range res.Violations {
+				t.Error(v)
+			}
+			is.True(res.Answered > 0)
+		})
+	}
+}
