Soak: ports that nothing else takes, signals only to nodes that listen; SIGHUP caught from the start

Ports of the system's own choice were taken by outgoing connections while a node was down (the harness); a SIGHUP that arrived before the handler was installed ended the process (vaned). Ruled out: the grace (all nodes that listened ended with 0).

--- a/cmd/vaned/platform.go
+++ b/cmd/vaned/platform.go
@@ -21,6 +21,10 @@
 
 // servePlatform runs a node for routed traffic until a signal or a failure.
 func servePlatform(ctx context.Context, _ *cli.Command) error {
+	// Before anything else, since a SIGHUP without a handler ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	set, err := platform.ReadSettings(platform.SettingsPath())
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
@@ -40,9 +44,6 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	go reload(ctx, hup, log)
 	if err := n.Run(ctx); err != nil {
 		log.Error("failed", "err", err.Error())
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -103,7 +103,11 @@
 
 // restart starts a node again after it has ended.
 func (b *bed) restart(n *node) {
-	if err := n.start(); err != nil {
+	err := n.start()
+	if err == nil {
+		err = n.await()
+	}
+	if err != nil {
 		b.violate("soak", n.name, "not started: %v", err)
 	}
 }
--- a/soak/node.go
+++ b/soak/node.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -15,6 +16,16 @@
 	"mustardvane.org/vane/platform/stand"
 )
 
+// Ports of nodes, below those that systems give to outgoing connections.
+const (
+	firstPort = 12_000
+	portRange = 20_000
+	portTries = 100
+)
+
+// startLimit bounds the time until a started process listens.
+const startLimit = 10 * time.Second
+
 // stopLimit bounds a planned stop: the grace and a margin for a busy machine.
 const stopLimit = 20 * time.Second
 
@@ -64,7 +75,14 @@
 		}
 	}()
 	for i := range ports {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		// Ports of the system's own choice may be taken by an outgoing connection while
+		// the node is down.
+		var ln net.Listener
+		for range portTries {
+			if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portRange))); err == nil {
+				break
+			}
+		}
 		if err != nil {
 			return ports, err
 		}
@@ -97,6 +115,19 @@
 	return nil
 }
 
+// await waits until the process listens, so that signals meet its handlers.
+func (n *node) await() error {
+	for end := time.Now().Add(startLimit); ; time.Sleep(5 * time.Millisecond) {
+		c, err := net.Dial("tcp", n.directory())
+		if err == nil {
+			return c.Close()
+		}
+		if time.Now().After(end) {
+			return err
+		}
+	}
+}
+
 // signal sends a signal to the process.
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -120,6 +120,9 @@
 			return err
 		}
 		b.nodes = append(b.nodes, n)
+		if err := n.await(); err != nil {
+			return err
+		}
 	}
 	return nil
 }
