--- a/sched/pick.go
+++ b/sched/pick.go
@@ -11,6 +11,7 @@
 
 // Query asks for an upstream.
 type Query struct {
+	ID        string // of the request
 	Service   string
 	Model     string
 	Wall      string // workspace if it shares no cache with others, else empty
@@ -57,10 +58,11 @@
 	}
 	named := p.view.Weights[q.Model]
 	where := p.holders(now, q)
+	spare := p.spared(now, q, named)
 	var best Pick
 	found := false
 	for _, u := range p.bySvc[q.Service] {
-		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.outdated(now, u, named) {
+		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.outdated(now, u, named) || spare && u.Weights == named.Number {
 			continue
 		}
 		c := p.price(now, q, u, named, where[u.Weights])
@@ -77,6 +79,28 @@
 	return u.Role == vane.RoleEngine && named.Replaced(now, u.Weights) > p.limit-StartMargin
 }
 
+// spared says whether a request is not for the engines with the newest weights, of
+// which there are too few for all requests. All nodes see the same engines and would
+// overrun them before any sees the load of the others, so that each node sends them
+// only its part of what they can compute.
+func (p *Placer) spared(now time.Time, q Query, named mirror.Weights) bool {
+	newest, older := 0, 0
+	for _, u := range p.bySvc[q.Service] {
+		switch {
+		case u.Role != vane.RoleEngine || !u.usable(now) || slices.Contains(q.Avoid, u.Name):
+		case u.Weights >= named.Number:
+			newest++
+		case !p.outdated(now, u, named):
+			older++
+		}
+	}
+	if newest == 0 || older == 0 || q.Prompt == 0 {
+		return false
+	}
+	allowed := newShare * float64(newest) * prefillPerMS / (p.demand.perMS(now) * p.store.nodes)
+	return affinity(q.ID, "newest weights") > allowed
+}
+
 // holders is where the shared parts of a prompt are, among the engines of one
 // number of weights.
 type holders struct {
--- a/sched/price.go
+++ b/sched/price.go
@@ -27,6 +27,7 @@
 	waitingMS     = 35.0 // that a request in an upstream's queue adds
 	defaultTarget = 500 * time.Millisecond
 	defaultLimit  = 12 * time.Second
+	newShare      = 0.7                     // of what engines with the newest weights can compute, while there are few
 	oldGrace      = 1500 * time.Millisecond // replaced weights cost nothing for so long
 )
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -24,14 +24,15 @@
 	limit time.Duration // by when named weights must be in use
 	cache Cache
 
-	mu    sync.Mutex
-	view  *mirror.View
-	ups   map[string]*upstream
-	bySvc map[string][]*upstream
-	peers map[string]map[string]int // requests in flight by node and upstream
-	saves *saveLog
-	news  map[string][]uint64 // parts read since the last message to the other nodes
-	store storeLoad
+	mu     sync.Mutex
+	view   *mirror.View
+	ups    map[string]*upstream
+	bySvc  map[string][]*upstream
+	peers  map[string]map[string]int // requests in flight by node and upstream
+	saves  *saveLog
+	news   map[string][]uint64 // parts read since the last message to the other nodes
+	store  storeLoad
+	demand demand
 }
 
 // Cache knows what the cache store holds.
@@ -89,6 +90,7 @@
 func (p *Placer) Begin(now time.Time, q Query, c Pick) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.demand.add(now, c.Missing)
 	t := &Ticket{name: c.Upstream.Name, tokens: c.Missing, sent: now}
 	if u, ok := p.ups[t.name]; ok {
 		u.begin(t)
--- a/sched/store.go
+++ b/sched/store.go
@@ -24,8 +24,7 @@
 type storeLoad struct {
 	nodes   float64
 	perMS   float64 // tokens that the link carries in a millisecond
-	recent  float64 // tokens moved lately by this node, decaying
-	at      time.Time
+	sent    demand  // moved by this node
 	perMove float64 // tokens of a usual move
 }
 
@@ -48,18 +47,9 @@
 	s.perMS = link * mega / bitsPerByte / token / msPerS
 }
 
-// decay forgets what was moved long ago.
-func (s *storeLoad) decay(now time.Time) {
-	if !s.at.IsZero() {
-		s.recent *= math.Exp2(-float64(now.Sub(s.at)) / float64(loadHalfLife))
-	}
-	s.at = now
-}
-
 // moved notes a transfer.
 func (s *storeLoad) moved(now time.Time, tokens int) {
-	s.decay(now)
-	s.recent += float64(tokens)
+	s.sent.add(now, tokens)
 	if s.perMove == 0 {
 		s.perMove = float64(tokens)
 	}
@@ -68,12 +58,10 @@
 
 // busy returns the share of the link that is in use.
 func (s *storeLoad) busy(now time.Time) float64 {
-	s.decay(now)
 	if s.perMS <= 0 {
 		return 0
 	}
-	window := float64(loadHalfLife.Milliseconds()) / math.Ln2
-	return s.recent * s.nodes / window / s.perMS
+	return s.sent.perMS(now) * s.nodes / s.perMS
 }
 
 // wait returns the milliseconds that a fetch takes.
@@ -112,3 +100,29 @@
 
 // savedPart names a part under its salt.
 type savedPart struct{ salt, part string }
+
+// demand is the number of prompt tokens that this node sends to be computed.
+type demand struct {
+	recent float64 // tokens, decaying
+	at     time.Time
+}
+
+// decay forgets what was sent long ago.
+func (d *demand) decay(now time.Time) {
+	if !d.at.IsZero() {
+		d.recent *= math.Exp2(-float64(now.Sub(d.at)) / float64(loadHalfLife))
+	}
+	d.at = now
+}
+
+// add notes tokens that were sent.
+func (d *demand) add(now time.Time, tokens int) {
+	d.decay(now)
+	d.recent += float64(tokens)
+}
+
+// perMS returns the tokens sent in a millisecond.
+func (d *demand) perMS(now time.Time) float64 {
+	d.decay(now)
+	return d.recent * math.Ln2 / float64(loadHalfLife.Milliseconds())
+}
