--- a/edge/node.go
+++ b/edge/node.go
@@ -96,7 +96,7 @@
 	n.st = store.New("http://"+set.Store, store.WithProtocol(ad.Protocol), store.WithWatchWait(watchWait), store.WithMetrics(store.NewMetrics(n.reg)))
 	n.cache = newCacheWatch(ad.Control, log)
 	n.placer = sched.New(set.DataCentre, n.cache, sched.WithWeightsLimit(set.WeightsLimit))
-	n.quota = newLimiter()
+	n.quota = newLimiter(func() { n.mesh.Urge() })
 	n.mirror = mirror.NewService(n.st, ad.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.changed), mirror.WithPrompt(func() bool { return n.mesh.Prompt() }))
 	n.mesh = mesh.New(n.record(), mesh.Deps{
 		Compose: n.compose, Hear: n.hear, Marks: n.mirror.Marks, Export: n.mirror.Export, Import: n.mirror.Import, Log: log,
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -12,20 +12,25 @@
 
 // limiter makes the quota state machine safe for concurrent use.
 type limiter struct {
-	mu sync.Mutex
-	b  *quota.Buckets
+	mu    sync.Mutex
+	b     *quota.Buckets
+	onHot func() // a workspace is near its rate
 }
 
 var _ front.Limiter = (*limiter)(nil)
 
 // newLimiter returns a limiter without terms.
-func newLimiter() *limiter { return &limiter{b: quota.New(time.Now())} }
+func newLimiter(onHot func()) *limiter { return &limiter{b: quota.New(time.Now()), onHot: onHot} }
 
 // Take implements front.Limiter.
 func (l *limiter) Take(ws string, units float64) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.b.Take(time.Now(), ws, units)
+	wait, ok := l.b.Take(time.Now(), ws, units)
+	if l.b.Hot(ws) {
+		l.onHot()
+	}
+	return wait, ok
 }
 
 // Return implements front.Limiter.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -61,12 +61,14 @@
 	self vane.PeerRecord
 	Deps
 
-	mu    sync.Mutex
-	peers map[string]*Peer
-	seq   uint64
-	wake  chan struct{}
-	conn  net.PacketConn
-	http  *http.Client
+	mu     sync.Mutex
+	peers  map[string]*Peer
+	seq    uint64
+	urged  time.Time // last time that a message was urged
+	urgent bool      // the next message goes to all nodes
+	wake   chan struct{}
+	conn   net.PacketConn
+	http   *http.Client
 }
 
 // New returns the mesh of a node.
@@ -123,6 +125,20 @@
 	}
 }
 
+// Urge sends the next message soon, and to all nodes. It serves what must not wait
+// in a large site, and does nothing in a small one.
+func (m *Mesh) Urge() {
+	m.mu.Lock()
+	due := len(m.peers) > smallSite && time.Since(m.urged) > period
+	if due {
+		m.urged, m.urgent = time.Now(), true
+	}
+	m.mu.Unlock()
+	if due {
+		m.Notify()
+	}
+}
+
 // Run implements kernel.Service.
 func (m *Mesh) Run(ctx context.Context, ready func()) error {
 	conn, err := net.ListenPacket("udp", m.self.Mesh)
@@ -234,10 +250,11 @@
 	msg.Seq = m.seq
 	addrs := make([]string, 0, len(m.peers))
 	for _, p := range m.peers {
-		if len(m.peers) <= smallSite || p.DataCentre == m.self.DataCentre || m.seq%farEvery == 0 {
+		if len(m.peers) <= smallSite || p.DataCentre == m.self.DataCentre || m.seq%farEvery == 0 || m.urgent {
 			addrs = append(addrs, p.Mesh)
 		}
 	}
+	m.urgent = false
 	m.mu.Unlock()
 	b, err := encode(msg)
 	if err != nil || len(b) > maxDatagram {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 )
 
@@ -10,6 +11,8 @@
 	missed    = 3                      // messages in a row that may be lost
 	smoothing = 0.5                    // weight of the newest message in a node's rate of use
 	joinTime  = 1500 * time.Millisecond
+	halfLife  = 1.0 // seconds, of the memory of what this node admitted
+	hotShare  = 0.8 // of the rate
 	startPart = 0.5 // of the burst, for a node that does not know what was spent before its start
 )
 
@@ -25,6 +28,8 @@
 	level float64
 	at    time.Time
 	spent float64 // admitted by this node since its start
+	own   float64 // admitted by this node lately, decaying
+	ownAt time.Time
 }
 
 // peer is another node.
@@ -129,9 +134,18 @@
 	}
 	k.level -= n
 	k.spent += n
+	k.own = k.own*math.Exp2(-now.Sub(k.ownAt).Seconds()/halfLife) + n
+	k.ownAt = now
 	return 0, true
 }
 
+// Hot says whether the workspace would be near its rate if all nodes admitted as much
+// as this one did lately. The other nodes should then hear of it soon.
+func (b *Buckets) Hot(ws string) bool {
+	k, ok := b.buckets[ws]
+	return ok && k.own*math.Ln2/halfLife*float64(1+len(b.peers)) > hotShare*k.terms.Rate
+}
+
 // Return gives back the units of a request that did not run.
 func (b *Buckets) Return(ws string, n float64) {
 	if k, ok := b.buckets[ws]; ok {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -149,6 +149,25 @@
 	})
 }
 
+// A node notices by itself that a workspace is about to reach its rate.
+func TestHot(t *testing.T) {
+	is := is.New(t)
+	b := quota.New(begin)
+	b.SetTerms(begin, map[string]quota.Terms{"ws": {Rate: 1000, Burst: 1000}})
+	b.SetPeers(begin, []string{"a", "b", "c"})
+	now := begin
+	for range 50 { // 50 units a second here, 200 in all
+		now = now.Add(200 * time.Millisecond)
+		b.Take(now, "ws", 10)
+	}
+	is.True(!b.Hot("ws"))
+	for range 20 { // 400 units a second here
+		now = now.Add(50 * time.Millisecond)
+		b.Take(now, "ws", 20)
+	}
+	is.True(b.Hot("ws"))
+}
+
 func TestRetryAfterIsHonest(t *testing.T) {
 	is := is.New(t)
 	b := quota.New(begin)
