--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -310,7 +310,11 @@
 		p.Boot = msg.Boot
 	}
 	if !m.alive(p, now) {
-		m.Log.Info("node heard", "peer", msg.Name, "boot", msg.Boot, "silent_ms", now.Sub(p.Heard).Milliseconds())
+		var silent time.Duration
+		if !p.Heard.IsZero() {
+			silent = now.Sub(p.Heard)
+		}
+		m.Log.Info("node heard", "peer", msg.Name, "boot", msg.Boot, "silent_ms", silent.Milliseconds())
 	}
 	p.seq, p.Heard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
 	p.Fence, p.StoreOK, p.Callers = msg.Fence, msg.StoreOK, msg.Callers
