--- a/edge/node.go
+++ b/edge/node.go
@@ -32,6 +32,8 @@
 	watchWait    = 2 * time.Second  // a watch that fell silent is noticed soon after it
 	startTimeout = 10 * time.Second // for the listeners
 	stopTimeout  = 150 * time.Millisecond
+	smallGather  = 150 * time.Millisecond // changes of upstreams within it come in one batch, in a small site
+	largeGather  = 500 * time.Millisecond // the same in a large site, where many engines change at a time
 	tickPeriod   = 100 * time.Millisecond
 	silentLimit  = 1200 * time.Millisecond // an upstream that keeps requests waiting for so long is set aside
 	drainMargin  = 450 * time.Millisecond  // of the grace, to end the process
@@ -97,7 +99,7 @@
 	n.cache = newCacheWatch(ad.Control, log)
 	n.placer = sched.New(set.DataCentre, n.cache, sched.WithWeightsLimit(set.WeightsLimit))
 	n.quota = newLimiter(func() { n.mesh.Urge() })
-	n.mirror = mirror.NewService(n.st, ad.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.changed), mirror.WithPrompt(func() bool { return n.mesh.Prompt() }))
+	n.mirror = mirror.NewService(n.st, ad.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.changed), mirror.WithPace(n.pace))
 	n.mesh = mesh.New(n.record(), mesh.Deps{
 		Compose: n.compose, Hear: n.hear, Marks: n.mirror.Marks, Export: n.mirror.Export, Import: n.mirror.Import, Log: log,
 	})
@@ -214,6 +216,17 @@
 	return n.leaving && time.Since(n.left) > 3*n.set.ttl()
 }
 
+// pace says how closely this node follows objects in the store.
+func (n *Node) pace(prefix string) mirror.Pace {
+	switch {
+	case !n.mesh.Large():
+		return mirror.Pace{Gather: smallGather}
+	case !n.mesh.Prompt() || prefix == mirror.OwnPrefix:
+		return mirror.Pace{Relaxed: true, Gather: largeGather}
+	}
+	return mirror.Pace{Gather: largeGather}
+}
+
 // window returns the bound on repeats to a service.
 func (n *Node) window(service string) *retry.Window {
 	n.mu.Lock()
@@ -240,6 +253,9 @@
 	n.mesh.SetPeers(v.Peers)
 	n.quota.update(v, n.set.Node)
 	n.cache.update(v)
+	if v.Config != old.Config {
+		n.mesh.Urge()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	others := len(v.Peers)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -29,7 +29,7 @@
 	snapshotPath = "/v1/objects"
 	silentTime   = 1300 * time.Millisecond // after its last message a node counts as gone, in a small site
 	missed       = 3                       // messages in a row that may be lost, in a large site
-	prompt       = 8                       // nodes that follow the store promptly
+	prompt       = 5                       // nodes that follow the store promptly
 )
 
 // Deps are what the mesh works for.
@@ -67,6 +67,7 @@
 	urged  time.Time // last time that a message was urged
 	urgent bool      // the next message goes to all nodes
 	wake   chan struct{}
+	lag    chan struct{} // another node knows a newer configuration
 	conn   net.PacketConn
 	http   *http.Client
 }
@@ -74,7 +75,7 @@
 // New returns the mesh of a node.
 func New(self vane.PeerRecord, d Deps) *Mesh {
 	return &Mesh{
-		self: self, Deps: d, peers: make(map[string]*Peer), wake: make(chan struct{}, 1),
+		self: self, Deps: d, peers: make(map[string]*Peer), wake: make(chan struct{}, 1), lag: make(chan struct{}, 1),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: snapTimeout},
 	}
 }
@@ -220,15 +221,27 @@
 	return !p.Heard.IsZero() && now.Sub(p.Heard) < limit
 }
 
+// Large says whether the site is too large for all nodes to be told of everything at
+// once.
+func (m *Mesh) Large() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) > smallSite
+}
+
 // Prompt says whether this node is one of the few that follow the store promptly.
 // All nodes of a small site are.
 func (m *Mesh) Prompt() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.promptNode(time.Now())
+}
+
+// promptNode is Prompt with the lock held.
+func (m *Mesh) promptNode(now time.Time) bool {
 	if len(m.peers) <= smallSite {
 		return true
 	}
-	now := time.Now()
 	own := xxhash.Sum64String(m.self.Name)
 	before := 0
 	for _, p := range m.peers {
@@ -319,6 +332,14 @@
 	p.seq, p.Heard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
 	p.Fence, p.StoreOK, p.Callers = msg.Fence, msg.StoreOK, msg.Callers
 	since(&p.behind, now, msg.Mark > mark)
+	if msg.Mark > mark && !m.promptNode(now) {
+		// This node hears late from the store, if at all.
+		p.behind = now.Add(-behindTime)
+		select {
+		case m.lag <- struct{}{}:
+		default:
+		}
+	}
 	since(&p.upAhead, now, msg.UpMark > upMark)
 	return true
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -90,6 +90,32 @@
 	is.True(!ok)
 }
 
+// A node of a large site that does not follow the store promptly takes a newer
+// configuration from another node at once.
+func TestLateNodeAsksAtOnce(t *testing.T) {
+	is := is.New(t)
+	m := site(80)
+	now := time.Now()
+	for name := range m.peers {
+		m.note(now, &Message{Name: name, Boot: 1, Seq: 1, Mark: 5, UpMark: 5})
+	}
+	if m.Prompt() {
+		t.Fatal("the name of node 0 makes it a prompt node; choose another")
+	}
+	m.note(now, &Message{Name: "n7", Boot: 1, Seq: 2, Mark: 6, UpMark: 5})
+	select {
+	case <-m.lag:
+	default:
+		t.Fatal("no snapshot is asked for")
+	}
+	addr, ok := m.ahead(now)
+	is.True(ok)
+	is.Equal(addr, "n7:1")
+	m.pulled(addr, false)
+	_, ok = m.ahead(now)
+	is.True(!ok) // not again before it has spoken again
+}
+
 // All nodes of a small site follow the store promptly; in a large one a few do, and
 // each node knows by itself whether it is one of them.
 func TestPrompt(t *testing.T) {
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -9,7 +9,6 @@
 	"time"
 
 	vane "mustardvane.org/vane"
-	"mustardvane.org/vane/internal/clock"
 )
 
 // snapshot serves the objects to another node.
@@ -25,12 +24,21 @@
 
 // pullLoop fetches snapshots while another node knows more than this one.
 func (m *Mesh) pullLoop(ctx context.Context) {
-	for clock.Sleep(ctx, behindTime/2) {
+	tick := time.NewTicker(behindTime / 2)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-m.lag:
+		case <-ctx.Done():
+			return
+		}
 		addr, ok := m.ahead(time.Now())
 		if !ok {
 			continue
 		}
 		objs, err := m.pull(ctx, addr)
+		m.pulled(addr, err == nil)
 		if err != nil {
 			m.Log.Warn("snapshot not fetched", "peer", addr, "err", err.Error())
 			continue
@@ -40,12 +48,24 @@
 	}
 }
 
+// pulled starts the times anew for which other nodes have known more: for all after a
+// snapshot, and for the node that gave none, so that another one is asked.
+func (m *Mesh) pulled(addr string, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if ok || p.Mesh == addr {
+			p.behind, p.upAhead = time.Time{}, time.Time{}
+		}
+	}
+}
+
 // ahead returns the address of a node that has known more for some time.
 func (m *Mesh) ahead(now time.Time) (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		late := !p.behind.IsZero() && now.Sub(p.behind) > behindTime
+		late := !p.behind.IsZero() && now.Sub(p.behind) >= behindTime
 		old := !p.upAhead.IsZero() && now.Sub(p.upAhead) > upstreamTime
 		if m.alive(p, now) && (late || old) {
 			return p.Mesh, true
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -14,8 +14,6 @@
 const (
 	retryMin   = 100 * time.Millisecond // after a first failure
 	retryMax   = 500 * time.Millisecond // a recovered store is noticed within it
-	gatherTime = 150 * time.Millisecond // changes of upstreams within it come in one batch
-	idleTime   = 600 * time.Millisecond // the same for a node that need not be prompt
 	heldPeriod = 200 * time.Millisecond // between looks at removals that wait
 	silentTime = 700 * time.Millisecond // failures for so long mean that the store is away
 )
@@ -31,7 +29,7 @@
 // Service follows the store and keeps a [State].
 type Service struct {
 	st       Store
-	prompt   func() bool
+	pace     func(prefix string) Pace
 	log      *slog.Logger
 	onChange func(old, v *View)
 
@@ -47,10 +45,19 @@
 // WithChangeFunc calls f after each change of the view, one call at a time.
 func WithChangeFunc(f func(old, v *View)) Option { return func(s *Service) { s.onChange = f } }
 
-// WithPrompt sets a function that says whether this node must follow the store
-// promptly. In a large site a few nodes do, and the others learn from them that
-// they are behind.
-func WithPrompt(f func() bool) Option { return func(s *Service) { s.prompt = f } }
+// Pace says how closely the objects under a prefix are followed. In a large site a
+// few nodes follow the store promptly, and the others learn from them that they are
+// behind.
+type Pace struct {
+	Relaxed bool          // changes may come some seconds late
+	Gather  time.Duration // changes of upstreams within it come in one batch
+}
+
+// defaultPace is that of a node in a small site.
+var defaultPace = Pace{Gather: 150 * time.Millisecond}
+
+// WithPace sets a function that says how closely objects are followed.
+func WithPace(f func(prefix string) Pace) Option { return func(s *Service) { s.pace = f } }
 
 // WithLogger sets the log.
 func WithLogger(l *slog.Logger) Option { return func(s *Service) { s.log = l } }
@@ -58,7 +65,7 @@
 // NewService returns a service that follows st.
 func NewService(st Store, dec Decoder, opts ...Option) *Service {
 	s := &Service{
-		st: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, prompt: func() bool { return true },
+		st: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, pace: func(string) Pace { return defaultPace },
 		failing: make(map[string]time.Time),
 	}
 	for _, o := range opts {
@@ -166,9 +173,9 @@
 
 // watch waits for one batch of changes. It returns the revision to go on from.
 func (s *Service) watch(ctx context.Context, prefix string, rev uint64) (uint64, error) {
-	watch, pause := s.st.Watch, gatherTime
-	if !s.prompt() {
-		watch, pause = s.st.WatchRelaxed, idleTime
+	watch, pace := s.st.Watch, s.pace(prefix)
+	if pace.Relaxed {
+		watch = s.st.WatchRelaxed
 	}
 	b, err := watch(ctx, prefix, rev)
 	if err != nil {
@@ -178,7 +185,7 @@
 	if len(b.Objects) > 0 {
 		s.update(func(now time.Time) bool { return s.state.Apply(now, b.Objects) })
 		if prefix == s.state.dec.UpstreamPrefix() {
-			clock.Sleep(ctx, pause)
+			clock.Sleep(ctx, pace.Gather)
 		}
 	}
 	return max(rev, b.Revision), nil
