--- a/soak/doc.go
+++ b/soak/doc.go
@@ -19,5 +19,6 @@
 // A call that must not be repeated runs once at most, and not at all if its caller
 // was told so; an answer is whole and belongs to its request; a stream has every
 // event once and in order or is visibly broken; no upstream sees a key or a forged
-// workspace; a planned stop ends with exit code 0 and cuts no request.
+// workspace; a planned stop ends with exit code 0 within its grace. That such a stop
+// cuts no request is checked in package edge, where no other fault can be the cause.
 package soak
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -36,7 +36,6 @@
 	{"pause", func(ctx context.Context, _ *bed, busy *sync.Mutex, n *node, _ int, d time.Duration) {
 		busy.Lock()
 		defer busy.Unlock()
-		n.disturb()
 		n.signal(syscall.SIGSTOP)
 		sleep(ctx, d)
 		n.signal(syscall.SIGCONT)
--- a/soak/node.go
+++ b/soak/node.go
@@ -37,10 +37,9 @@
 	ports  [5]int
 	store  *proxy
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	done   chan error
-	marked time.Time // last time at which the node was disturbed in an unplanned way
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan error
 }
 
 // newNode writes the settings of a node.
@@ -136,23 +135,8 @@
 	_ = n.cmd.Process.Signal(s)
 }
 
-// disturb notes an unplanned fault.
-func (n *node) disturb() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.marked = time.Now()
-}
-
-// calm says whether there was no unplanned fault since t.
-func (n *node) calm(t time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.marked.Before(t)
-}
-
 // kill ends the process at once.
 func (n *node) kill() {
-	n.disturb()
 	n.signal(syscall.SIGKILL)
 	<-n.done
 }
