--- a/bench/move_test.go
+++ b/bench/move_test.go
@@ -136,5 +136,12 @@
 			eventuallySoft(t, func() bool { return stage(f) == "done" })
 		}
 	}
+	if stage(f) != "done" {
+		for _, n := range f.Nodes {
+			for _, m := range n.Status().Moves {
+				t.Logf("node %s: move %+v", n.Status().Node, m)
+			}
+		}
+	}
 	is.New(t).Equal(stage(f), "done")
 }
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -192,13 +192,16 @@
 }
 
 // note keeps account of whether the store answers.
-func (s *Service) note(prefix string, err error) {
+func (s *Service) note(prefix string, err error) { s.noteAt(time.Now(), prefix, err) }
+
+// noteAt is note at a given time.
+func (s *Service) noteAt(now time.Time, prefix string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	was := s.state.away
 	if err == nil || vane.KindOf(err) == vane.KindCompacted {
-		delete(s.failing, prefix)
+		// Calls that were sent during an outage may still fail after its end.
+		clear(s.failing)
 		s.answered = now
 		s.state.SetAway(now, false)
 	} else {
@@ -206,7 +209,7 @@
 			s.failing[prefix] = now
 			s.log.Warn("store call failed", "prefix", prefix, "err", err.Error())
 		}
-		if now.Sub(s.failing[prefix]) > silentTime {
+		if now.Sub(s.failing[prefix]) > silentTime && now.Sub(s.answered) > silentTime {
 			s.state.SetAway(now, true)
 		}
 	}
