A 503 that states nothing becomes a 502; one repeat costs one repeat; namings are written again

Cause, found reading the diff: (1) an upstream's 429, 503, 408 or 421 without its statement was passed on, which tells the caller that nothing ran; (2) a repeated failure of an idempotent call was taken twice from the share of repeats, and with one left the ready answer was lost; (3) a record of when weights were named that could not be written was not tried again. Ruled out: refusals with the statement (TestStatusPromises covers them).

--- a/edge/loader.go
+++ b/edge/loader.go
@@ -24,6 +24,7 @@
 	noticeTime  = 4 * time.Millisecond   // until the other nodes have heard that an engine will load
 	orderMargin = 900 * time.Millisecond // an order must arrive while the lease lasts
 	checkPause  = 500 * time.Millisecond // between two questions to an engine in doubt
+	recordPause = 500 * time.Millisecond // before a record that was not written is tried again
 	notLoading  = -1                     // in a note: the engine is not loading after all
 	fenceMargin = 300 * time.Millisecond
 )
@@ -97,6 +98,10 @@
 	}
 	if err != nil {
 		l.n.log.Warn("naming of weights not recorded", "model", w.Model, "weights", w.Number, "err", err.Error())
+		clock.Sleep(ctx, recordPause)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.recorded[w.Model] = min(l.recorded[w.Model], w.Number-1) // to be written again
 	}
 }
 
--- a/front/serve.go
+++ b/front/serve.go
@@ -27,8 +27,9 @@
 // run is the state of a request over its attempts.
 type run struct {
 	*call
-	sends int // upstreams that the request was sent to
-	runs  int // of these, the ones on which it may have run
+	sends int  // upstreams that the request was sent to
+	runs  int  // of these, the ones on which it may have run
+	paid  bool // the next attempt has been taken from the share of repeats
 	avoid []string
 	relay *relay // of a stream; nil until its head was sent
 	last  *vane.Refusal
@@ -81,6 +82,10 @@
 	if ref.Reason == vane.ReasonNoUpstream {
 		return nil // nothing was sent, so that the next attempt is no repeat
 	}
+	if t.paid {
+		t.paid = false
+		return nil
+	}
 	if !h.Retries(t.service).Take(now) {
 		return t.refusal(vane.Refuse(vane.ReasonRetryBudget, "the share of repeats is used up").WithRetryAfter(busyRetryAfter))
 	}
@@ -197,8 +202,13 @@
 	}
 	h.Placer.First(time.Now(), ticket)
 	if ans.Status >= http.StatusInternalServerError && t.route.Idempotent() && t.runs+1 < t.route.MaxAttempts && h.Retries(t.service).Take(time.Now()) {
-		t.runs++
-		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s answered %d", p.Upstream.Name, ans.Status)
+		t.paid = true
+		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s answered %d", p.Upstream.Name, ans.Status).WithExecution(vane.Ran)
+	}
+	if promises(ans.Status) {
+		// Passed on, the status would say that the request has not run, which the
+		// upstream does not state.
+		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s answered %d", p.Upstream.Name, ans.Status).WithExecution(vane.MayHaveRun)
 	}
 	if !m.Signed && ans.Status < http.StatusMultipleChoices {
 		return vane.Refuse(vane.ReasonUpstreamCrossed, "the answer of upstream %s is not its own", p.Upstream.Name).WithExecution(vane.MayHaveRun)
@@ -212,6 +222,15 @@
 	return nil
 }
 
+// promises says whether a status tells a caller that its request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // notRun takes account of an upstream that did not take the request.
 func (h *Handler) notRun(t *run, p sched.Pick, ans *conns.Answer, m vane.AnswerMeta) {
 	// The body of a refusal is of no use, but the connection is.
