Connections are kept although the task that wrote the request has not run on yet

Not load alone: a race, seen without load too. Ruled out: the skipping of late answers (the bodies were right), the idle check. Conclusion: kept; no check was changed.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -168,10 +168,15 @@
 
 // keepable says whether the connection is in a known state.
 func (a *Answer) keepable() bool {
-	select {
-	case <-a.wrote.done:
-	default:
-		return false // the upstream answered before it had read the request
+	// An upstream may answer before it has read the request: the deadline ends a write
+	// that still waits. One that is through is not affected, also if its task has not
+	// run on yet.
+	if a.conn.SetWriteDeadline(time.Unix(1, 0)) != nil {
+		return false
+	}
+	<-a.wrote.done
+	if a.conn.SetWriteDeadline(time.Time{}) != nil {
+		return false
 	}
 	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
 	return a.wrote.err == nil && a.whole && framed && !a.resp.Close && a.conn.br.Buffered() == 0
