Tests take ports that no outgoing connection can take

With the nodes' own errors in the message it came again three times in 24 runs of six processes: "address already in use" on a port that the system had chosen and given away again before the node listened, or while it was down. Ruled out: the nodes' listing (the third node never ran), load (it failed alone). Conclusion: a fault of the harness; bounds and checks are as they were. The soak had a copy of its own, which is gone.

--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +19,7 @@
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/edge"
 	"mustardvane.org/vane/fake/plat"
+	"mustardvane.org/vane/internal/port"
 	"mustardvane.org/vane/site"
 	"mustardvane.org/vane/store"
 )
@@ -139,16 +139,18 @@
 	sets    []edge.Settings
 	stop    []context.CancelFunc
 	done    []chan error
+
+	mu    sync.Mutex
+	ended []error // of nodes that ended by themselves or badly
 }
 
 func freePort(t *testing.T) int {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	p, err := port.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
+	return p
 }
 
 func newFleet(t *testing.T, nodes int, upstream http.Handler) *fleet {
@@ -195,7 +197,16 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx); close(done) }()
+	go func() {
+		err := n.Run(ctx)
+		if err != nil {
+			f.mu.Lock()
+			f.ended = append(f.ended, fmt.Errorf("node %s: %w", f.sets[i].Node, err))
+			f.mu.Unlock()
+		}
+		done <- err
+		close(done)
+	}()
 	f.stop, f.done = append(f.stop, cancel), append(f.done, done)
 }
 
@@ -226,7 +237,9 @@
 	f.t.Helper()
 	for end := time.Now().Add(patience); !cond(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
-			f.t.Fatalf("still not: %s", what)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.t.Fatalf("still not: %s; nodes that ended: %v", what, f.ended)
 		}
 	}
 }
--- /dev/null
+++ b/internal/port/port_test.go
@@ -0,0 +1,21 @@
+package port_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mustardvane.org/vane/internal/port"
+)
+
+func TestFreeGivesEachPortOnce(t *testing.T) {
+	is := is.New(t)
+	seen := map[int]bool{}
+	for range 100 {
+		p, err := port.Free()
+		is.NoErr(err)
+		is.True(!seen[p])
+		is.True(p < 32768) // below the ports of outgoing connections
+		seen[p] = true
+	}
+}
--- a/soak/node.go
+++ b/soak/node.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -12,17 +11,11 @@
 	"syscall"
 	"time"
 
+	"mustardvane.org/vane/internal/port"
 	"mustardvane.org/vane/platform"
 	"mustardvane.org/vane/platform/stand"
 )
 
-// Ports of nodes, below those that systems give to outgoing connections.
-const (
-	firstPort = 12_000
-	portRange = 20_000
-	portTries = 100
-)
-
 // startLimit bounds the time until a started process listens.
 const startLimit = 10 * time.Second
 
@@ -67,26 +60,10 @@
 
 // freePorts returns ports that nothing listens on.
 func freePorts() (ports [5]int, err error) {
-	var held []net.Listener
-	defer func() {
-		for _, ln := range held {
-			_ = ln.Close()
-		}
-	}()
 	for i := range ports {
-		// Ports of the system's own choice may be taken by an outgoing connection while
-		// the node is down.
-		var ln net.Listener
-		for range portTries {
-			if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portRange))); err == nil {
-				break
-			}
-		}
-		if err != nil {
+		if ports[i], err = port.Free(); err != nil {
 			return ports, err
 		}
-		held = append(held, ln)
-		ports[i] = ln.Addr().(*net.TCPAddr).Port
 	}
 	return ports, nil
 }
