One source of ports for nodes in tests and experiments; each process has a range of its own

The log was gone with the test's folder; the error now shows its end. Ruled out: outgoing connections (the port, 26,014, is below theirs). Conclusion: bench's copy is removed; a process marks its range by listening on its first port. Not shown: that bench took this very port.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -5,12 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/admin"
 	"mustardvane.org/vane/config"
@@ -18,6 +14,7 @@
 	"mustardvane.org/vane/fake/engine"
 	"mustardvane.org/vane/fake/plain"
 	"mustardvane.org/vane/fake/plat"
+	"mustardvane.org/vane/internal/port"
 	"mustardvane.org/vane/node"
 	"mustardvane.org/vane/store"
 )
@@ -210,37 +207,6 @@
 	f.Platform.SetHosts(ups)
 }
 
-// Ports of the nodes. They lie below those that the system gives to outgoing
-// connections, so that none of these can take one before the node listens on it.
-const (
-	firstPort = 20_000
-	lastPort  = 32_000
-	portsEach = 200 // apart for processes that run side by side
-)
-
-// nextPort is the next port to try.
-var nextPort atomic.Int64
-
-// freePort returns an address whose port is free for TCP and UDP.
-func freePort() (string, error) {
-	const span = lastPort - firstPort
-	nextPort.CompareAndSwap(0, int64(os.Getpid())*portsEach)
-	for range span {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%span)
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		u, err := net.ListenPacket("udp", addr)
-		_ = l.Close()
-		if err != nil {
-			continue
-		}
-		return addr, u.Close()
-	}
-	return "", errors.New("bench: no port is free")
-}
-
 // Settings returns the settings of node i, which stay the same over restarts.
 func (f *Fleet) Settings(i int) (config.Settings, error) {
 	for len(f.set) <= i {
@@ -251,11 +217,11 @@
 		s.Peers.Secret = secret
 		s.Drain.EntriesTTL = 500 * time.Millisecond
 		for _, a := range []*string{&s.Listen.Callers, &s.Listen.Admin, &s.Listen.Peers} {
-			addr, err := freePort()
+			p, err := port.Free()
 			if err != nil {
 				return s, err
 			}
-			*a = addr
+			*a = fmt.Sprintf("127.0.0.1:%d", p)
 		}
 		s.Listen.Advertise = s.Listen.Callers
 		if k > 0 {
--- a/soak/node.go
+++ b/soak/node.go
@@ -19,6 +19,9 @@
 // startLimit bounds the time until a started process listens.
 const startLimit = 10 * time.Second
 
+// logTail is how much of a node's log an error shows, in bytes.
+const logTail = 600
+
 // stopLimit bounds a planned stop: the grace and a margin for a busy machine.
 const stopLimit = 20 * time.Second
 
@@ -99,7 +102,11 @@
 			return c.Close()
 		}
 		if time.Now().After(end) {
-			return err
+			b, rerr := os.ReadFile(filepath.Join(n.dir, "log.jsonl"))
+			if rerr != nil {
+				return rerr
+			}
+			return fmt.Errorf("node %s does not listen: %w; its log ends: %s", n.name, err, b[max(0, len(b)-logTail):])
 		}
 	}
 }
