--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -100,6 +100,9 @@
 	m.Ready, m.Leaving = n.isReady(), n.isLeaving()
 	m.InFlight = n.placer.Own()
 	m.Spent, m.Levels = n.quota.publish(now)
+	if !n.mesh.Prompt() {
+		m.Levels = nil // a node that starts needs them from a few others only
+	}
 	if fence, ok := n.keeper.Holds(0); ok {
 		m.Fence = fence
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -34,6 +34,7 @@
 	stopTimeout  = 150 * time.Millisecond
 	smallGather  = 150 * time.Millisecond // changes of upstreams within it come in one batch, in a small site
 	largeGather  = 500 * time.Millisecond // the same in a large site, where many engines change at a time
+	lateGather   = 4 * time.Second        // the same for nodes that learn of changes from others first
 	tickPeriod   = 100 * time.Millisecond
 	silentLimit  = 1200 * time.Millisecond // an upstream that keeps requests waiting for so long is set aside
 	drainMargin  = 450 * time.Millisecond  // of the grace, to end the process
@@ -142,7 +143,7 @@
 
 // record returns how the node makes itself known.
 func (n *Node) record() vane.PeerRecord {
-	return vane.PeerRecord{Name: n.set.Node, Mesh: n.set.mesh(), Callers: n.set.Callers, DataCentre: n.set.DataCentre, Boot: n.boot}
+	return vane.PeerRecord{Name: n.set.Node, Mesh: n.set.mesh(), Callers: n.set.Callers, DataCentre: n.set.DataCentre, Boot: n.boot, LinkMbps: n.set.LinkMbps}
 }
 
 // Run serves until ctx ends, and then until callers were sent elsewhere.
@@ -222,7 +223,7 @@
 	case !n.mesh.Large():
 		return mirror.Pace{Gather: smallGather}
 	case !n.mesh.Prompt() || prefix == mirror.OwnPrefix:
-		return mirror.Pace{Relaxed: true, Gather: largeGather}
+		return mirror.Pace{Relaxed: true, Gather: lateGather}
 	}
 	return mirror.Pace{Gather: largeGather}
 }
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -20,7 +20,8 @@
 
 	MeshPort    int // for messages between nodes
 	MetricsPort int
-	MemoryMB    int // of the process; zero for no bound
+	MemoryMB    int     // of the process; zero for no bound
+	LinkMbps    float64 // of the host's network link; zero if not known
 
 	Grace           time.Duration // from the signal to stop until the process is killed
 	DirectoryTTLMax time.Duration // longest time for which callers keep a directory answer
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -8,22 +8,21 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/internal/clock"
+	"mustardvane.org/vane/mirror"
 )
 
 // Bounds of the messages.
 const (
 	period       = 250 * time.Millisecond  // between messages to one node, in a small site
-	smallSite    = 10                      // other nodes up to which all are told of everything at once
-	perMessage   = 20                      // other nodes for which the period grows by itself
-	farEvery     = 2                       // in a large site, nodes of other data centres get every second message
+	smallSite    = 10                      // other nodes up to which each sends to all
+	perPeriod    = 40                      // other nodes for which the period grows by itself, in a large site
 	minPause     = 20 * time.Millisecond   // between messages that are sent at once
 	maxDatagram  = 60 << 10                // bytes
 	behindTime   = 400 * time.Millisecond  // the store's own watch is given so long
 	upstreamTime = 1200 * time.Millisecond // the same for upstreams, which change often
+	upstreamSoon = 400 * time.Millisecond  // the same for nodes that follow the store late, in a large site
 	snapTimeout  = time.Second
 	maxSnapshot  = 64 << 20 // bytes
 	snapshotPath = "/v1/objects"
@@ -36,8 +35,8 @@
 type Deps struct {
 	Compose func(now time.Time, m *Message)
 	Hear    func(now time.Time, m *Message)
-	Marks   func() (upstreams, others uint64) // newest versions known of the store's objects
-	Export  func() []vane.Object
+	Marks   func() mirror.Marks
+	Export  func(have mirror.Marks) []vane.Object
 	Import  func([]vane.Object)
 	Log     *slog.Logger
 }
@@ -52,6 +51,8 @@
 	StoreOK bool
 	Alive   bool // it was heard lately
 	seq     uint64
+	known   time.Time // since when this node knows of it in its present life
+	bundle  time.Time // last time that it passed messages on
 	behind  time.Time // since when it knows more than this node
 	upAhead time.Time // since when it knows newer upstreams
 }
@@ -65,8 +66,11 @@
 	peers  map[string]*Peer
 	seq    uint64
 	urged  time.Time // last time that a message was urged
-	urgent bool      // the next message goes to all nodes
+	urgent bool      // the next message is not to wait at relays
+	turn   int       // counts bundles
+	queue  [][]byte  // messages that wait to be passed on to the whole site
 	wake   chan struct{}
+	flush  chan struct{} // messages wait that are urgent
 	lag    chan struct{} // another node knows a newer configuration
 	conn   net.PacketConn
 	http   *http.Client
@@ -75,7 +79,8 @@
 // New returns the mesh of a node.
 func New(self vane.PeerRecord, d Deps) *Mesh {
 	return &Mesh{
-		self: self, Deps: d, peers: make(map[string]*Peer), wake: make(chan struct{}, 1), lag: make(chan struct{}, 1),
+		self: self, Deps: d, peers: make(map[string]*Peer), wake: make(chan struct{}, 1),
+		flush: make(chan struct{}, 1), lag: make(chan struct{}, 1),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: snapTimeout},
 	}
 }
@@ -93,6 +98,9 @@
 			p = &Peer{}
 			m.peers[name] = p
 		}
+		if r.Boot > p.Boot {
+			p.known = time.Now()
+		}
 		if r.Boot >= p.Boot {
 			p.PeerRecord = r
 		}
@@ -118,25 +126,33 @@
 	return out
 }
 
-// Notify sends the next message at once.
+// Notify sends the next message at once, and lets no relay hold it up.
 func (m *Mesh) Notify() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
+	m.mu.Lock()
+	m.urgent = true
+	m.mu.Unlock()
+	signal(m.wake)
 }
 
-// Urge sends the next message soon, and to all nodes. It serves what must not wait
-// in a large site, and does nothing in a small one.
+// Urge sends the next message soon. It serves what should not wait for the period of
+// a large site, and does nothing in a small one.
 func (m *Mesh) Urge() {
 	m.mu.Lock()
 	due := len(m.peers) > smallSite && time.Since(m.urged) > period
 	if due {
-		m.urged, m.urgent = time.Now(), true
+		m.urged = time.Now()
 	}
 	m.mu.Unlock()
 	if due {
-		m.Notify()
+		signal(m.wake)
+	}
+}
+
+// signal wakes the receiver of a channel that holds one signal.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
 
@@ -164,6 +180,7 @@
 		}
 	})
 	wg.Go(func() { m.receive(ctx) })
+	wg.Go(func() { m.relayLoop(ctx) })
 	wg.Go(func() { m.pullLoop(ctx) })
 	ready()
 	m.sendLoop(ctx)
@@ -188,28 +205,32 @@
 	}
 }
 
-// pause returns the time between messages, which grows with the number of nodes so
-// that a node's traffic does not.
+// pause returns the time between messages.
 func (m *Mesh) pause() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := len(m.peers)
-	return stretch(n)
+	return sendPeriod(len(m.peers))
 }
 
-// stretch returns the time between messages to one node of the own data centre, in
-// a site of n other nodes.
-func stretch(n int) time.Duration {
-	return period * time.Duration(max(1, (n+perMessage-1)/perMessage))
+// sendPeriod returns the time between two messages of a node, in a site of n other
+// nodes. It grows with their number, so that the messages that a node gets do not.
+func sendPeriod(n int) time.Duration {
+	if n <= smallSite {
+		return period
+	}
+	return period * time.Duration(max(1, (n+perPeriod-1)/perPeriod))
 }
 
-// Interval returns the longest time between two messages to one node, in a site of n
-// other nodes.
+// relayPeriod returns the time for which a relay gathers messages.
+func relayPeriod(n int) time.Duration { return sendPeriod(n) / 2 }
+
+// Interval returns the longest time between two messages of a node as another one
+// gets them, in a site of n other nodes.
 func Interval(n int) time.Duration {
 	if n <= smallSite {
-		return stretch(n)
+		return period
 	}
-	return farEvery * stretch(n)
+	return sendPeriod(n) + 2*relayPeriod(n)
 }
 
 // alive says whether a node was heard lately.
@@ -242,38 +263,61 @@
 	if len(m.peers) <= smallSite {
 		return true
 	}
-	own := xxhash.Sum64String(m.self.Name)
+	own := memberOf(m.self, true, false)
 	before := 0
 	for _, p := range m.peers {
-		if m.alive(p, now) && !p.Leaving && xxhash.Sum64String(p.Name) < own {
+		if m.alive(p, now) && !p.Leaving && rank(memberOf(p.PeerRecord, true, false), own) < 0 {
 			before++
 		}
 	}
 	return before < prompt
 }
 
-// send sends one message to every node.
+// send sends one message: to every node in a small site, and to a relay in a large
+// one.
 func (m *Mesh) send() {
 	now := time.Now()
 	msg := &Message{Name: m.self.Name, Boot: m.self.Boot, Callers: m.self.Callers}
-	msg.UpMark, msg.Mark = m.Marks()
+	marks := m.Marks()
+	msg.UpMark, msg.Mark = marks.Upstreams, marks.Others
 	m.Compose(now, msg)
 	m.mu.Lock()
 	m.seq++
 	msg.Seq = m.seq
-	addrs := make([]string, 0, len(m.peers))
-	for _, p := range m.peers {
-		if len(m.peers) <= smallSite || p.DataCentre == m.self.DataCentre || m.seq%farEvery == 0 || m.urgent {
-			addrs = append(addrs, p.Mesh)
+	urgent, small := m.urgent, len(m.peers) <= smallSite
+	m.urgent = false
+	to := route{}
+	if small {
+		for _, p := range m.peers {
+			to.relays = append(to.relays, p.Mesh)
 		}
+	} else {
+		to = m.ownRoute(now, urgent)
 	}
-	m.urgent = false
 	m.mu.Unlock()
 	b, err := encode(msg)
 	if err != nil || len(b) > maxDatagram {
 		m.Log.Error("message not sent", "bytes", len(b), "err", err)
 		return
 	}
+	if to.self {
+		m.enqueue([][]byte{b}, urgent)
+		return
+	}
+	s := scopeSite
+	if small {
+		s = scopeNode
+	}
+	m.post(envelope{Scope: s, Urgent: urgent, Messages: [][]byte{b}}, to.relays)
+}
+
+// post sends a datagram to the addresses.
+func (m *Mesh) post(e envelope, addrs []string) {
+	b, err := encode(&e)
+	if err != nil {
+		m.Log.Error("messages not sent", "err", err)
+		return
+	}
 	for _, a := range addrs {
 		ua, err := net.ResolveUDPAddr("udp", a)
 		if err != nil {
@@ -285,11 +329,59 @@
 	}
 }
 
+// enqueue keeps messages for the next bundle to the whole site.
+func (m *Mesh) enqueue(messages [][]byte, urgent bool) {
+	m.mu.Lock()
+	m.queue = append(m.queue, messages...)
+	m.mu.Unlock()
+	if urgent {
+		signal(m.flush)
+	}
+}
+
+// relayLoop passes on the messages that were sent to this node for others, until
+// ctx ends.
+func (m *Mesh) relayLoop(ctx context.Context) {
+	for clock.Sleep(ctx, minPause) {
+		m.mu.Lock()
+		wait := relayPeriod(len(m.peers))
+		m.mu.Unlock()
+		t := time.NewTimer(wait - minPause)
+		urgent := false
+		select {
+		case <-t.C:
+		case <-m.flush:
+			urgent = true
+		case <-ctx.Done():
+		}
+		t.Stop()
+		m.passOn(time.Now(), urgent)
+	}
+}
+
+// passOn sends the queued messages to the nodes of the own data centre, and to a relay
+// in each other one.
+func (m *Mesh) passOn(now time.Time, urgent bool) {
+	m.mu.Lock()
+	messages := m.queue
+	m.queue = nil
+	var near, far []string
+	if len(messages) > 0 {
+		near, far = m.targets(now)
+	}
+	m.mu.Unlock()
+	for _, e := range split(scopeNode, urgent, messages) {
+		m.post(e, near)
+		e.Scope = scopeCentre
+		m.post(e, far)
+	}
+}
+
 // receive takes messages until the socket is closed.
 func (m *Mesh) receive(ctx context.Context) {
 	buf := make([]byte, maxDatagram+1)
 	for {
-		n, _, err := m.conn.ReadFrom(buf)
+		n, from, err := m.conn.ReadFrom(buf)
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -297,22 +389,61 @@
 			clock.Sleep(ctx, minPause)
 			continue
 		}
-		msg, err := decode(buf[:n])
+		var e envelope
+		if err := decode(buf[:n], &e); err != nil {
+			m.Log.Warn("bad datagram", "from", from.String(), "err", err.Error())
+			continue
+		}
+		m.take(e, from.String())
+	}
+}
+
+// take hears the messages of an envelope and passes the new ones on.
+func (m *Mesh) take(e envelope, from string) {
+	now := time.Now()
+	var fresh [][]byte
+	for _, b := range e.Messages {
+		msg, err := decodeMessage(b)
 		if err != nil {
-			m.Log.Warn("bad message", "err", err.Error())
+			m.Log.Warn("bad message", "from", from, "err", err.Error())
 			continue
 		}
-		now := time.Now()
 		if m.note(now, msg) {
+			fresh = append(fresh, b)
 			m.Hear(now, msg)
 		}
 	}
+	switch {
+	case e.Scope == scopeNode:
+		m.noteBundle(now, from)
+	case len(fresh) == 0:
+	case e.Scope == scopeSite:
+		m.enqueue(fresh, e.Urgent)
+	case e.Scope == scopeCentre:
+		m.mu.Lock()
+		near, _ := m.targets(now)
+		m.mu.Unlock()
+		for _, out := range split(scopeNode, e.Urgent, fresh) {
+			m.post(out, near)
+		}
+	}
+}
+
+// noteBundle keeps account of the relays that pass messages on.
+func (m *Mesh) noteBundle(now time.Time, from string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.Mesh == from {
+			p.bundle = now
+		}
+	}
 }
 
 // note keeps account of the sender. It returns false for a message that is not
 // newer than the last.
 func (m *Mesh) note(now time.Time, msg *Message) bool {
-	upMark, mark := m.Marks() // before the lock, since the source of marks also calls the mesh
+	marks := m.Marks() // before the lock, since the source of marks also calls the mesh
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, ok := m.peers[msg.Name]
@@ -320,7 +451,7 @@
 		return false
 	}
 	if msg.Boot > p.Boot {
-		p.Boot = msg.Boot
+		p.Boot, p.known = msg.Boot, now
 	}
 	if !m.alive(p, now) {
 		var silent time.Duration
@@ -331,16 +462,13 @@
 	}
 	p.seq, p.Heard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
 	p.Fence, p.StoreOK, p.Callers = msg.Fence, msg.StoreOK, msg.Callers
-	since(&p.behind, now, msg.Mark > mark)
-	if msg.Mark > mark && !m.promptNode(now) {
+	since(&p.behind, now, msg.Mark > marks.Others)
+	if msg.Mark > marks.Others && !m.promptNode(now) {
 		// This node hears late from the store, if at all.
 		p.behind = now.Add(-behindTime)
-		select {
-		case m.lag <- struct{}{}:
-		default:
-		}
+		signal(m.lag)
 	}
-	since(&p.upAhead, now, msg.UpMark > upMark)
+	since(&p.upAhead, now, msg.UpMark > marks.Upstreams)
 	return true
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -9,13 +9,14 @@
 	"github.com/matryer/is"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/mirror"
 )
 
 var begin = time.Unix(6000, 0)
 
 // site returns the mesh of node 0 in a site of n other nodes.
 func site(n int) *Mesh {
-	m := New(vane.PeerRecord{Name: "n0", Boot: 1}, Deps{Marks: func() (uint64, uint64) { return 5, 5 }, Log: slog.New(slog.DiscardHandler)})
+	m := New(vane.PeerRecord{Name: "n0", Boot: 1}, Deps{Marks: func() mirror.Marks { return mirror.Marks{Upstreams: 5, Others: 5} }, Log: slog.New(slog.DiscardHandler)})
 	records := map[string]vane.PeerRecord{}
 	for i := range n {
 		name := fmt.Sprintf("n%d", i+1)
@@ -34,7 +35,7 @@
 	}
 	b, err := encode(in)
 	is.NoErr(err)
-	out, err := decode(b)
+	out, err := decodeMessage(b)
 	is.NoErr(err)
 	is.Equal(out, in)
 }
@@ -124,7 +125,7 @@
 	const n = 81
 	count := 0
 	for i := range n {
-		m := New(vane.PeerRecord{Name: fmt.Sprintf("n%d", i), Boot: 1}, Deps{Marks: func() (uint64, uint64) { return 0, 0 }, Log: slog.New(slog.DiscardHandler)})
+		m := New(vane.PeerRecord{Name: fmt.Sprintf("n%d", i), Boot: 1}, Deps{Marks: func() mirror.Marks { return mirror.Marks{} }, Log: slog.New(slog.DiscardHandler)})
 		records := map[string]vane.PeerRecord{}
 		for j := range n {
 			name := fmt.Sprintf("n%d", j)
@@ -148,7 +149,11 @@
 	}
 	f.Add(b)
 	f.Add([]byte{0x91})
-	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = decode(b) })
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _ = decodeMessage(b)
+		var e envelope
+		_ = decode(b, &e)
+	})
 }
 
 func BenchmarkMessage(b *testing.B) {
@@ -162,7 +167,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if _, err := decode(d); err != nil {
+		if _, err := decodeMessage(d); err != nil {
 			b.Fatal(err)
 		}
 		b.ReportMetric(float64(len(d)), "bytes")
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -45,19 +45,24 @@
 	Incarnation uint64
 }
 
-// encode returns the datagram of a message.
-func encode(m *Message) ([]byte, error) {
+// encode returns the form of a message or an envelope on the wire.
+func encode(v any) ([]byte, error) {
 	var b bytes.Buffer
 	e := msgpack.NewEncoder(&b)
 	e.UseArrayEncodedStructs(true)
-	err := e.Encode(m)
+	e.UseCompactInts(true)
+	e.UseCompactFloats(true)
+	err := e.Encode(v)
 	return b.Bytes(), err
 }
 
-// decode reads a datagram.
-func decode(b []byte) (*Message, error) {
+// decode reads what encode wrote.
+func decode(b []byte, v any) error { return msgpack.Unmarshal(b, v) }
+
+// decodeMessage reads a message.
+func decodeMessage(b []byte) (*Message, error) {
 	var m Message
-	if err := msgpack.Unmarshal(b, &m); err != nil {
+	if err := decode(b, &m); err != nil {
 		return nil, err
 	}
 	if m.Name == "" || m.Boot == 0 {
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -1,25 +1,51 @@
 package mesh
 
 import (
-	"bytes"
+	"compress/gzip"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/mirror"
+)
+
+// Names in the question for a snapshot: what the asking node knows already.
+const (
+	argUpstreams = "upstreams"
+	argOwn       = "own"
+	argOthers    = "others"
 )
 
-// snapshot serves the objects to another node.
-func (m *Mesh) snapshot(w http.ResponseWriter, _ *http.Request) {
-	var b bytes.Buffer
-	if err := json.NewEncoder(&b).Encode(m.Export()); err != nil {
-		m.Log.Error("snapshot not encoded", "err", err.Error())
-		http.Error(w, "no snapshot", http.StatusInternalServerError)
-		return
+// snapshot serves another node the objects that it does not know.
+func (m *Mesh) snapshot(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	have := mirror.Marks{Upstreams: number(q, argUpstreams), Own: number(q, argOwn), Others: number(q, argOthers)}
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err == nil {
+		err = msgpack.NewEncoder(z).Encode(m.Export(have))
+	}
+	if err == nil {
+		err = z.Close()
+	}
+	if err != nil {
+		m.Log.Warn("snapshot not sent", "peer", r.RemoteAddr, "err", err.Error())
+	}
+}
+
+// number returns a parameter; zero, which asks for more than is needed, if it can't be
+// read.
+func number(q url.Values, name string) uint64 {
+	n, err := strconv.ParseUint(q.Get(name), 10, 64)
+	if err != nil {
+		return 0
 	}
-	_, _ = w.Write(b.Bytes())
+	return n
 }
 
 // pullLoop fetches snapshots while another node knows more than this one.
@@ -60,23 +86,36 @@
 	}
 }
 
-// ahead returns the address of a node that has known more for some time.
+// ahead returns the address of a node that has known more for some time, one of the
+// own data centre if there is one.
 func (m *Mesh) ahead(now time.Time) (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	patience := upstreamTime
+	if !m.promptNode(now) {
+		patience = upstreamSoon
+	}
+	var found *Peer
 	for _, p := range m.peers {
 		late := !p.behind.IsZero() && now.Sub(p.behind) >= behindTime
-		old := !p.upAhead.IsZero() && now.Sub(p.upAhead) > upstreamTime
-		if m.alive(p, now) && (late || old) {
-			return p.Mesh, true
+		old := !p.upAhead.IsZero() && now.Sub(p.upAhead) > patience
+		if m.alive(p, now) && (late || old) && (found == nil || p.DataCentre == m.self.DataCentre) {
+			found = p
 		}
 	}
-	return "", false
+	if found == nil {
+		return "", false
+	}
+	return found.Mesh, true
 }
 
-// pull fetches the objects of another node.
+// pull fetches the objects of another node that this one does not know.
 func (m *Mesh) pull(ctx context.Context, addr string) ([]vane.Object, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+snapshotPath, nil)
+	have := m.Marks()
+	q := url.Values{
+		argUpstreams: {strconv.FormatUint(have.Upstreams, 10)}, argOwn: {strconv.FormatUint(have.Own, 10)}, argOthers: {strconv.FormatUint(have.Others, 10)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+snapshotPath+"?"+q.Encode(), nil)
 	if err != nil {
 		return nil, err
 	}
@@ -85,7 +124,11 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	z, err := gzip.NewReader(io.LimitReader(resp.Body, maxSnapshot))
+	if err != nil {
+		return nil, err
+	}
 	var objs []vane.Object
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxSnapshot)).Decode(&objs)
+	err = msgpack.NewDecoder(io.LimitReader(z, maxSnapshot)).Decode(&objs)
 	return objs, err
 }
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -81,9 +81,8 @@
 	return s.state.View()
 }
 
-// Marks returns the newest version known of any upstream, and of any other object
-// that nodes hand to each other.
-func (s *Service) Marks() (upstreams, others uint64) {
+// Marks returns the newest versions known.
+func (s *Service) Marks() Marks {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.state.Marks()
@@ -96,11 +95,11 @@
 	return !s.answered.IsZero() && len(s.failing) == 0 && !s.state.away
 }
 
-// Export returns the objects for another node.
-func (s *Service) Export() []vane.Object {
+// Export returns what a node with the marks does not know.
+func (s *Service) Export(have Marks) []vane.Object {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Export()
+	return s.state.Export(have)
 }
 
 // Import takes the objects of another node.
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -119,6 +119,7 @@
 type State struct {
 	dec     Decoder
 	objects map[string]vane.Object // also removed ones, marked as deleted
+	decoded map[string]decoded     // by key
 	held    map[string]vane.Object // removals that wait for the end of the grace
 	holdTo  time.Time              // end of the grace
 	away    bool                   // the store does not answer
@@ -127,7 +128,7 @@
 
 // NewState returns an empty copy.
 func NewState(dec Decoder) *State {
-	s := &State{dec: dec, objects: make(map[string]vane.Object), held: make(map[string]vane.Object)}
+	s := &State{dec: dec, objects: make(map[string]vane.Object), decoded: make(map[string]decoded), held: make(map[string]vane.Object)}
 	s.view = &View{Upstreams: map[string]vane.Upstream{}, Weights: map[string]Weights{}, Peers: map[string]vane.PeerRecord{}}
 	return s
 }
@@ -183,27 +184,45 @@
 	return s.rebuilt(now, true)
 }
 
-// Export returns the objects under the decoder's prefixes for another node.
-func (s *State) Export() []vane.Object {
-	out := make([]vane.Object, 0, len(s.objects))
-	for o := range maps.Values(s.objects) {
-		out = append(out, o)
+// Marks are the newest versions known of the kinds of objects that nodes hand to
+// each other. A node knows all changes up to its marks.
+type Marks struct {
+	Upstreams uint64
+	Own       uint64 // of objects that the nodes write themselves
+	Others    uint64
+}
+
+// Export returns what a node with the marks does not know. Removals are always
+// among it, since they may have waited for the end of a grace.
+func (s *State) Export(have Marks) []vane.Object {
+	var out []vane.Object
+	for k, o := range s.objects {
+		if o.Deleted || o.Version > *s.markOf(&have, k) {
+			out = append(out, o)
+		}
 	}
 	return out
 }
 
-// Marks returns the newest version known of any upstream, and of any other object
-// that nodes hand to each other.
-func (s *State) Marks() (upstreams, others uint64) {
+// Marks returns the newest versions known.
+func (s *State) Marks() Marks {
+	var m Marks
 	for k, o := range s.objects {
-		switch {
-		case strings.HasPrefix(k, s.dec.UpstreamPrefix()):
-			upstreams = max(upstreams, o.Version)
-		case !strings.HasPrefix(k, OwnPrefix):
-			others = max(others, o.Version)
-		}
+		at := s.markOf(&m, k)
+		*at = max(*at, o.Version)
 	}
-	return upstreams, others
+	return m
+}
+
+// markOf returns the mark of the object with the key.
+func (s *State) markOf(m *Marks, key string) *uint64 {
+	switch {
+	case strings.HasPrefix(key, s.dec.UpstreamPrefix()):
+		return &m.Upstreams
+	case strings.HasPrefix(key, OwnPrefix):
+		return &m.Own
+	}
+	return &m.Others
 }
 
 // holding says whether removals of upstreams wait.
@@ -254,45 +273,82 @@
 		Weights: make(map[string]Weights), Peers: make(map[string]vane.PeerRecord),
 	}
 	maps.Copy(v.Weights, old.Weights)
+	var namings []Namings
 	for k, o := range s.objects {
-		if !o.Deleted {
-			s.decode(now, v, k, o)
+		if o.Deleted {
+			delete(s.decoded, k)
+			continue
+		}
+		d, ok := s.decoded[k]
+		if !ok || d.version != o.Version {
+			d = decoded{o.Version, s.decode(k, o)}
+			s.decoded[k] = d
 		}
+		if n, ok := d.value.(Namings); ok {
+			namings = append(namings, n)
+			continue
+		}
+		v.add(now, d.value)
 	}
-	for k, o := range s.objects {
-		var n Namings
-		if strings.HasPrefix(k, namingsPrefix) && !o.Deleted && json.Unmarshal(o.Value, &n) == nil {
-			if w, ok := v.Weights[n.Model]; ok {
-				v.Weights[n.Model] = w.merge(n)
-			}
+	for _, n := range namings {
+		if w, ok := v.Weights[n.Model]; ok {
+			v.Weights[n.Model] = w.merge(n)
 		}
 	}
 	s.view = v
 	return true
 }
 
-// decode adds one object to a view.
-func (s *State) decode(now time.Time, v *View, key string, o vane.Object) {
+// decoded is what an object of a version says; nil if it says nothing that is of use.
+type decoded struct {
+	version uint64
+	value   any
+}
+
+// add puts what an object says into a view under construction.
+func (v *View) add(now time.Time, value any) {
+	switch x := value.(type) {
+	case *site.Config:
+		if v.Config == nil || x.Version > v.Config.Version {
+			v.Config = x
+		}
+	case vane.Upstream:
+		v.Upstreams[x.Name] = x
+	case vane.NamedWeights:
+		if x.Number > v.Weights[x.Model].Number {
+			h := append(slices.Clone(v.Weights[x.Model].History), Naming{x.Number, now})
+			v.Weights[x.Model] = Weights{NamedWeights: x, Since: now, History: h[max(0, len(h)-maxNamings):]}
+		}
+	case vane.PeerRecord:
+		v.Peers[x.Name] = x
+	}
+}
+
+// decode returns what an object says, or nil.
+func (s *State) decode(key string, o vane.Object) any {
 	switch {
 	case strings.HasPrefix(key, s.dec.ConfigPrefix()):
-		if c, ok := s.dec.Config(o); ok && (v.Config == nil || c.Version > v.Config.Version) {
-			v.Config = c
+		if c, ok := s.dec.Config(o); ok {
+			return c
 		}
 	case strings.HasPrefix(key, s.dec.UpstreamPrefix()):
 		if u, ok := s.dec.Upstream(o); ok {
-			v.Upstreams[u.Name] = u
+			return u
 		}
 	case strings.HasPrefix(key, s.dec.WeightsPrefix()):
-		if w, ok := s.dec.Weights(o); ok && w.Number > v.Weights[w.Model].Number {
-			h := append(slices.Clone(v.Weights[w.Model].History), Naming{w.Number, now})
-			v.Weights[w.Model] = Weights{NamedWeights: w, Since: now, History: h[max(0, len(h)-maxNamings):]}
+		if w, ok := s.dec.Weights(o); ok {
+			return w
 		}
 	case strings.HasPrefix(key, namingsPrefix):
-		// The record is merged after the weights themselves.
+		var n Namings
+		if json.Unmarshal(o.Value, &n) == nil {
+			return n
+		}
 	case strings.HasPrefix(key, peerPrefix):
 		var p vane.PeerRecord
 		if json.Unmarshal(o.Value, &p) == nil && p.Name != "" && p.Mesh != "" {
-			v.Peers[p.Name] = p
+			return p
 		}
 	}
+	return nil
 }
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -46,6 +46,27 @@
 	return vane.Object{Key: key, Version: version, Deleted: true}
 }
 
+// A node that knows most gets the rest only, and removals always: one that waited
+// for the end of a grace has an old version.
+func TestExportIsWhatIsMissing(t *testing.T) {
+	is := is.New(t)
+	a, b := mirror.NewState(plain{}), mirror.NewState(plain{})
+	old := []vane.Object{obj("c/main", "1", 10), obj("u/a", "live", 11), obj("u/b", "live", 12), obj("u/c", "live", 13)}
+	a.Apply(begin, old)
+	b.Apply(begin, old)
+	a.SetAway(begin, true)
+	a.Apply(begin, []vane.Object{gone("u/a", 14), obj("u/b", "leaving", 15), obj("c/main", "12", 16)})
+	delta := a.Export(b.Marks())
+	is.Equal(len(delta), 2)
+	b.Apply(begin, delta)
+	a.SetAway(begin, false)
+	a.Tick(begin.Add(2 * mirror.ReturnGrace)) // the removal counts now
+	is.Equal(a.Marks(), b.Marks())
+	b.Apply(begin, a.Export(b.Marks()))
+	is.Equal(a.View().Upstreams, b.View().Upstreams)
+	is.Equal(b.View().Config.Version, uint64(2))
+}
+
 func TestNeverBack(t *testing.T) {
 	is := is.New(t)
 	s := mirror.NewState(plain{})
@@ -120,14 +141,11 @@
 	is := is.New(t)
 	a, b := mirror.NewState(plain{}), mirror.NewState(plain{})
 	a.Apply(begin, []vane.Object{obj("c/main", "123", 5), obj("u/a", "live", 6), obj("u/b", "live", 7)})
-	b.Apply(begin, a.Export())
-	ups, others := b.Marks()
-	is.Equal(ups, uint64(7))
-	is.Equal(others, uint64(5))
+	b.Apply(begin, a.Export(b.Marks()))
+	is.Equal(b.Marks(), mirror.Marks{Upstreams: 7, Others: 5})
 	a.Apply(begin, []vane.Object{gone("u/a", 8), obj("c/main", "1234", 9)})
-	_, others = a.Marks()
-	is.Equal(others, uint64(9))
-	b.Apply(begin, a.Export())
+	is.Equal(a.Marks().Others, uint64(9))
+	b.Apply(begin, a.Export(b.Marks()))
 	is.Equal(len(b.View().Upstreams), 1)
 	is.Equal(b.View().Config.Version, uint64(4))
 }
--- a/site.go
+++ b/site.go
@@ -97,9 +97,10 @@
 
 // PeerRecord is how a node makes itself known to the others.
 type PeerRecord struct {
-	Name       string `json:"name"`
-	Mesh       string `json:"mesh"`    // address for messages between nodes
-	Callers    string `json:"callers"` // address for callers
-	DataCentre string `json:"data_centre"`
-	Boot       uint64 `json:"boot"` // differs between starts of the node
+	Name       string  `json:"name"`
+	Mesh       string  `json:"mesh"`    // address for messages between nodes
+	Callers    string  `json:"callers"` // address for callers
+	DataCentre string  `json:"data_centre"`
+	Boot       uint64  `json:"boot"`      // differs between starts of the node
+	LinkMbps   float64 `json:"link_mbps"` // of the host's network link; zero if not known
 }
