Shared parts: the first ones are fetched also from engines that hold only these

Cause: an engine counted as a source only if it held all shared parts. Streams' time to the first event is logged and counted.

--- a/front/metrics.go
+++ b/front/metrics.go
@@ -12,6 +12,7 @@
 type Metrics struct {
 	refusals *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	firsts   *prometheus.HistogramVec
 }
 
 // NewMetrics registers the collectors with r.
@@ -26,8 +27,13 @@
 			Help:    "Time until the end of answers, by route.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"route"}),
+		firsts: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "vane_front_first_seconds",
+			Help:    "Time until the first event of streams and the whole of other answers, by route.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"route"}),
 	}
-	r.MustRegister(m.refusals, m.seconds)
+	r.MustRegister(m.refusals, m.seconds, m.firsts)
 	return m
 }
 
@@ -36,7 +42,8 @@
 	m.refusals.WithLabelValues(route, reason.String()).Inc()
 }
 
-// served counts an answered request.
-func (m *Metrics) served(route string, d time.Duration) {
+// served counts an answered request: the time until its end, and until its first event.
+func (m *Metrics) served(route string, d, first time.Duration) {
 	m.seconds.WithLabelValues(route).Observe(d.Seconds())
+	m.firsts.WithLabelValues(route).Observe(first.Seconds())
 }
--- a/front/relay.go
+++ b/front/relay.go
@@ -25,6 +25,7 @@
 	flush  func() error
 	lastID string // of the last whole event
 	events int
+	first  time.Time // when the first event was sent on
 }
 
 // stream relays the events of an answer.
@@ -67,7 +68,7 @@
 			if err := t.relay.send(event, true); len(event) > 0 && err != nil {
 				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
 			}
-			h.served(t, p, ans.Status, t.relay.events)
+			h.served(t, p, ans.Status)
 			return nil
 		}
 		return h.broken(ctx, t, p, err)
@@ -95,7 +96,9 @@
 	if id, ok := eventID(event); ok {
 		r.lastID = id
 	}
-	r.events++
+	if r.events++; r.events == 1 {
+		r.first = time.Now()
+	}
 	if _, err := r.w.Write(event); err != nil {
 		return err
 	}
--- a/front/serve.go
+++ b/front/serve.go
@@ -218,7 +218,7 @@
 	// A caller that has left is noticed by the server; the answer is delivered as
 	// far as it goes.
 	_, _ = w.Write(body)
-	h.served(t, p, ans.Status, 0)
+	h.served(t, p, ans.Status)
 	return nil
 }
 
@@ -254,11 +254,15 @@
 }
 
 // served counts an answered request.
-func (h *Handler) served(t *run, p sched.Pick, status, events int) {
+func (h *Handler) served(t *run, p sched.Pick, status int) {
 	d := time.Since(t.begin)
-	h.Metrics.served(t.route.Name, d)
+	first, events := d, 0
+	if t.relay != nil {
+		first, events = t.relay.first.Sub(t.begin), t.relay.events
+	}
+	h.Metrics.served(t.route.Name, d, first)
 	h.Log.Info("answered", "request_id", t.meta.ID, "route", t.route.Name, "upstream", p.Upstream.Name, "status", status,
-		"attempts", t.sends, "events", events, "elapsed_ms", d.Milliseconds())
+		"attempts", t.sends, "events", events, "first_ms", first.Milliseconds(), "elapsed_ms", d.Milliseconds())
 }
 
 // connHeaders hold for one connection only, or are set by the HTTP server.
--- /dev/null
+++ b/sched/hold.go
@@ -0,0 +1,126 @@
+package sched
+
+import (
+	"time"
+
+	vane "mustardvane.org/vane"
+)
+
+// holders is where the shared parts of a prompt are, among the engines of one
+// number of weights. An engine can use a part only if it has all parts before it.
+type holders struct {
+	home   *upstream // that all nodes prefer for parts that nobody holds
+	best   float64   // affinity of home
+	keys   []uint64  // of the shared parts
+	copies int       // engines that are believed to hold all of them
+	some   []holding // engines that are believed to hold the first of them
+}
+
+// holding is an engine and how many of the first shared parts it is believed to hold.
+type holding struct {
+	u     *upstream
+	parts int
+}
+
+// source returns the engine other than u to fetch from, and how many parts it holds:
+// one that holds most, if possible in the same data centre, and of these the one
+// with the fewest requests.
+func (h *holders) source(u *upstream, now time.Time) (holding, bool) {
+	var out holding
+	for _, c := range h.some {
+		if c.u == u || now.Before(c.u.asideUntil) || c.parts < out.parts {
+			continue
+		}
+		if out.u == nil || c.parts > out.parts || nearer(u, c.u, out.u) {
+			out = c
+		}
+	}
+	return out, out.u != nil
+}
+
+// nearer says whether u fetches better from a than from b.
+func nearer(u, a, b *upstream) bool {
+	if na, nb := a.DataCentre == u.DataCentre, b.DataCentre == u.DataCentre; na != nb {
+		return na
+	}
+	return a.inFlight < b.inFlight
+}
+
+// holders looks for the shared parts of a prompt.
+func (p *Placer) holders(now time.Time, q Query) map[uint64]*holders {
+	shared := q.Shared()
+	if len(shared) == 0 {
+		return nil
+	}
+	last := shared[len(shared)-1].ID
+	out := make(map[uint64]*holders)
+	for _, u := range p.bySvc[q.Service] {
+		if u.Role != vane.RoleEngine {
+			continue
+		}
+		h, ok := out[u.Weights]
+		if !ok {
+			h = &holders{keys: partKeys(salt(q, u.Weights), shared)}
+			out[u.Weights] = h
+		}
+		if n := u.parts.prefix(h.keys); n > 0 {
+			h.some = append(h.some, holding{u, n})
+			if n == len(shared) {
+				h.copies++
+			}
+		}
+		if a := affinity(last, u.Name); u.usable(now) && (h.home == nil || a < h.best) {
+			h.home, h.best = u, a
+		}
+	}
+	return out
+}
+
+// prompt adds what the prompt costs at u to price and returns the milliseconds
+// until it is computed. h is where its shared parts are.
+func (p *Placer) prompt(now time.Time, q Query, u *upstream, c *Pick, price *float64, h *holders) float64 {
+	shared := q.Shared()
+	if len(shared) == 0 {
+		c.Missing = q.Prompt
+		return float64(c.Missing) / prefillPerMS
+	}
+	sum := make([]float64, len(shared)+1) // tokens of the first parts
+	stored := 0                           // parts that the cache store holds
+	for i, part := range shared {
+		sum[i+1] = sum[i] + float64(part.Tokens)
+		// A part is saved with all parts before it, which are used at least as often, so
+		// that a held part stands for those as well.
+		if p.cache.Holds(c.Salt, part.ID) {
+			stored = i + 1
+		}
+	}
+	own := u.parts.prefix(h.keys)
+	tokens := sum[len(shared)]
+	c.Shared, c.Stored, c.Copies, c.Held = int(tokens), int(sum[stored]), h.copies, own == len(shared)
+
+	src, found := h.source(u, now)
+	addr, up := p.cache.Addr()
+	wait := p.store.wait(now)
+	fetched, ms := 0.0, 0.0 // tokens that can be fetched, and the time it takes
+	switch {
+	case up && stored > 0 && (stored > src.parts || stored == src.parts && (wait < engineWaitMS || own == len(shared))):
+		c.Fetch, fetched, ms = addr, sum[stored], wait
+		c.moves = own < stored
+	case found:
+		c.Fetch, fetched, ms = src.u.Addr, heldChance*sum[src.parts], engineFetchMS
+	}
+	if up && stored < len(shared) && p.saves.due(now, c.Salt, shared[len(shared)-1].ID) {
+		c.Save = addr
+	}
+	had := heldChance*max(sum[own], fetched) + (1-heldChance)*fetched
+	if own == len(shared) {
+		ms *= 1 - heldChance
+	}
+	*price += homeShare * affinity(shared[len(shared)-1].ID, u.Name)
+	if u != h.home || h.copies > 0 {
+		// What is computed here was computed before, or is being computed, elsewhere.
+		*price += rereadShare * (tokens - had)
+	}
+	c.Missing = max(0, q.Prompt-int(had))
+	return ms + float64(c.Missing)/prefillPerMS
+}
--- a/sched/parts.go
+++ b/sched/parts.go
@@ -45,14 +45,14 @@
 	return &partSet{lru: l, limit: int(usableShare * float64(size))}
 }
 
-// hasAll says whether all parts are believed to be held.
-func (s *partSet) hasAll(keys []uint64) bool {
-	for _, k := range keys {
+// prefix returns how many of the first parts are believed to be held.
+func (s *partSet) prefix(keys []uint64) int {
+	for i, k := range keys {
 		if !s.lru.Contains(k) {
-			return false
+			return i
 		}
 	}
-	return true
+	return len(keys)
 }
 
 // add notes the use of a part.
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -109,6 +109,30 @@
 	is.Equal(saves, 1)
 }
 
+// Load: thousands of subjects under a common first part, and no subject asked for
+// twice before new weights come. The first part is computed by one engine; the others
+// fetch it.
+func TestCommonFirstPartIsFetched(t *testing.T) {
+	is := is.New(t)
+	p := sched.New("dc0", &cache{down: true})
+	p.Update(view(18, same(1)))
+	computed := 0
+	for s := range 60 {
+		now := begin.Add(time.Duration(s) * 300 * time.Millisecond)
+		q := query(s, s)
+		c, ok := p.Pick(now, q)
+		is.True(ok)
+		if c.Missing == q.Prompt {
+			computed++
+			is.Equal(c.Fetch, "")
+		}
+		tk := p.Begin(now, q, c)
+		p.First(now, tk)
+		p.End(tk)
+	}
+	is.Equal(computed, 1)
+}
+
 // With the store down, an engine that holds the parts is asked instead.
 func TestFetchFromEngines(t *testing.T) {
 	is := is.New(t)
