--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -279,7 +279,7 @@
 	now := time.Now()
 	msg := &Message{Name: m.self.Name, Boot: m.self.Boot, Callers: m.self.Callers}
 	marks := m.Marks()
-	msg.UpMark, msg.Mark = marks.Upstreams, marks.Others
+	msg.UpMark, msg.Mark, msg.NewMark = marks.Upstreams, marks.Config, marks.Weights
 	m.Compose(now, msg)
 	m.mu.Lock()
 	m.seq++
@@ -462,8 +462,9 @@
 	}
 	p.seq, p.Heard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
 	p.Fence, p.StoreOK, p.Callers = msg.Fence, msg.StoreOK, msg.Callers
-	since(&p.behind, now, msg.Mark > marks.Others)
-	if msg.Mark > marks.Others && !m.promptNode(now) {
+	behind := msg.Mark > marks.Config || msg.NewMark > marks.Weights
+	since(&p.behind, now, behind)
+	if behind && !m.promptNode(now) {
 		// This node hears late from the store, if at all.
 		p.behind = now.Add(-behindTime)
 		signal(m.lag)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -16,7 +16,7 @@
 
 // site returns the mesh of node 0 in a site of n other nodes.
 func site(n int) *Mesh {
-	m := New(vane.PeerRecord{Name: "n0", Boot: 1}, Deps{Marks: func() mirror.Marks { return mirror.Marks{Upstreams: 5, Others: 5} }, Log: slog.New(slog.DiscardHandler)})
+	m := New(vane.PeerRecord{Name: "n0", Boot: 1}, Deps{Marks: func() mirror.Marks { return mirror.Marks{Upstreams: 5, Config: 5} }, Log: slog.New(slog.DiscardHandler)})
 	records := map[string]vane.PeerRecord{}
 	for i := range n {
 		name := fmt.Sprintf("n%d", i+1)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -16,7 +16,7 @@
 	Seq      uint64 // of the node's messages; older ones are ignored
 	Ready    bool   // callers may be sent to the node
 	Leaving  bool   // the node stops
-	Mark     uint64 // newest version known of any object of the store but upstreams
+	Mark     uint64 // newest version known of the configuration
 	Fence    uint64 // of the lease on orders, if the node holds it; else zero
 	InFlight map[string]int
 	Spent    map[string]float64
@@ -28,6 +28,7 @@
 	UpMark   uint64              // newest version known of any upstream
 	Aside    []string            // upstreams that do not answer the node
 	Reads    map[string][]uint64 // prompt parts that engines were sent, in packed form
+	NewMark  uint64              // newest version known of any named weights
 }
 
 // EngineNote tells about the weights of an engine.
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -17,15 +17,16 @@
 
 // Names in the question for a snapshot: what the asking node knows already.
 const (
+	argConfig    = "config"
 	argUpstreams = "upstreams"
+	argWeights   = "weights"
 	argOwn       = "own"
-	argOthers    = "others"
 )
 
 // snapshot serves another node the objects that it does not know.
 func (m *Mesh) snapshot(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	have := mirror.Marks{Upstreams: number(q, argUpstreams), Own: number(q, argOwn), Others: number(q, argOthers)}
+	have := mirror.Marks{Config: number(q, argConfig), Upstreams: number(q, argUpstreams), Weights: number(q, argWeights), Own: number(q, argOwn)}
 	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
 	if err == nil {
 		err = msgpack.NewEncoder(z).Encode(m.Export(have))
@@ -112,8 +113,9 @@
 // pull fetches the objects of another node that this one does not know.
 func (m *Mesh) pull(ctx context.Context, addr string) ([]vane.Object, error) {
 	have := m.Marks()
-	q := url.Values{
-		argUpstreams: {strconv.FormatUint(have.Upstreams, 10)}, argOwn: {strconv.FormatUint(have.Own, 10)}, argOthers: {strconv.FormatUint(have.Others, 10)},
+	q := url.Values{}
+	for name, mark := range map[string]uint64{argConfig: have.Config, argUpstreams: have.Upstreams, argWeights: have.Weights, argOwn: have.Own} {
+		q.Set(name, strconv.FormatUint(mark, 10))
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+snapshotPath+"?"+q.Encode(), nil)
 	if err != nil {
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -187,9 +187,10 @@
 // Marks are the newest versions known of the kinds of objects that nodes hand to
 // each other. A node knows all changes up to its marks.
 type Marks struct {
+	Config    uint64
 	Upstreams uint64
+	Weights   uint64
 	Own       uint64 // of objects that the nodes write themselves
-	Others    uint64
 }
 
 // Export returns what a node with the marks does not know. Removals are always
@@ -219,10 +220,12 @@
 	switch {
 	case strings.HasPrefix(key, s.dec.UpstreamPrefix()):
 		return &m.Upstreams
+	case strings.HasPrefix(key, s.dec.WeightsPrefix()):
+		return &m.Weights
 	case strings.HasPrefix(key, OwnPrefix):
 		return &m.Own
 	}
-	return &m.Others
+	return &m.Config
 }
 
 // holding says whether removals of upstreams wait.
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -137,14 +137,28 @@
 	is.Equal(late.View().Weights["m"].Replaced(now, 1), 8*time.Second)
 }
 
+// Each kind of objects is followed by itself: a node that has heard of newer weights
+// may still lack a configuration that was written before them.
+func TestNewerWeightsHideNoConfiguration(t *testing.T) {
+	is := is.New(t)
+	a, b := mirror.NewState(plain{}), mirror.NewState(plain{})
+	a.Apply(begin, []vane.Object{obj("c/main", "1", 10), obj("w/m", "1", 11)})
+	b.Apply(begin, []vane.Object{obj("c/main", "1", 10), obj("w/m", "1", 11)})
+	a.Apply(begin, []vane.Object{obj("c/main", "12", 12), obj("w/m", "12", 13)})
+	b.Apply(begin, []vane.Object{obj("w/m", "12", 13)})
+	is.True(a.Marks() != b.Marks())
+	b.Apply(begin, a.Export(b.Marks()))
+	is.Equal(b.View().Config.Version, uint64(2))
+}
+
 func TestSnapshotOfAnotherNode(t *testing.T) {
 	is := is.New(t)
 	a, b := mirror.NewState(plain{}), mirror.NewState(plain{})
 	a.Apply(begin, []vane.Object{obj("c/main", "123", 5), obj("u/a", "live", 6), obj("u/b", "live", 7)})
 	b.Apply(begin, a.Export(b.Marks()))
-	is.Equal(b.Marks(), mirror.Marks{Upstreams: 7, Others: 5})
+	is.Equal(b.Marks(), mirror.Marks{Upstreams: 7, Config: 5})
 	a.Apply(begin, []vane.Object{gone("u/a", 8), obj("c/main", "1234", 9)})
-	is.Equal(a.Marks().Others, uint64(9))
+	is.Equal(a.Marks().Config, uint64(9))
 	b.Apply(begin, a.Export(b.Marks()))
 	is.Equal(len(b.View().Upstreams), 1)
 	is.Equal(b.View().Config.Version, uint64(4))
