--- a/edge/node.go
+++ b/edge/node.go
@@ -14,7 +14,6 @@
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/crash"
-	"mustardvane.org/vane/event"
 	"mustardvane.org/vane/front"
 	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/kernel"
@@ -28,7 +27,6 @@
 
 // Sizes and times of a node.
 const (
-	ringSize     = 1024             // events kept
 	watchWait    = 2 * time.Second  // a watch that fell silent is noticed soon after it
 	startTimeout = 10 * time.Second // for the listeners
 	stopTimeout  = 150 * time.Millisecond
@@ -77,7 +75,6 @@
 	keeper  *lease.Keeper
 	loader  *loader
 	handler *front.Handler
-	ring    *event.Ring
 	notes   *notes
 
 	mu      sync.Mutex
@@ -94,7 +91,7 @@
 	}
 	n := &Node{
 		set: set, ad: ad, log: log, reg: prometheus.NewRegistry(), kernel: kernel.New(), boot: uint64(time.Now().UnixMilli()),
-		pool: conns.NewPool(), retries: make(map[string]*retry.Window), ring: event.NewRing(set.Node, ringSize), notes: newNotes(),
+		pool: conns.NewPool(), retries: make(map[string]*retry.Window), notes: newNotes(),
 	}
 	n.st = store.New("http://"+set.Store, store.WithProtocol(ad.Protocol), store.WithWatchWait(watchWait), store.WithMetrics(store.NewMetrics(n.reg)))
 	n.cache = newCacheWatch(ad.Control, log)
@@ -104,9 +101,9 @@
 	n.mesh = mesh.New(n.record(), mesh.Deps{
 		Compose: n.compose, Hear: n.hear, Marks: n.mirror.Marks, Export: n.mirror.Export, Import: n.mirror.Import, Log: log,
 	})
-	n.crash = crash.NewBook(n.ring, crash.WithShare(n.notes.addCrash, func(crash.Name) {}))
+	n.crash = crash.NewBook(recorder{log}, crash.WithShare(n.notes.addCrash, func(crash.Name) {}))
 	n.loader = newLoader(n)
-	n.keeper = lease.NewKeeper(n.st, n.ring, lease.Config{
+	n.keeper = lease.NewKeeper(n.st, recorder{log}, lease.Config{
 		Prefix: leaseKind, Node: set.Node, Boot: clock.Suspended().String(), Shards: 1, Clock: clock.Suspended,
 		Times: lease.Times{Lease: leaseTime, Renew: renewTime, Poll: pollTime, Drift: 0.01}, Wanted: func(int) bool { return n.wantsLease() },
 		OnTake: n.loader.took, OnLapse: func(int, time.Time) {}, OnLose: func(int) {}, OnDone: func(int, []byte) {},
--- /dev/null
+++ b/edge/record.go
@@ -0,0 +1,24 @@
+package edge
+
+import (
+	"log/slog"
+
+	vane "mustardvane.org/vane"
+)
+
+// recorder writes the events of the parts that know no log to the node's log.
+type recorder struct{ log *slog.Logger }
+
+var _ vane.Recorder = recorder{}
+
+// Record implements vane.Recorder.
+func (r recorder) Record(e vane.Event) {
+	args := []any{"subject", e.Subject, "have", e.Have}
+	if e.Workspace != "" {
+		args = append(args, "workspace", e.Workspace)
+	}
+	if e.Reason != vane.ReasonNone {
+		args = append(args, "reason", e.Reason.String(), "want", e.Want)
+	}
+	r.log.Info(e.What.String(), args...)
+}
--- /dev/null
+++ b/edge/record_test.go
@@ -0,0 +1,34 @@
+package edge
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+)
+
+// What the lease and the suspects decide stands in the log.
+func TestRecorderWritesEvents(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		e    vane.Event
+		want []string
+	}{
+		{"lease", vane.Event{What: vane.EventLeaseLost, Subject: "vane-leases/0", Have: 12}, []string{`"msg":"lease_lost"`, `"subject":"vane-leases/0"`, `"have":12`}},
+		{"suspect", vane.Event{What: vane.EventSuspect, Reason: vane.ReasonSuspectRequest, Workspace: "ws", Subject: "e1", Have: 1, Want: 2},
+			[]string{`"msg":"request_suspect"`, `"workspace":"ws"`, `"want":2`}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var b bytes.Buffer
+			recorder{slog.New(slog.NewJSONHandler(&b, nil))}.Record(tt.e)
+			for _, w := range tt.want {
+				is.True(strings.Contains(b.String(), w))
+			}
+		})
+	}
+}
