Large sites: sources of shared parts take turns, few nodes follow the cache store

(2) 81 nodes held calls to the cache store, which answers most with 429: 10,874 calls in 25 s, and each node took it for lost several times a second. (3) An engine's word on its load counted for ever, though a node hears each engine every 17 s there.

--- a/edge/cache.go
+++ b/edge/cache.go
@@ -25,6 +25,7 @@
 type cacheWatch struct {
 	ctl vane.EngineControl
 	log *slog.Logger
+	may func() bool // this node may follow the store, which holds few calls at a time
 
 	mu    sync.Mutex
 	addr  string
@@ -39,9 +40,9 @@
 var _ sched.Cache = (*cacheWatch)(nil)
 
 // newCacheWatch returns a watch that knows of no store yet.
-func newCacheWatch(ctl vane.EngineControl, log *slog.Logger) *cacheWatch {
+func newCacheWatch(ctl vane.EngineControl, log *slog.Logger, may func() bool) *cacheWatch {
 	l, _ := simplelru.NewLRU[heldPart, struct{}](maxHeld, nil)
-	return &cacheWatch{ctl: ctl, log: log, held: l}
+	return &cacheWatch{ctl: ctl, log: log, may: may, held: l}
 }
 
 // update takes the address of the store.
@@ -79,7 +80,8 @@
 	var last string
 	for ctx.Err() == nil {
 		addr, _ := c.Addr()
-		if addr == "" {
+		if addr == "" || !c.may() {
+			c.leave()
 			clock.Sleep(ctx, cachePause)
 			continue
 		}
@@ -102,6 +104,13 @@
 	return nil
 }
 
+// leave notes that this node does not follow the store, and so does not use it.
+func (c *cacheWatch) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.up = false
+}
+
 // known returns the epoch of the store that the picture is of.
 func (c *cacheWatch) known() uint64 {
 	c.mu.Lock()
--- a/edge/node.go
+++ b/edge/node.go
@@ -31,7 +31,7 @@
 	startTimeout = 10 * time.Second // for the listeners
 	stopTimeout  = 150 * time.Millisecond
 	smallGather  = 150 * time.Millisecond // changes of upstreams within it come in one batch, in a small site
-	largeGather  = 500 * time.Millisecond // the same in a large site, where many engines change at a time
+	largeGather  = 800 * time.Millisecond // the same in a large site, where many engines change at a time
 	lateGather   = 4 * time.Second        // the same for nodes that learn of changes from others first
 	tickPeriod   = 100 * time.Millisecond
 	silentLimit  = 1200 * time.Millisecond // an upstream that keeps requests waiting for so long is set aside
@@ -94,7 +94,7 @@
 		pool: conns.NewPool(), retries: make(map[string]*retry.Window), notes: newNotes(),
 	}
 	n.st = store.New("http://"+set.Store, store.WithProtocol(ad.Protocol), store.WithWatchWait(watchWait), store.WithMetrics(store.NewMetrics(n.reg)))
-	n.cache = newCacheWatch(ad.Control, log)
+	n.cache = newCacheWatch(ad.Control, log, func() bool { return n.mesh.Prompt() })
 	n.placer = sched.New(set.DataCentre, n.cache, sched.WithWeightsLimit(set.WeightsLimit))
 	n.quota = newLimiter(func() { n.mesh.Urge() })
 	n.mirror = mirror.NewService(n.st, ad.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.changed), mirror.WithPace(n.pace))
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -184,7 +184,7 @@
 	if len(b.Objects) > 0 {
 		s.update(func(now time.Time) bool { return s.state.Apply(now, b.Objects) })
 		if prefix == s.state.dec.UpstreamPrefix() {
-			clock.Sleep(ctx, pace.Gather)
+			clock.Sleep(ctx, clock.Jitter(pace.Gather)) // nodes do not all rest at once
 		}
 	}
 	return max(rev, b.Revision), nil
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	vane "mustardvane.org/vane"
 )
 
@@ -14,6 +16,7 @@
 	keys   []uint64  // of the shared parts
 	copies int       // engines that are believed to hold all of them
 	some   []holding // engines that are believed to hold the first of them
+	turn   int       // the place in some from which on a source is looked for
 }
 
 // holding is an engine and how many of the first shared parts it is believed to hold.
@@ -23,29 +26,23 @@
 }
 
 // source returns the engine other than u to fetch from, and how many parts it holds:
-// one that holds most, if possible in the same data centre, and of these the one
-// with the fewest requests.
+// one that holds most, if possible in the same data centre. Requests take turns among
+// equal ones, whose links carry one transfer at a time.
 func (h *holders) source(u *upstream, now time.Time) (holding, bool) {
 	var out holding
-	for _, c := range h.some {
+	for i := range h.some {
+		c := h.some[(h.turn+i)%len(h.some)]
 		if c.u == u || now.Before(c.u.asideUntil) || c.parts < out.parts {
 			continue
 		}
-		if out.u == nil || c.parts > out.parts || nearer(u, c.u, out.u) {
+		near := c.u.DataCentre == u.DataCentre
+		if out.u == nil || c.parts > out.parts || near && out.u.DataCentre != u.DataCentre {
 			out = c
 		}
 	}
 	return out, out.u != nil
 }
 
-// nearer says whether u fetches better from a than from b.
-func nearer(u, a, b *upstream) bool {
-	if na, nb := a.DataCentre == u.DataCentre, b.DataCentre == u.DataCentre; na != nb {
-		return na
-	}
-	return a.inFlight < b.inFlight
-}
-
 // holders looks for the shared parts of a prompt. Engines up to the rank apart are the
 // home of short prompts only.
 func (p *Placer) holders(now time.Time, q Query, apart float64) map[uint64]*holders {
@@ -74,6 +71,12 @@
 			h.home, h.best = u, a
 		}
 	}
+	at := xxhash.Sum64String(q.ID)
+	for _, h := range out {
+		if len(h.some) > 0 {
+			h.turn = int(at % uint64(len(h.some)))
+		}
+	}
 	return out
 }
 
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -125,7 +125,7 @@
 	if u.DataCentre != p.dc {
 		price += farShare * float64(q.Bytes)
 	}
-	ms := u.queueMS(p.inFlight(u.Name))
+	ms := u.queueMS(now, p.inFlight(u.Name))
 	if u.Role == vane.RoleEngine {
 		if named.Replaced(now, u.Weights) > oldGrace {
 			price += oldShare
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -133,6 +133,33 @@
 	is.Equal(computed, 1)
 }
 
+// Load: a common first part that all engines hold, asked for by hundreds of requests a
+// second. Each engine's link carries one transfer at a time, so that the requests take
+// turns among the sources, of the own data centre where there are some.
+func TestSourcesTakeTurns(t *testing.T) {
+	is := is.New(t)
+	p := sched.New("dc0", &cache{down: true})
+	p.Update(view(18, same(1)))
+	used := map[string]int{}
+	const requests = 600
+	for s := range requests {
+		now := begin.Add(time.Duration(s) * 300 * time.Millisecond)
+		q := query(s, s)
+		q.ID = fmt.Sprint("r", s)
+		c, ok := p.Pick(now, q)
+		is.True(ok)
+		used[c.Fetch]++
+		tk := p.Begin(now, q, c)
+		p.First(now, tk)
+		p.End(now, tk)
+	}
+	for source, n := range used {
+		if n > requests/4 {
+			t.Fatalf("%d of %d requests fetch from %s", n, requests, source)
+		}
+	}
+}
+
 // With the store down, an engine that holds the parts is asked instead.
 func TestFetchFromEngines(t *testing.T) {
 	is := is.New(t)
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -6,13 +6,14 @@
 	vane "mustardvane.org/vane"
 )
 
-// Times for which an upstream is set aside.
+// Times for which an upstream is set aside, and for which its word counts.
 const (
 	asideMin  = 700 * time.Millisecond // after a first failure
 	asideMax  = 6 * time.Second        // a crashed upstream is back after seconds
 	doubtTime = 2 * time.Second        // after the time aside
 	freshSign = 250 * time.Millisecond // bytes of an answer within it outweigh another node's word
 	fullPause = 150 * time.Millisecond // an upstream's queue empties in some steps
+	loadLife  = 2 * time.Second        // of an upstream's word on its load; a queue that can be served in time is worked off within it
 )
 
 // upstream is what is known of one upstream.
@@ -69,11 +70,15 @@
 }
 
 // queueMS estimates the time until a new request is begun.
-func (u *upstream) queueMS(peers int) float64 {
+func (u *upstream) queueMS(now time.Time, peers int) float64 {
 	own := u.inFlight + peers
-	busy := max(own, u.load.Running+u.load.Waiting)
 	if u.Role == vane.RoleEngine {
-		return float64(u.pending)/prefillPerMS + stepPerRun*float64(busy) + waitingMS*float64(u.load.Waiting) + float64(peers)*prefillShareMS
+		var l vane.Load
+		if now.Sub(u.loadAt) < loadLife {
+			l = u.load
+		}
+		busy := max(own, l.Running+l.Waiting)
+		return float64(u.pending)/prefillPerMS + stepPerRun*float64(busy) + waitingMS*float64(l.Waiting) + float64(peers)*prefillShareMS
 	}
 	return plainMS * float64(own) / float64(max(1, u.Slots)) * float64(1+own/max(1, u.Slots))
 }
