Names of the field: crash registry and reports, spreading of updates, renewing soon

Renamed only: crash.Book to Registry, Strike to Report, rumours to spread, Hasten to RenewSoon, Hear to Receive, claim.Book to Registry; wire messages keep their numbers. Package crash had no test of its own and has one now.

--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -87,7 +87,7 @@
 	w.valid = &valid
 	w.hub = budget.NewHub(1, terms, budget.Links{
 		Holds:  func(int) (uint64, bool) { return 0, valid },
-		Recall: func(budget.Victim, string) {}, Hasten: func(int) {},
+		Recall: func(budget.Victim, string) {}, RenewSoon: func(int) {},
 	})
 	before := w.stored
 	w.stored = lease.Record{Holder: "hub", Data: w.hub.Data(0, lease.Acquire, before.Data)}
--- a/budget/hub.go
+++ b/budget/hub.go
@@ -44,7 +44,7 @@
 	terms  func(workspace string) (Terms, bool)
 	holds  func(shard int) (uint64, bool)
 	recall func(v Victim, workspace string)
-	hasten func(shard int)
+	renew  func(shard int)
 
 	mu   sync.Mutex
 	held map[int]*shard
@@ -52,14 +52,14 @@
 
 // Links connect a hub with the rest of its node. None of them may wait.
 type Links struct {
-	Holds  func(shard int) (uint64, bool)   // whether the node holds a shard now
-	Recall func(v Victim, workspace string) // asks a node to give a share back
-	Hasten func(shard int)                  // has the lease object written soon
+	Holds     func(shard int) (uint64, bool)   // whether the node holds a shard now
+	Recall    func(v Victim, workspace string) // asks a node to give a share back
+	RenewSoon func(shard int)                  // has the lease object written soon
 }
 
 // NewHub returns a hub.
 func NewHub(shards int, terms func(string) (Terms, bool), l Links) *Hub {
-	return &Hub{shards: shards, terms: terms, holds: l.Holds, recall: l.Recall, hasten: l.Hasten, held: make(map[int]*shard)}
+	return &Hub{shards: shards, terms: terms, holds: l.Holds, recall: l.Recall, renew: l.RenewSoon, held: make(map[int]*shard)}
 }
 
 // Take begins to hold a shard. A holder that takes its own lease again, with no
@@ -256,7 +256,7 @@
 		s.cap(now, g)
 		reply.Gives = append(reply.Gives, g)
 		if l.Short() {
-			h.hasten(i)
+			h.renew(i)
 		}
 		if lacking := a.GetWant() - g.GetShare(); a.GetTokens() > 0 && lacking > minShare {
 			for _, v := range l.Recall(lacking, r.GetNode()) {
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -62,21 +62,21 @@
 	Outcome     *Outcome `json:"outcome,omitempty"`
 }
 
-// Book creates and reads claims.
-type Book struct {
+// Registry creates and reads claims.
+type Registry struct {
 	st   vane.Store
 	host string
 	rec  vane.Recorder
 }
 
-// NewBook returns a book that keeps its claims in st.
-func NewBook(st vane.Store, host string, rec vane.Recorder) *Book {
-	return &Book{st: st, host: host, rec: rec}
+// NewRegistry returns a registry that keeps its claims in st.
+func NewRegistry(st vane.Store, host string, rec vane.Recorder) *Registry {
+	return &Registry{st: st, host: host, rec: rec}
 }
 
 // Claim is one call under a key.
 type Claim struct {
-	b       *Book
+	b       *Registry
 	key     string // of the object
 	ws      string
 	version uint64
@@ -91,7 +91,7 @@
 }
 
 // Begin creates the claim, or finds the one that another call created.
-func (b *Book) Begin(ctx context.Context, r Request) (*Claim, error) {
+func (b *Registry) Begin(ctx context.Context, r Request) (*Claim, error) {
 	c := &Claim{b: b, key: objectKey(r), ws: r.Workspace, rec: record{
 		Nonce: uuid.NewString(), Host: b.host, Fingerprint: r.Fingerprint, State: Pending.String(),
 	}}
@@ -117,7 +117,7 @@
 }
 
 // existing decides by the claim that is already there.
-func (b *Book) existing(ctx context.Context, c *Claim, r Request) (*Claim, error) {
+func (b *Registry) existing(ctx context.Context, c *Claim, r Request) (*Claim, error) {
 	o, err := b.st.Get(ctx, c.key)
 	if err != nil {
 		return nil, vane.Refuse(vane.ReasonClaimPending, "another call under this Idempotency-Key may have run; repeat later to learn its outcome").
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -54,7 +54,7 @@
 	seed  uint64
 	p     *plat.Platform
 	d     *plat.Direct
-	books []*claim.Book
+	books []*claim.Registry
 	svc   *service
 
 	mu      sync.Mutex
@@ -170,7 +170,7 @@
 			}
 			for i := range 3 {
 				st := store.New("http://platform", store.WithHTTPClient(&http.Client{Transport: s.d}), store.WithTimeout(500*time.Millisecond))
-				s.books = append(s.books, claim.NewBook(st, fmt.Sprintf("vane-%d", i), discard{}))
+				s.books = append(s.books, claim.NewRegistry(st, fmt.Sprintf("vane-%d", i), discard{}))
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			var wg, calm sync.WaitGroup
@@ -202,7 +202,7 @@
 	is := is.New(t)
 	p := plat.New()
 	st := store.New("http://platform", store.WithHTTPClient(&http.Client{Transport: plat.NewDirect(p, 1)}))
-	b := claim.NewBook(st, "vane-1", discard{})
+	b := claim.NewRegistry(st, "vane-1", discard{})
 	r := claim.Request{Workspace: "w", Key: "k", Fingerprint: 1}
 	c, err := b.Begin(t.Context(), r)
 	is.NoErr(err)
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	b := claim.NewBook(st)
+//	b := claim.NewRegistry(st)
 //	c, err := b.Begin(ctx, claim.Request{Workspace: "w", Key: "k-7", Fingerprint: fp})
 //	if c.Replay() { return c.Outcome() }
 //	ans := send()
--- a/crash/book.go
+++ b/crash/registry.go
@@ -9,11 +9,11 @@
 	vane "mustardvane.org/vane"
 )
 
-// Bounds of the book.
+// Bounds of the registry.
 const (
-	maxStrikes = 2       // crashes after which a request is refused
-	bookSize   = 1 << 14 // requests with strikes that are remembered
-	strikeLife = time.Hour
+	maxCrashes   = 2       // crashes after which a request is refused
+	registrySize = 1 << 14 // requests with crashes that are remembered
+	reportLife   = time.Hour
 )
 
 // Name identifies a request's text within its workspace.
@@ -22,41 +22,41 @@
 	Fingerprint uint64
 }
 
-// Strike is a crash that a request was running in.
-type Strike struct {
+// Report is a crash that a request was running in.
+type Report struct {
 	Name        Name
 	Upstream    string
 	Incarnation uint64
 }
 
-// entry is what is known of a request with strikes.
+// entry is what is known of a request with crashes.
 type entry struct {
-	crashes []Strike
+	crashes []Report
 	at      time.Time // of the newest
 }
 
-// Book remembers strikes. It is safe for concurrent use.
-type Book struct {
+// Registry remembers crashes. It is safe for concurrent use.
+type Registry struct {
 	rec   vane.Recorder
-	share func(Strike)
+	share func(Report)
 	clear func(Name)
 
 	mu      sync.Mutex
 	entries *lru.LRU[Name, *entry]
 }
 
-// Option changes a book under construction.
-type Option func(*Book)
+// Option changes a registry under construction.
+type Option func(*Registry)
 
-// WithShare sets functions that tell the other nodes of strikes and clearances.
-func WithShare(strike func(Strike), clear func(Name)) Option {
-	return func(b *Book) { b.share, b.clear = strike, clear }
+// WithShare sets functions that tell the other nodes of crashes and clearances.
+func WithShare(crash func(Report), clear func(Name)) Option {
+	return func(b *Registry) { b.share, b.clear = crash, clear }
 }
 
-// NewBook returns an empty book.
-func NewBook(rec vane.Recorder, opts ...Option) *Book {
-	m, _ := lru.NewLRU[Name, *entry](bookSize, nil)
-	b := &Book{rec: rec, entries: m, share: func(Strike) {}, clear: func(Name) {}}
+// NewRegistry returns an empty registry.
+func NewRegistry(rec vane.Recorder, opts ...Option) *Registry {
+	m, _ := lru.NewLRU[Name, *entry](registrySize, nil)
+	b := &Registry{rec: rec, entries: m, share: func(Report) {}, clear: func(Name) {}}
 	for _, o := range opts {
 		o(b)
 	}
@@ -64,24 +64,24 @@
 }
 
 // Check refuses a request that has crashed upstreams.
-func (b *Book) Check(ws string, fp uint64) error {
-	n := b.strikes(Name{ws, fp})
-	if n < maxStrikes {
+func (b *Registry) Check(ws string, fp uint64) error {
+	n := b.crashes(Name{ws, fp})
+	if n < maxCrashes {
 		return nil
 	}
 	return vane.Refuse(vane.ReasonSuspectRequest,
 		"%d upstreams crashed while they ran this request; it is not run again, so change its content", n)
 }
 
-// strikes returns the number of crashes that the request was running in.
-func (b *Book) strikes(n Name) int {
+// crashes returns the number of crashes that the request was running in.
+func (b *Registry) crashes(n Name) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, ok := b.entries.Get(n)
 	if !ok {
 		return 0
 	}
-	if time.Since(e.at) > strikeLife {
+	if time.Since(e.at) > reportLife {
 		b.entries.Remove(n)
 		return 0
 	}
@@ -89,12 +89,12 @@
 }
 
 // Refused returns the number of requests that are refused.
-func (b *Book) Refused() int {
+func (b *Registry) Refused() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
 	for _, e := range b.entries.Values() {
-		if len(e.crashes) >= maxStrikes {
+		if len(e.crashes) >= maxCrashes {
 			n++
 		}
 	}
@@ -102,16 +102,16 @@
 }
 
 // Lost notes that the upstream crashed while it ran the request.
-func (b *Book) Lost(ws string, fp uint64, u vane.Upstream) {
-	s := Strike{Name: Name{ws, fp}, Upstream: u.Name, Incarnation: u.Incarnation}
+func (b *Registry) Lost(ws string, fp uint64, u vane.Upstream) {
+	s := Report{Name: Name{ws, fp}, Upstream: u.Name, Incarnation: u.Incarnation}
 	if b.Add(s) {
 		b.share(s)
 	}
 }
 
-// Add takes a strike, also one that another node saw. It returns false if the
-// strike was known.
-func (b *Book) Add(s Strike) bool {
+// Add takes a crash, also one that another node saw. It returns false if the
+// crash was known.
+func (b *Registry) Add(s Report) bool {
 	b.mu.Lock()
 	e, ok := b.entries.Get(s.Name)
 	if !ok {
@@ -130,21 +130,21 @@
 	b.mu.Unlock()
 	b.rec.Record(vane.Event{
 		What: vane.EventSuspect, Reason: vane.ReasonSuspectRequest, Workspace: s.Name.Workspace,
-		Subject: s.Upstream, Have: float64(n), Want: maxStrikes,
+		Subject: s.Upstream, Have: float64(n), Want: maxCrashes,
 	})
 	return true
 }
 
 // Answered clears a request that got a whole answer.
-func (b *Book) Answered(ws string, fp uint64) {
+func (b *Registry) Answered(ws string, fp uint64) {
 	n := Name{ws, fp}
 	if b.Clear(n) {
 		b.clear(n)
 	}
 }
 
-// Clear takes back all strikes of a request. It returns false if there are none.
-func (b *Book) Clear(n Name) bool {
+// Clear takes back all crashes of a request. It returns false if there are none.
+func (b *Registry) Clear(n Name) bool {
 	b.mu.Lock()
 	ok := b.entries.Remove(n)
 	b.mu.Unlock()
--- /dev/null
+++ b/crash/registry_test.go
@@ -0,0 +1,52 @@
+package crash_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/crash"
+)
+
+// discard is a recorder of nothing.
+type discard struct{}
+
+func (discard) Record(vane.Event) {}
+
+// A request is refused after crashes of two upstreams, or of two starts of one; a
+// report that comes again, as those of other nodes do, counts once. A whole answer
+// clears it.
+func TestRefusedAfterTwoCrashes(t *testing.T) {
+	up := func(name string, start uint64) vane.Upstream { return vane.Upstream{Name: name, Incarnation: start} }
+	for _, tt := range []struct {
+		name    string
+		lost    []vane.Upstream
+		clear   bool
+		refused bool
+	}{
+		{"one crash", []vane.Upstream{up("a", 1)}, false, false},
+		{"the same crash again", []vane.Upstream{up("a", 1), up("a", 1)}, false, false},
+		{"two upstreams", []vane.Upstream{up("a", 1), up("b", 1)}, false, true},
+		{"two starts", []vane.Upstream{up("a", 1), up("a", 2)}, false, true},
+		{"answered since", []vane.Upstream{up("a", 1), up("b", 1)}, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			shared := 0
+			r := crash.NewRegistry(discard{}, crash.WithShare(func(crash.Report) { shared++ }, func(crash.Name) {}))
+			seen := map[vane.Upstream]bool{}
+			for _, u := range tt.lost {
+				r.Lost("ws", 7, u)
+				seen[u] = true
+			}
+			is.Equal(shared, len(seen))
+			if tt.clear {
+				r.Answered("ws", 7)
+			}
+			is.Equal(r.Check("ws", 7) != nil, tt.refused)
+			is.NoErr(r.Check("other", 7))
+			is.NoErr(r.Check("ws", 8))
+		})
+	}
+}
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -57,7 +57,7 @@
 }
 
 // addCrash adds the news of a crash.
-func (n *notes) addCrash(s crash.Strike) {
+func (n *notes) addCrash(s crash.Report) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(n.crashes) < maxNotes {
@@ -114,7 +114,7 @@
 // hear takes a message of another node.
 func (n *Node) hear(now time.Time, m *mesh.Message) {
 	n.placer.SetPeer(m.Name, m.InFlight)
-	n.placer.Hear(m.Reads)
+	n.placer.Receive(m.Reads)
 	n.quota.hear(now, m)
 	for _, e := range m.Engines {
 		n.placer.Serves(e.Upstream, e.Weights)
@@ -129,7 +129,7 @@
 		n.keeper.Hint(0, m.Fence)
 	}
 	for _, c := range m.Lost {
-		n.crash.Add(crash.Strike{Name: crash.Name{Workspace: c.Workspace, Fingerprint: c.Fingerprint}, Upstream: c.Upstream, Incarnation: c.Incarnation})
+		n.crash.Add(crash.Report{Name: crash.Name{Workspace: c.Workspace, Fingerprint: c.Fingerprint}, Upstream: c.Upstream, Incarnation: c.Incarnation})
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -71,7 +71,7 @@
 	pool    *conns.Pool
 	cache   *cacheWatch
 	quota   *limiter
-	crash   *crash.Book
+	crash   *crash.Registry
 	keeper  *lease.Keeper
 	loader  *loader
 	handler *front.Handler
@@ -99,9 +99,9 @@
 	n.quota = newLimiter(func() { n.mesh.Urge() })
 	n.mirror = mirror.NewService(n.st, ad.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.changed), mirror.WithPace(n.pace))
 	n.mesh = mesh.New(n.record(), mesh.Deps{
-		Compose: n.compose, Hear: n.hear, Marks: n.mirror.Marks, Export: n.mirror.Export, Import: n.mirror.Import, Log: log,
+		Compose: n.compose, Receive: n.hear, Marks: n.mirror.Marks, Export: n.mirror.Export, Import: n.mirror.Import, Log: log,
 	})
-	n.crash = crash.NewBook(recorder{log}, crash.WithShare(n.notes.addCrash, func(crash.Name) {}))
+	n.crash = crash.NewRegistry(recorder{log}, crash.WithShare(n.notes.addCrash, func(crash.Name) {}))
 	n.loader = newLoader(n)
 	n.keeper = lease.NewKeeper(n.st, recorder{log}, lease.Config{
 		Prefix: leaseKind, Node: set.Node, Boot: clock.Suspended().String(), Shards: 1, Clock: clock.Suspended,
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -76,5 +76,5 @@
 func (l *limiter) hear(now time.Time, m *mesh.Message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.b.Hear(now, m.Name, m.Boot, m.Spent, m.Levels)
+	l.b.Receive(now, m.Name, m.Boot, m.Spent, m.Levels)
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -27,7 +27,7 @@
 	Router  *route.Router
 	Gate    *queue.Gate
 	Limiter vane.Limiter
-	Claims  *claim.Book
+	Claims  *claim.Registry
 	Suspect Suspects
 	Signer  *stream.Signer
 	Rec     vane.Recorder
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -39,7 +39,7 @@
 	onDone   func(shard int, value []byte)
 	clock    func() time.Time
 	box      *kernel.Mailbox[answer]
-	hasten   *kernel.Mailbox[int]
+	renew    *kernel.Mailbox[int]
 	hints    *kernel.Mailbox[hint]
 	closing  chan chan struct{}
 
@@ -87,7 +87,7 @@
 func NewKeeper(st vane.Store, rec vane.Recorder, c Config) *Keeper {
 	k := &Keeper{
 		prefix: c.Prefix, st: st, rec: rec, wanted: c.Wanted, onTake: c.OnTake, onLapse: c.OnLapse, onLose: c.OnLose, onDone: c.OnDone,
-		box: kernel.NewMailbox[answer](boxSize), hasten: kernel.NewMailbox[int](boxSize), hints: kernel.NewMailbox[hint](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}), clock: c.Clock,
+		box: kernel.NewMailbox[answer](boxSize), renew: kernel.NewMailbox[int](boxSize), hints: kernel.NewMailbox[hint](boxSize), shards: make([]Shard, c.Shards), closing: make(chan chan struct{}), clock: c.Clock,
 	}
 	if k.clock == nil {
 		k.clock = time.Now
@@ -137,8 +137,8 @@
 	at      time.Time
 }
 
-// Hasten makes this node write the record of a shard that it holds again soon.
-func (k *Keeper) Hasten(shard int) { k.hasten.Send(shard) }
+// RenewSoon makes this node write the record of a shard that it holds again soon.
+func (k *Keeper) RenewSoon(shard int) { k.renew.Send(shard) }
 
 // Held returns the number of shards held.
 func (k *Keeper) Held() int {
@@ -173,8 +173,8 @@
 			}
 		case <-tick.C:
 			k.tick(calls, &wg, leaving)
-		case i := <-k.hasten.C():
-			k.machines[i].Hasten(k.clock())
+		case i := <-k.renew.C():
+			k.machines[i].RenewSoon(k.clock())
 		case h := <-k.hints.C():
 			k.machines[h.shard].Hint(h.version, h.at)
 		case released = <-k.closing:
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -371,8 +371,8 @@
 	m.next = now
 }
 
-// Hasten makes a holder write its record again soon.
-func (m *Machine) Hasten(now time.Time) {
+// RenewSoon makes a holder write its record again soon.
+func (m *Machine) RenewSoon(now time.Time) {
 	soon := m.sentAt.Add(m.times.Renew / eagerFactor)
 	if soon.Before(now) {
 		soon = now
--- a/member/message.go
+++ b/member/message.go
@@ -42,7 +42,7 @@
 	p.probe, p.asked = time.Time{}, false
 	p.differ = g.GetView() != s.view()
 	s.know.learn(now, g, p.Member)
-	s.rumours.take(now, g)
+	s.spread.take(now, g)
 }
 
 // probeFor pings a member for another one.
@@ -78,7 +78,7 @@
 	g := &wire.Gossip{Kind: kind, Sequence: s.seq, From: s.self.proto(), View: s.view()}
 	s.know.tell(now, g)
 	g.Members = s.news(to)
-	s.rumours.give(now, g, s.rounds())
+	s.spread.give(now, g, s.rounds())
 	return g
 }
 
--- a/member/state.go
+++ b/member/state.go
@@ -24,7 +24,7 @@
 	maxNews           = 6                      // members in one message
 	maxSync           = 8                      // members added for a peer with another view
 	maxLoads          = 8
-	maxStrikes        = 4
+	maxCrashes        = 4
 	maxGreet          = 3 // new members pinged at once
 	newsFactor        = 3 // sends of one piece of news for each doubling of the fleet
 )
@@ -104,7 +104,7 @@
 	syncAt   int
 	greet    []*peer // met since the last tick
 	know     Knowledge
-	rumours  rumours
+	spread   spread
 }
 
 // relay is a probe made for another member.
@@ -148,7 +148,7 @@
 		neighbours: defaultNeighbours, indirect: defaultIndirect,
 		rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), onChange: func(Change) {},
 		peers: make(map[string]*peer), relays: make(map[uint64]relay), selfRing: xxhash.Sum64String(self.Name),
-		rumours: newRumours(),
+		spread: newSpread(),
 	}
 	for _, o := range opts {
 		o(s)
@@ -184,18 +184,18 @@
 // it at once.
 func (s *State) Leave(now time.Time) []Packet {
 	s.self.Status = wire.Status_STATUS_LEAVING
-	return s.tellAll(now)
+	return s.broadcast(now)
 }
 
 // Gone announces that the node has ended.
 func (s *State) Gone(now time.Time) []Packet {
 	s.self.Status = wire.Status_STATUS_LEFT
-	return s.tellAll(now)
+	return s.broadcast(now)
 }
 
-// tellAll pings a handful of members at once, so that news spreads without
+// broadcast pings a handful of members at once, so that news spreads without
 // waiting for the next round.
-func (s *State) tellAll(now time.Time) []Packet {
+func (s *State) broadcast(now time.Time) []Packet {
 	s.selfNews = s.rounds()
 	var out []Packet
 	for _, p := range s.pick(s.rounds(), func(p *peer) bool { return p.Live() }) {
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	m := mesh.New(self, mesh.Deps{Compose: compose, Hear: hear, Export: export, Import: imp})
+//	m := mesh.New(self, mesh.Deps{Compose: compose, Receive: hear, Export: export, Import: imp})
 //	m.SetPeers(records)
 //	m.Notify() // sends the next message at once
 package mesh
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -34,7 +34,7 @@
 // Deps are what the mesh works for.
 type Deps struct {
 	Compose func(now time.Time, m *Message)
-	Hear    func(now time.Time, m *Message)
+	Receive func(now time.Time, m *Message)
 	Marks   func() mirror.Marks
 	Export  func(have mirror.Marks) []vane.Object
 	Import  func([]vane.Object)
@@ -410,7 +410,7 @@
 		}
 		if m.note(now, msg) {
 			fresh = append(fresh, b)
-			m.Hear(now, msg)
+			m.Receive(now, msg)
 		}
 	}
 	switch {
--- a/mesh/relay_test.go
+++ b/mesh/relay_test.go
@@ -60,7 +60,7 @@
 		w.heard[name] = map[string]int{}
 		m := New(r, Deps{
 			Compose: func(time.Time, *Message) {},
-			Hear:    func(_ time.Time, msg *Message) { w.heard[name][msg.Name]++ },
+			Receive: func(_ time.Time, msg *Message) { w.heard[name][msg.Name]++ },
 			Marks:   func() mirror.Marks { return mirror.Marks{} }, Log: slog.New(slog.DiscardHandler),
 		})
 		m.conn = &port{w: w, addr: r.Mesh}
--- a/node/moves.go
+++ b/node/moves.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// Hear takes outcomes of other nodes.
-func (s *moves) Hear(r *wire.ObserveRequest) {
+// Receive takes outcomes of other nodes.
+func (s *moves) Receive(r *wire.ObserveRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range r.GetSamples() {
@@ -154,13 +154,13 @@
 	}
 	m.stopped = &v
 	s.n.ring.Record(vane.Event{What: vane.EventMoveBack, Reason: v.Reason, Workspace: v.Route, Subject: m.To, Have: v.Have, Want: v.Want})
-	go s.tellStop(&wire.StopRequest{
+	go s.broadcastStop(&wire.StopRequest{
 		Model: m.Model, Version: m.To, Order: m.Order, Reason: int32(v.Reason), Route: v.Route, Have: v.Have, Want: v.Want,
 	})
 }
 
-// tellStop tells all members that a version has shown a fault.
-func (s *moves) tellStop(r *wire.StopRequest) {
+// broadcastStop tells all members that a version has shown a fault.
+func (s *moves) broadcastStop(r *wire.StopRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -172,8 +172,8 @@
 	wg.Wait()
 }
 
-// HearStop takes the word of another node that a version has shown a fault.
-func (s *moves) HearStop(r *wire.StopRequest) {
+// ReceiveStop takes the word of another node that a version has shown a fault.
+func (s *moves) ReceiveStop(r *wire.StopRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.byName[r.GetModel()]
--- a/node/node.go
+++ b/node/node.go
@@ -65,7 +65,7 @@
 	placer vane.Placer
 	router *route.Router
 	gate   *queue.Gate
-	crash  *crash.Book
+	crash  *crash.Registry
 	peers  *peer.Service
 	keeper *lease.Keeper
 	hub    *budget.Hub
@@ -111,20 +111,20 @@
 		store.WithStateFunc(n.storeState),
 	)
 	n.conf = config.NewService(n.st, n.ring)
-	n.dir = hosts.New(n.st, n.placer, n.ring, hosts.WithShare(n.polls), hosts.WithLoadFunc(n.tellLoad))
+	n.dir = hosts.New(n.st, n.placer, n.ring, hosts.WithShare(n.polls), hosts.WithLoadFunc(n.broadcastLoad))
 	n.gate = queue.NewGate(queue.NewFair(), maxInFlight)
 	n.dir.OnChange(n.resize)
 	n.moves = newMoves(n)
 	n.conf.OnObject(n.moves.Take)
 	n.router = route.New(n.placer, n.dir, n.ring, route.WithSecret(set.Peers.Secret), route.WithVersions(n.moves))
-	n.crash = crash.NewBook(n.ring, crash.WithShare(n.tellStrike, n.tellClear))
+	n.crash = crash.NewRegistry(n.ring, crash.WithShare(n.broadcastCrash, n.broadcastClear))
 	if err := n.newPeers(); err != nil {
 		return nil, err
 	}
 	n.hub = budget.NewHub(budgetShards, n.terms, budget.Links{
-		Holds:  func(i int) (uint64, bool) { return n.keeper.Holds(i) },
-		Recall: n.recall,
-		Hasten: func(i int) { n.keeper.Hasten(i) },
+		Holds:     func(i int) (uint64, bool) { return n.keeper.Holds(i) },
+		Recall:    n.recall,
+		RenewSoon: func(i int) { n.keeper.RenewSoon(i) },
 	})
 	n.keeper = n.newKeeper()
 	n.shares = budget.NewShares(set.Node.Name, n.boot, budgetShards, n.terms, n, budget.WithFloors(n.floors))
@@ -144,7 +144,7 @@
 		Router:  n.router,
 		Gate:    n.gate,
 		Limiter: n.shares,
-		Claims:  claim.NewBook(n.st, n.set.Node.Name, n.ring),
+		Claims:  claim.NewRegistry(n.st, n.set.Node.Name, n.ring),
 		Suspect: n.crash,
 		Signer:  stream.NewSigner(n.set.Peers.Secret),
 		Rec:     n.ring,
@@ -162,7 +162,7 @@
 	}
 	st := member.New(self, member.WithPeriod(n.period), member.WithSeeds(n.set.Peers.Seeds), member.WithChangeFunc(n.memberChanged))
 	st.SetClock(n.ring.Clock().Exchange)
-	st.OnRumour(n.hearLoad, n.hearStrike)
+	st.OnSpread(n.receiveLoad, n.receiveCrash)
 	var opts []peer.Option
 	if n.set.TLS.Peers.Enabled() {
 		server, client, err := certs.Mutual(n.set.TLS.Peers.Cert, n.set.TLS.Peers.Key, n.set.TLS.Peers.CA)
@@ -174,7 +174,7 @@
 	n.peers = peer.New(st, n.set.Listen.Peers, n.set.Peers.Secret, n.period, opts...)
 	n.peers.Handle(peer.Handlers{
 		Snapshot: n.snapshot, Exchange: n.exchange, Recall: func(r *wire.RecallRequest) { n.shares.Recall(r) },
-		Observe: n.moves.Hear, Stop: n.moves.HearStop,
+		Observe: n.moves.Receive, Stop: n.moves.ReceiveStop,
 	})
 	return nil
 }
--- a/node/share.go
+++ b/node/share.go
@@ -207,43 +207,43 @@
 	return false
 }
 
-// tellLoad passes a load report on to the other nodes.
-func (n *Node) tellLoad(name string, incarnation uint64, l vane.Load) {
+// broadcastLoad passes a load report on to the other nodes.
+func (n *Node) broadcastLoad(name string, incarnation uint64, l vane.Load) {
 	n.peers.Do(func(st *member.State, now time.Time) {
-		st.TellLoad(now, &wire.Load{
+		st.BroadcastLoad(now, &wire.Load{
 			Upstream: name, Incarnation: incarnation, Running: uint32(l.Running), Waiting: uint32(l.Waiting), Draining: l.Draining,
 		})
 	})
 }
 
-// hearLoad takes a load report from another node.
-func (n *Node) hearLoad(l *wire.Load) {
+// receiveLoad takes a load report from another node.
+func (n *Node) receiveLoad(l *wire.Load) {
 	n.dir.Saw(l.GetUpstream(), l.GetIncarnation())
 	n.dir.TakeLoad(l.GetUpstream(), l.GetIncarnation(), vane.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Draining: l.GetDraining()})
 }
 
-// tellStrike passes a strike on to the other nodes.
-func (n *Node) tellStrike(s crash.Strike) {
+// broadcastCrash passes a report on to the other nodes.
+func (n *Node) broadcastCrash(s crash.Report) {
 	n.peers.Do(func(st *member.State, _ time.Time) {
-		st.TellStrike(&wire.Strike{
+		st.BroadcastCrash(&wire.CrashReport{
 			Workspace: s.Name.Workspace, Fingerprint: s.Name.Fingerprint, Upstream: s.Upstream, Incarnation: s.Incarnation,
 		})
 	})
 }
 
-// tellClear passes the clearance of a request on to the other nodes.
-func (n *Node) tellClear(name crash.Name) {
+// broadcastClear passes the clearance of a request on to the other nodes.
+func (n *Node) broadcastClear(name crash.Name) {
 	n.peers.Do(func(st *member.State, now time.Time) {
-		st.TellStrike(&wire.Strike{Workspace: name.Workspace, Fingerprint: name.Fingerprint, Incarnation: uint64(now.UnixMicro())})
+		st.BroadcastCrash(&wire.CrashReport{Workspace: name.Workspace, Fingerprint: name.Fingerprint, Incarnation: uint64(now.UnixMicro())})
 	})
 }
 
-// hearStrike takes a strike or a clearance from another node.
-func (n *Node) hearStrike(s *wire.Strike) {
+// receiveCrash takes a report or a clearance from another node.
+func (n *Node) receiveCrash(s *wire.CrashReport) {
 	name := crash.Name{Workspace: s.GetWorkspace(), Fingerprint: s.GetFingerprint()}
 	if s.GetUpstream() == "" {
 		n.crash.Clear(name)
 		return
 	}
-	n.crash.Add(crash.Strike{Name: name, Upstream: s.GetUpstream(), Incarnation: s.GetIncarnation()})
+	n.crash.Add(crash.Report{Name: name, Upstream: s.GetUpstream(), Incarnation: s.GetIncarnation()})
 }
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -14,7 +14,7 @@
 //	b.SetTerms(now, terms)
 //	b.SetPeers(now, names)
 //	wait, ok := b.Take(now, "workspace", 1200)
-//	b.Hear(now, "node-2", boot, counters, levels)
+//	b.Receive(now, "node-2", boot, counters, levels)
 //
 // # Load pattern
 //
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -186,9 +186,9 @@
 // Settled says whether the node's levels rest on more than its own short life.
 func (b *Buckets) Settled(now time.Time) bool { return b.joined || now.Sub(b.start) > joinTime }
 
-// Hear takes the counters of another node. Levels are nil unless that node is
+// Receive takes the counters of another node. Levels are nil unless that node is
 // settled; a node that has just started takes them over.
-func (b *Buckets) Hear(now time.Time, name string, boot uint64, spent, levels map[string]float64) {
+func (b *Buckets) Receive(now time.Time, name string, boot uint64, spent, levels map[string]float64) {
 	p, ok := b.peers[name]
 	if !ok {
 		return
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -58,7 +58,7 @@
 		}
 		for j, o := range f.nodes {
 			if i != j && deliver(i, j) {
-				o.Hear(now, f.names[i], f.boots[i], spent, levels)
+				o.Receive(now, f.names[i], f.boots[i], spent, levels)
 			}
 		}
 	}
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -62,7 +62,7 @@
 				news := p.News()
 				for j, o := range nodes {
 					if j != i {
-						o.Hear(news)
+						o.Receive(news)
 					}
 				}
 			}
--- a/sched/news.go
+++ b/sched/news.go
@@ -13,7 +13,7 @@
 }
 
 // News returns what was read since the last call, by engine, in a form for
-// [Placer.Hear].
+// [Placer.Receive].
 func (p *Placer) News() map[string][]uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -22,8 +22,8 @@
 	return out
 }
 
-// Hear takes another node's news of what engines read.
-func (p *Placer) Hear(news map[string][]uint64) {
+// Receive takes another node's news of what engines read.
+func (p *Placer) Receive(news map[string][]uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, parts := range news {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -168,7 +168,7 @@
 	b.Update(view(18, same(1)))
 	c, _ := a.Pick(begin, query(1, 1))
 	a.Begin(begin, query(1, 1), c)
-	b.Hear(a.News())
+	b.Receive(a.News())
 	q := query(1, 2)
 	q.Avoid = []string{c.Upstream.Name}
 	d, ok := b.Pick(begin, q)
