Engines that were replaced at their address are set aside

Cause: an engine that crashed and was started anew answers 421 to requests for the old one until its entry is replaced, which takes seconds while the store's history is lost. The answer also counted as a sign of life. An engine's report tells the two causes of a 421 apart: other weights than believed, or the same. Ruled out: weights in doubt (2,619 of 3,408 reports named the believed ones).

--- a/edge/loader.go
+++ b/edge/loader.go
@@ -205,11 +205,25 @@
 			l.n.log.Warn("weights in doubt", "upstream", u.Name, "believed", u.Weights, "err", err.Error())
 			return
 		}
-		l.n.log.Info("weights in doubt", "upstream", u.Name, "believed", u.Weights, "serves", r.Weights[u.Model], "busy", r.Busy)
-		l.n.placer.Corrected(u.Name, r.Weights[u.Model])
+		l.judge(time.Now(), u, r)
 	}()
 }
 
+// judge takes the report of an engine that turned a request away. If the weights are
+// what they were believed to be, it did so because another engine has its address now:
+// it crashed and was started anew, and its entry is not replaced yet.
+func (l *loader) judge(now time.Time, u vane.Upstream, r vane.EngineReport) {
+	serves := r.Weights[u.Model]
+	l.n.log.Info("weights in doubt", "upstream", u.Name, "believed", u.Weights, "serves", serves, "busy", r.Busy)
+	if serves != u.Weights {
+		l.n.placer.Corrected(u.Name, serves)
+		return
+	}
+	aside := l.n.placer.Failed(now, u.Name)
+	l.n.log.Warn("upstream set aside", "upstream", u.Name, "cause", "replaced", "aside_ms", aside.Milliseconds())
+	l.n.failed(u)
+}
+
 // announce sets an engine aside on all nodes.
 func (l *loader) announce(name string, weights uint64) {
 	l.n.placer.Loading(name, time.Now().Add(weight.LoadTime))
--- a/sched/doc.go
+++ b/sched/doc.go
@@ -9,6 +9,8 @@
 //	t := s.Begin(now, q, pick)
 //	s.First(now, t); s.End(now, t)
 //
+// Nodes exchange what they sent to engines: [Placer.News] and [Placer.Receive].
+//
 // # Load patterns
 //
 // Prompts share long parts whose recomputation costs as much as the request is
@@ -17,6 +19,14 @@
 // holds yet is computed at one engine, the same from the view of every node, so
 // that a burst of requests for a new part does not compute it many times.
 //
+// Thousands of subjects share a few first parts. Engines that hold only the first parts
+// are a source of them. Subjects come again after seconds and fill the engines' memory
+// several times over, so that an idle engine that holds a subject is preferred to having
+// it copied.
+//
+// Engines compute prompts between the tokens of their streams, which pause meanwhile.
+// Where short prompts keep several engines busy, these are set apart for them.
+//
 // Traffic between data centres is dear, so an upstream of the own data centre wins
 // unless the others are ahead by more than what the bytes cost.
 //
--- a/sched/observe.go
+++ b/sched/observe.go
@@ -17,7 +17,9 @@
 	if !ok {
 		return false
 	}
-	u.answered(now)
+	if !m.Wrong {
+		u.answered(now) // else another upstream may have answered at its address
+	}
 	if m.HasLoad {
 		u.load, u.loadAt = m.Load, now
 	}
