--- a/cmd/vanectl/watch.go
+++ b/cmd/vanectl/watch.go
@@ -16,6 +16,7 @@
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/admin"
 	"mustardvane.org/vane/event"
+	"mustardvane.org/vane/logs"
 )
 
 func statusCommand() *cli.Command {
@@ -181,11 +182,15 @@
 func whyCommand() *cli.Command {
 	return &cli.Command{
 		Name: "why", Usage: "explain what happened to a request, a workspace or an upstream", ArgsUsage: "NAME",
-		Description: "Example:\n  vanectl --nodes A,B why 1f0c6a…",
+		Description: "Examples:\n  vanectl --nodes A,B why 1f0c6a…\n  vanectl why --logs logs/ 1f0c6a…\n  cat *.log | vanectl why --logs - 1f0c6a…",
+		Flags:       []cli.Flag{&cli.StringFlag{Name: "logs", Usage: "read the nodes' logs from a file, a folder, or standard input (\"-\"), at `PATH`, instead of asking the nodes"}},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if cmd.Args().Len() != 1 {
 				return cli.Exit("why takes the id of a request or the name of a workspace or upstream", exitUsage)
 			}
+			if path := cmd.String("logs"); path != "" {
+				return whyFromLogs(cmd, path, cmd.Args().First())
+			}
 			c, err := nodes(cmd)
 			if err != nil {
 				return err
@@ -198,6 +203,19 @@
 	}
 }
 
+// whyFromLogs explains a name from log files.
+func whyFromLogs(cmd *cli.Command, path, name string) error {
+	lines, skipped, err := logs.Read(path)
+	if err != nil {
+		return cli.Exit(err.Error(), exitRefused)
+	}
+	if skipped > 0 {
+		fmt.Fprintf(cmd.Root().ErrWriter, "vanectl: %d lines are no log lines and were left out\n", skipped)
+	}
+	logs.Explain(lines, name).Print(cmd.Root().Writer)
+	return nil
+}
+
 // explain prints the events that concern the name, and the count of causes.
 func explain(w io.Writer, name string, evs []vane.Event) {
 	var mine []vane.Event
