--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -48,7 +48,7 @@
 	Leaving bool
 	Fence   uint64
 	StoreOK bool
-	Alive   bool // it was heard lately
+	Alive   bool // a message came lately
 	seq     uint64
 	known   time.Time // since when this node knows of it in its present life
 	bundle  time.Time // last time that it passed messages on
@@ -215,7 +215,7 @@
 	return sendPeriod(n) + 2*relayPeriod(n)
 }
 
-// alive says whether a node was heard lately.
+// alive says whether a message of the node came lately.
 func (m *Mesh) alive(p *Peer, now time.Time) bool {
 	limit := silentTime
 	if n := len(m.peers); n > smallSite {
@@ -254,7 +254,3 @@
 	}
 	return before < prompt
 }
-
-// relayLoop passes on the messages that were sent to this node for others, until
-// passOn sends the queued messages to the nodes of the own data centre, and to a relay
-// note keeps account of the sender. It returns false for a message that is not
--- a/mesh/post.go
+++ b/mesh/post.go
@@ -91,6 +91,7 @@
 	}
 }
 
+// relayLoop passes on the messages that were sent to this node for others, until
 // ctx ends.
 func (m *Mesh) relayLoop(ctx context.Context) {
 	for clock.Sleep(ctx, minPause) {
@@ -110,6 +111,7 @@
 	}
 }
 
+// passOn sends the queued messages to the nodes of the own data centre, and to a relay
 // in each other one.
 func (m *Mesh) passOn(now time.Time, urgent bool) {
 	m.mu.Lock()
@@ -148,7 +150,7 @@
 	}
 }
 
-// take hears the messages of an envelope and passes the new ones on.
+// take hands the new messages of an envelope to the node and passes them on.
 func (m *Mesh) take(e envelope, from string) {
 	now := time.Now()
 	var fresh [][]byte
@@ -190,6 +192,7 @@
 	}
 }
 
+// note keeps account of the sender. It returns false for a message that is not
 // newer than the last.
 func (m *Mesh) note(now time.Time, msg *Message) bool {
 	marks := m.Marks() // before the lock, since the source of marks also calls the mesh
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -12,10 +12,10 @@
 
 // Bounds of passing messages on, in a large site.
 const (
-	relayMbps    = 80              // links of a data centre's relays, all together
+	relayMbps    = 80              // links of a data centre's relays, all together: four times what 27 nodes at two messages a second need
 	fewestRelays = 2               // of a data centre, so that one may fail
 	mostRelays   = 6               // of a data centre
-	trialTime    = 3 * time.Second // nodes that were not heard yet count as alive so long after they became known
+	trialTime    = 3 * time.Second // a node counts as alive for so long after it became known, though no message came yet
 	bundleSize   = 16 << 10        // bytes of messages in one datagram
 )
 
--- a/sched/light.go
+++ b/sched/light.go
@@ -11,7 +11,7 @@
 // between the tokens of its streams, so that a stream pauses while long prompts are
 // computed beside it.
 const (
-	lightPrompt = 2048            // tokens; an engine computes as many between two tokens without a noticeable pause
+	lightPrompt = 2048            // tokens; half of the piece that engines compute between two tokens
 	lightFill   = 0.7             // of an engine's slots that requests with short prompts take before one more engine is set apart
 	lightLeast  = 4               // engines; the failure of one of fewer would break too many streams
 	lightMost   = 0.5             // of the engines that are set apart at most
