Data centres that have not heard each other for long are tried again

Cause: messages went to relays that count as alive only. When all relays of a data centre had stopped for longer than that, it and another one counted each other as silent, and neither ever sent again. A few nodes of a silent data centre are now tried at each turn. The mesh takes its time from a function, so that the model can set it.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -60,6 +60,7 @@
 type Mesh struct {
 	self vane.PeerRecord
 	Deps
+	now func() time.Time
 
 	mu     sync.Mutex
 	peers  map[string]*Peer
@@ -78,7 +79,7 @@
 // New returns the mesh of a node.
 func New(self vane.PeerRecord, d Deps) *Mesh {
 	return &Mesh{
-		self: self, Deps: d, peers: make(map[string]*Peer), wake: make(chan struct{}, 1),
+		self: self, Deps: d, now: time.Now, peers: make(map[string]*Peer), wake: make(chan struct{}, 1),
 		flush: make(chan struct{}, 1), lag: make(chan struct{}, 1),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: snapTimeout},
 	}
@@ -98,14 +99,14 @@
 			m.peers[name] = p
 		}
 		if r.Boot > p.Boot {
-			p.known = time.Now()
+			p.known = m.now()
 		}
 		if r.Boot >= p.Boot {
 			p.PeerRecord = r
 		}
 	}
 	for name, p := range m.peers {
-		if _, ok := records[name]; !ok && !m.alive(p, time.Now()) {
+		if _, ok := records[name]; !ok && !m.alive(p, m.now()) {
 			delete(m.peers, name)
 		}
 	}
@@ -116,7 +117,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make([]Peer, 0, len(m.peers))
-	now := time.Now()
+	now := m.now()
 	for _, p := range m.peers {
 		c := *p
 		c.Alive = m.alive(p, now)
@@ -137,9 +138,9 @@
 // a large site, and does nothing in a small one.
 func (m *Mesh) Urge() {
 	m.mu.Lock()
-	due := len(m.peers) > smallSite && time.Since(m.urged) > period
+	due := len(m.peers) > smallSite && m.now().Sub(m.urged) > period
 	if due {
-		m.urged = time.Now()
+		m.urged = m.now()
 	}
 	m.mu.Unlock()
 	if due {
@@ -237,7 +238,7 @@
 func (m *Mesh) Prompt() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.promptNode(time.Now())
+	return m.promptNode(m.now())
 }
 
 // promptNode is Prompt with the lock held.
--- a/mesh/post.go
+++ b/mesh/post.go
@@ -28,7 +28,7 @@
 // send sends one message: to every node in a small site, and to a relay in a large
 // one.
 func (m *Mesh) send() {
-	now := time.Now()
+	now := m.now()
 	msg := &Message{Name: m.self.Name, Boot: m.self.Boot, Callers: m.self.Callers}
 	marks := m.Marks()
 	msg.UpMark, msg.Mark, msg.NewMark = marks.Upstreams, marks.Config, marks.Weights
@@ -107,7 +107,7 @@
 		case <-ctx.Done():
 		}
 		t.Stop()
-		m.passOn(time.Now(), urgent)
+		m.passOn(m.now(), urgent)
 	}
 }
 
@@ -152,7 +152,7 @@
 
 // take hands the new messages of an envelope to the node and passes them on.
 func (m *Mesh) take(e envelope, from string) {
-	now := time.Now()
+	now := m.now()
 	var fresh [][]byte
 	for _, b := range e.Messages {
 		msg, err := decodeMessage(b)
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -161,11 +161,31 @@
 	for c := range centres {
 		if rs := relays(all, c); len(rs) > 0 {
 			far = append(far, rs[m.turn%len(rs)].addr)
+		} else {
+			far = append(far, trials(all, c, m.turn)...)
 		}
 	}
 	return near, far
 }
 
+// trials returns the addresses to try in a data centre of which no node was heard for
+// some time: a few others at each turn. Its nodes may have heard none of this one
+// either, so that otherwise neither would ever send again.
+func trials(all []member, centre string, turn int) []string {
+	var known []member
+	for _, m := range all {
+		if m.centre == centre && !m.leaving {
+			known = append(known, m)
+		}
+	}
+	slices.SortFunc(known, rank)
+	var out []string
+	for i := range min(fewestRelays, len(known)) {
+		out = append(out, known[(turn*fewestRelays+i)%len(known)].addr)
+	}
+	return out
+}
+
 // split puts messages into envelopes of a bounded size.
 func split(s scope, urgent bool, messages [][]byte) []envelope {
 	var out []envelope
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -60,7 +60,7 @@
 		case <-ctx.Done():
 			return
 		}
-		addr, ok := m.ahead(time.Now())
+		addr, ok := m.ahead(m.now())
 		if !ok {
 			continue
 		}
