A node whose record was removed makes itself known again

A node that was only cut off wrote its record once, at its start, so that the others ignored it for good afterwards: callers were not sent to it, and what it admitted counted in no quota. Found by reading; the test is red without the change.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -156,8 +156,8 @@
 	return n.mirror.View().Config != nil
 }
 
-// join makes the node known in the store, and removes records of nodes that have
-// been gone for long.
+// join makes the node known in the store, again if its record is removed, and removes
+// records of nodes that have been gone for long.
 func (n *Node) join(ctx context.Context, ready func()) error {
 	ready()
 	key := mirror.PeerKey(n.set.Node)
@@ -165,22 +165,43 @@
 	if err != nil {
 		return vane.Errorf(vane.KindInternal, "edge.join", "report the failure", "the record can't be encoded").WithCause(err)
 	}
+	if !n.writeRecord(ctx, key, value) {
+		return nil
+	}
+	for clock.Sleep(ctx, clock.Jitter(forgetEvery)) {
+		n.forget(ctx)
+		if n.forgotten() && !n.writeRecord(ctx, key, value) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// writeRecord writes the node's record until it stands. It returns false if ctx ends first.
+func (n *Node) writeRecord(ctx context.Context, key string, value []byte) bool {
 	for {
 		err := n.write(ctx, key, value)
 		if err == nil {
-			break
+			n.log.Info("joined", "boot", n.boot)
+			n.mesh.Notify()
+			return true
 		}
 		n.log.Warn("not joined yet", "err", err.Error())
 		if !clock.Sleep(ctx, clock.Jitter(joinRetry)) {
-			return nil
+			return false
 		}
 	}
-	n.log.Info("joined", "boot", n.boot)
-	n.mesh.Notify()
-	for clock.Sleep(ctx, clock.Jitter(forgetEvery)) {
-		n.forget(ctx)
+}
+
+// forgotten says whether the node's record is gone although it runs: it was cut off
+// for so long that another node removed the record.
+func (n *Node) forgotten() bool {
+	if n.isLeaving() || !n.mirror.Reachable() {
+		return false
 	}
-	return nil
+	v := n.mirror.View()
+	_, ok := v.Peers[n.set.Node]
+	return !ok && v.Config != nil
 }
 
 // write replaces an object whatever its version, or creates it.
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -20,6 +20,7 @@
 	"mustardvane.org/vane/edge"
 	"mustardvane.org/vane/fake/plat"
 	"mustardvane.org/vane/internal/port"
+	"mustardvane.org/vane/mirror"
 	"mustardvane.org/vane/site"
 	"mustardvane.org/vane/store"
 )
@@ -365,3 +366,24 @@
 	f.put("config/main", map[string]any{"version": 2, "routes": []vane.Route{}})
 	f.until("the new configuration is in force", func() bool { r, err := f.ask(1, "/r/x"); return err == nil && r.StatusCode == 404 })
 }
+
+// A node that was cut off for so long that its record was removed makes itself known
+// again.
+func TestForgottenNodeJoinsAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 2, echo(0))
+	f.configure(1)
+	key := mirror.PeerKey(f.sets[0].Node)
+	var o vane.Object
+	f.until("the node has joined", func() bool {
+		var err error
+		o, err = f.st.Get(t.Context(), key)
+		return err == nil && len(f.entries(0)) == 2
+	})
+	is.NoErr(f.st.Delete(t.Context(), key, o.Version))
+	f.until("the node has joined again", func() bool {
+		again, err := f.st.Get(t.Context(), key)
+		return err == nil && again.Version > o.Version
+	})
+}
