--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -111,11 +111,11 @@
 	n.notes.fill(now, m)
 }
 
-// hear takes a message of another node.
-func (n *Node) hear(now time.Time, m *mesh.Message) {
+// receive takes a message of another node.
+func (n *Node) receive(now time.Time, m *mesh.Message) {
 	n.placer.SetPeer(m.Name, m.InFlight)
 	n.placer.Receive(m.Reads)
-	n.quota.hear(now, m)
+	n.quota.receive(now, m)
 	for _, e := range m.Engines {
 		n.placer.Serves(e.Upstream, e.Weights)
 		if e.LoadingMS != 0 {
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -72,8 +72,8 @@
 	return l.b.Spent(), levels
 }
 
-// hear takes the counters of another node.
-func (l *limiter) hear(now time.Time, m *mesh.Message) {
+// receive takes the counters of another node.
+func (l *limiter) receive(now time.Time, m *mesh.Message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.b.Receive(now, m.Name, m.Boot, m.Spent, m.Levels)
--- a/member/message.go
+++ b/member/message.go
@@ -21,7 +21,7 @@
 	if p == nil {
 		return nil
 	}
-	s.hear(now, p, g)
+	s.receive(now, p, g)
 	switch g.GetKind() {
 	case wire.Kind_KIND_PING:
 		ack := s.message(now, wire.Kind_KIND_ACK, p)
@@ -35,9 +35,9 @@
 	return nil
 }
 
-// hear notes that the peer lives and takes what its message carries besides
+// receive notes that the peer lives and takes what its message carries besides
 // members.
-func (s *State) hear(now time.Time, p *peer, g *wire.Gossip) {
+func (s *State) receive(now time.Time, p *peer, g *wire.Gossip) {
 	p.Heard = now
 	p.probe, p.asked = time.Time{}, false
 	p.differ = g.GetView() != s.view()
--- a/route/router.go
+++ b/route/router.go
@@ -209,7 +209,7 @@
 	if err != nil {
 		return nil, rt.sendError(ctx, a, err)
 	}
-	rt.hear(a.pick.Upstream, resp.Header)
+	rt.learn(a.pick.Upstream, resp.Header)
 	if err := rt.checkStatus(a, resp); err != nil {
 		drainBody(resp.Body)
 		return nil, err
@@ -243,8 +243,8 @@
 	}
 }
 
-// hear takes what an upstream says about itself on an answer.
-func (rt *Router) hear(u vane.Upstream, h http.Header) {
+// learn takes what an upstream says about itself on an answer.
+func (rt *Router) learn(u vane.Upstream, h http.Header) {
 	if inc, ok := incarnation(h); ok && inc != u.Incarnation {
 		rt.dir.Saw(u.Name, inc)
 		return
