Tests for three mechanisms that could be taken out unnoticed

Five were tried; three left all tests green: a relay that is heard but passes nothing on was kept, an answer of another upstream counted as a sign of life, a node wrote its record again while stopping. Now red without them: TestRelayFails (stricter: the relay is heard), TestAnswerOfAnother UpstreamIsNoSignOfLife, TestLeavingNodeIsNotForgotten. Red before already: TestSentMark when the mark always says not run, TestExportIsWhatIsMissing when removals are left out. No product code changed.

--- a/edge/loader_test.go
+++ b/edge/loader_test.go
@@ -14,6 +14,12 @@
 	"mustardvane.org/vane/sched"
 )
 
+// A node that is stopping removed its record itself, and does not write it again.
+func TestLeavingNodeIsNotForgotten(t *testing.T) {
+	is := is.New(t)
+	is.True(!(&Node{leaving: true}).forgotten())
+}
+
 // Load: a third of the engines crash and are started anew at their addresses, while the
 // store's history is lost, so that their entries stay for seconds. Each request that is
 // sent to one of them is turned away and uses up the share of repeats.
--- a/mesh/relay_test.go
+++ b/mesh/relay_test.go
@@ -139,24 +139,32 @@
 	}
 }
 
-// Without its relay a node's messages go through another one, once it has noticed.
+// A relay that is heard but passes nothing on, as one behind a link that is cut one way,
+// is replaced by another one once that is noticed.
 func TestRelayFails(t *testing.T) {
 	is := is.New(t)
 	w := newWire(27, "a", "b", "c")
 	w.round(false)
 	w.down["10.0.0.0:7"] = true // a relay of data centre a
-	from := w.nodes["10.0.0.9:7"]
+	var from *Mesh
+	for _, m := range w.nodes {
+		r := m.ownRoute(time.Now(), false)
+		if len(r.relays) == 1 && r.relays[0] == "10.0.0.0:7" {
+			from = m
+		}
+	}
 	from.mu.Lock()
 	later := time.Now().Add(missed*sendPeriod(80) + time.Second)
 	first := from.ownRoute(time.Now(), false)
 	for _, p := range from.peers {
+		p.Heard = later
 		if p.Mesh != "10.0.0.0:7" {
-			p.bundle, p.Heard = later, later
+			p.bundle = later
 		}
 	}
 	second := from.ownRoute(later, false)
 	from.mu.Unlock()
-	is.Equal(len(first.relays), 1)
+	is.Equal(first.relays, []string{"10.0.0.0:7"})
 	is.Equal(second.relays, []string{"10.0.0.1:7"})
 }
 
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -300,6 +300,29 @@
 	is.Equal(p.Overdue(begin.Add(1500*time.Millisecond), 1200*time.Millisecond), []string{"e01"})
 }
 
+// An answer of another upstream at the address is no sign of life of the one that was
+// meant: another node's word that it is gone counts.
+func TestAnswerOfAnotherUpstreamIsNoSignOfLife(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		wrong bool
+		aside bool
+	}{
+		{"its own answer", false, false},
+		{"another upstream's", true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := sched.New("dc0", &cache{})
+			p.Update(view(1, same(1)))
+			p.Observe(begin, "e00", vane.AnswerMeta{NotRun: true, Wrong: tt.wrong})
+			p.Suspect(begin.Add(10*time.Millisecond), "e00")
+			_, ok := p.Pick(begin.Add(20*time.Millisecond), query(1, 1))
+			is.Equal(!ok, tt.aside)
+		})
+	}
+}
+
 // The counts of requests in flight return to zero whatever the order of events.
 func TestCountsReturnToZero(t *testing.T) {
 	is := is.New(t)
