Weights: measure their age on a clock that counts suspended time

Cause: a node keeps the time at which it learned of new weights as a reading of Go's time.Now and takes the age as the difference of two such readings. That is the steady clock, which stands still while the host is suspended. A node that slept for 5 s goes on sending requests to engines with old weights for 5 s after their limit; it counts again as in touch 3 to 4 s after waking. The lease on weight orders already used CLOCK_BOOTTIME; the placer, the mirror and the loader did not. Records in the store, which several hosts read, stay in wall time and are converted.

Evidence: TestWeightsAgeWhileSuspended fails on the code before (no age of 5 s after 5 s of CLOCK_BOOTTIME).

--- a/edge/loader.go
+++ b/edge/loader.go
@@ -94,7 +94,7 @@
 // later know. After a failure the weights count as unrecorded again.
 func (l *loader) writeWeightsRecord(ctx context.Context, w mirror.Weights) {
 	key := mirror.WeightsRecordKey(w.Model)
-	value, err := json.Marshal(w.Record())
+	value, err := json.Marshal(w.Record(clock.WallOffset()))
 	if err == nil {
 		err = l.node.overwrite(ctx, key, value)
 	}
@@ -111,7 +111,7 @@
 // new orders are planned, but those already sent are still followed up.
 func (l *loader) dueActions() []weight.Action {
 	allowed := l.mayOrder()
-	now := time.Now()
+	now := clock.BootTime()
 	v := l.node.mirror.View()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -168,7 +168,7 @@
 	if a.Kind == weight.ActReport {
 		r, err := l.node.adapter.Control.Report(ctx, a.Engine)
 		done := false
-		l.withPlanner(model, func(p *weight.Planner) { done = p.HandleReport(time.Now(), a.Engine.Name, model, r, err) })
+		l.withPlanner(model, func(p *weight.Planner) { done = p.HandleReport(clock.BootTime(), a.Engine.Name, model, r, err) })
 		if done {
 			l.announceLoaded(a.Engine.Name, r.Weights[model])
 		}
@@ -186,7 +186,7 @@
 		})
 	}
 	l.node.log.Info("order", "upstream", a.Engine.Name, "weights", a.Weights, "before", a.Engine.Weights, "fence", fence, "expected", a.Expected, "result", res.String(), "err", errText(err))
-	l.withPlanner(model, func(p *weight.Planner) { p.HandleOrderResult(time.Now(), a.Engine.Name, res) })
+	l.withPlanner(model, func(p *weight.Planner) { p.HandleOrderResult(clock.BootTime(), a.Engine.Name, res) })
 	if res != vane.OrderAccepted && res != vane.OrderUnknown {
 		l.node.placer.SetLoading(a.Engine.Name, time.Time{})
 		l.node.pendingUpdates.addEngine(mesh.EngineUpdate{Upstream: a.Engine.Name, LoadingMS: notLoading})
@@ -198,7 +198,7 @@
 // recently.
 func (l *loader) checkWeights(u vane.Upstream) {
 	l.mu.Lock()
-	now := time.Now()
+	now := clock.BootTime()
 	due := u.Role == vane.RoleEngine && now.Sub(l.lastCheck[u.Name]) > checkInterval
 	if due {
 		l.lastCheck[u.Name] = now
@@ -213,7 +213,7 @@
 			l.node.log.Warn("weights in doubt", "upstream", u.Name, "believed", u.Weights, "err", err.Error())
 			return
 		}
-		l.handleReport(time.Now(), u, r)
+		l.handleReport(clock.BootTime(), u, r)
 	}()
 }
 
@@ -236,7 +236,7 @@
 // announceLoading makes this and all other nodes avoid the engine while it may be
 // loading.
 func (l *loader) announceLoading(name string, weights uint64) {
-	l.node.placer.SetLoading(name, time.Now().Add(weight.MaxLoadTime))
+	l.node.placer.SetLoading(name, clock.BootTime().Add(weight.MaxLoadTime))
 	l.node.pendingUpdates.addEngine(mesh.EngineUpdate{Upstream: name, Weights: weights, LoadingMS: int(weight.MaxLoadTime.Milliseconds())})
 	l.node.mesh.SendNow()
 }
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -115,17 +115,18 @@
 
 // receive applies a message from another node.
 func (n *Node) receive(now time.Time, m *mesh.Message) {
+	at := clock.BootTime() // the clock of the placer
 	n.placer.SetPeerInFlight(m.Name, m.InFlight)
 	n.placer.ApplyCacheUpdates(m.PromptParts)
 	n.quota.receive(now, m)
 	for _, e := range m.Engines {
 		n.placer.RecordWeights(e.Upstream, e.Weights)
 		if e.LoadingMS != 0 {
-			n.placer.SetLoading(e.Upstream, now.Add(time.Duration(e.LoadingMS)*time.Millisecond))
+			n.placer.SetLoading(e.Upstream, at.Add(time.Duration(e.LoadingMS)*time.Millisecond))
 		}
 	}
 	for _, name := range m.Unresponsive {
-		n.placer.RecordPeerFailure(now, name)
+		n.placer.RecordPeerFailure(at, name)
 	}
 	if m.Fence > 0 {
 		n.leases.Hint(0, m.Fence)
--- a/edge/node.go
+++ b/edge/node.go
@@ -314,7 +314,7 @@
 func (n *Node) watchSilentUpstreams(ctx context.Context, ready func()) error {
 	ready()
 	for clock.Sleep(ctx, tickPeriod) {
-		for _, name := range n.placer.EjectSilent(time.Now(), silentTimeout) {
+		for _, name := range n.placer.EjectSilent(clock.BootTime(), silentTimeout) {
 			n.pendingUpdates.addUnresponsive(name)
 			n.mesh.SendNow()
 			n.log.Warn("upstream set aside", "upstream", name, "cause", "silent", "limit_ms", silentTimeout.Milliseconds())
--- a/front/relay.go
+++ b/front/relay.go
@@ -10,6 +10,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/conns"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/sched"
 )
 
@@ -59,7 +60,7 @@
 			if t.relay == nil {
 				t.relay = startRelay(w, resp)
 			}
-			h.Placer.FirstByte(time.Now(), att)
+			h.Placer.FirstByte(clock.BootTime(), att)
 			if err := t.relay.send(event, !eventBuffered(br)); err != nil {
 				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
 			}
--- a/front/serve.go
+++ b/front/serve.go
@@ -10,6 +10,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/conns"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/sched"
 )
 
@@ -41,7 +42,7 @@
 	t := &attempts{request: c}
 	h.RetryBudget(c.service).CountRequest(c.start)
 	for {
-		pick, ok := h.Placer.Pick(time.Now(), c.placementQuery(t.avoid))
+		pick, ok := h.Placer.Pick(clock.BootTime(), c.placementQuery(t.avoid))
 		if !ok {
 			h.finishRefused(w, t, t.withExecution(vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s accepts requests now", c.service).WithRetryAfter(busyRetryAfter)))
 			return
@@ -122,8 +123,8 @@
 // if a complete response was relayed.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick) *vane.Refusal {
 	q := t.placementQuery(nil)
-	att := h.Placer.Begin(time.Now(), q, p)
-	defer func() { h.Placer.End(time.Now(), att) }()
+	att := h.Placer.Begin(clock.BootTime(), q, p)
+	defer func() { h.Placer.End(clock.BootTime(), att) }()
 	f := vane.Forward{
 		Workspace: t.tenancy.Workspace, TimeLimit: time.Until(t.deadline), Upstream: p.Upstream.Name, Weights: p.Weights,
 		Priority: t.priority(), CacheSalt: p.Salt, FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, LastEventID: t.meta.LastEventID,
@@ -163,7 +164,7 @@
 		t.sends++
 		return vane.Refuse(vane.ReasonUpstreamSlow, "upstream %s did not respond within the time limit", p.Upstream.Name).WithExecution(executionOf(ce)).WithCause(err)
 	}
-	aside := h.Placer.RecordFailure(time.Now(), p.Upstream.Name)
+	aside := h.Placer.RecordFailure(clock.BootTime(), p.Upstream.Name)
 	h.UpstreamFailed(p.Upstream)
 	h.Pool.CloseIdle(p.Upstream.Addr, p.Upstream.Name)
 	h.Log.Warn("upstream set aside", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "dial", ce.Dial, "aside_ms", aside.Milliseconds(), "cause", ce.Cause.Error())
@@ -191,7 +192,7 @@
 func (h *Handler) handleResponse(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, att *sched.Attempt, resp *conns.Response) *vane.Refusal {
 	t.sends++
 	m := h.Dialect.ParseResponse(resp.Status, resp.Header)
-	if h.Placer.Observe(time.Now(), p.Upstream.Name, m) {
+	if h.Placer.Observe(clock.BootTime(), p.Upstream.Name, m) {
 		h.WeightsChanged(p.Upstream.Name, m.Weights)
 	}
 	if m.NotRun {
@@ -208,7 +209,7 @@
 	if err != nil || len(body) > maxResponseBytes || !resp.Complete() {
 		return h.responseTruncated(ctx, t, p, err)
 	}
-	h.Placer.FirstByte(time.Now(), att)
+	h.Placer.FirstByte(clock.BootTime(), att)
 	if resp.Status >= http.StatusInternalServerError && t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && h.RetryBudget(t.service).Take(time.Now()) {
 		t.retryPaid = true
 		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s responded with status %d", p.Upstream.Name, resp.Status).WithExecution(vane.Ran)
@@ -244,7 +245,7 @@
 func (h *Handler) handleNotRun(t *attempts, p sched.Pick, resp *conns.Response, m vane.ResponseMeta) {
 	// The body is discarded, but reading it lets the connection be reused.
 	_, _ = io.CopyN(io.Discard, resp.Body, maxResponseBytes)
-	h.Placer.MarkFull(time.Now(), p.Upstream.Name)
+	h.Placer.MarkFull(clock.BootTime(), p.Upstream.Name)
 	if m.WrongUpstream {
 		h.UpstreamMismatch(p.Upstream)
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -43,3 +43,7 @@
 	}
 	return time.Unix(ts.Unix())
 }
+
+// WallOffset returns the wall time minus the reading of [BootTime]. It changes whenever
+// the wall clock is set.
+func WallOffset() time.Duration { return time.Now().Sub(BootTime()) }
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -78,7 +78,8 @@
 	return s
 }
 
-// View returns the current view, which is immutable.
+// View returns the current view, which is immutable. Its times are readings of
+// [clock.BootTime], so that they count the time for which the host was suspended.
 func (s *Service) View() *View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,7 +118,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.state.View()
-	if f(time.Now()) {
+	s.state.SetWallOffset(clock.WallOffset())
+	if f(clock.BootTime()) {
 		s.onChange(old, s.state.View())
 	}
 }
@@ -196,7 +198,9 @@
 }
 
 // recordResult records whether a call for the prefix succeeded.
-func (s *Service) recordResult(prefix string, err error) { s.recordResultAt(time.Now(), prefix, err) }
+func (s *Service) recordResult(prefix string, err error) {
+	s.recordResultAt(clock.BootTime(), prefix, err)
+}
 
 // recordResultAt is recordResult at a given time.
 func (s *Service) recordResultAt(now time.Time, prefix string, err error) {
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -36,25 +36,27 @@
 	AtMS    []int64  `json:"at_ms"`   // time of each number's designation, in Unix milliseconds on the clock of the node that wrote the record
 }
 
-// Record returns the history as a record.
-func (w Weights) Record() WeightsRecord {
+// Record returns the history as a record. wallOffset is the wall time minus the time of
+// the history's clock.
+func (w Weights) Record(wallOffset time.Duration) WeightsRecord {
 	r := WeightsRecord{Model: w.Model}
 	for _, h := range w.History {
 		r.Numbers = append(r.Numbers, h.Number)
-		r.AtMS = append(r.AtMS, h.Since.UnixMilli())
+		r.AtMS = append(r.AtMS, h.Since.Add(wallOffset).UnixMilli())
 	}
 	return r
 }
 
 // merge returns w with a history that includes the record. Where both have a number,
 // the earlier time counts. Numbers newer than all in the history are ignored.
-func (w Weights) merge(r WeightsRecord) Weights {
+// wallOffset is as for [Weights.Record].
+func (w Weights) merge(r WeightsRecord, wallOffset time.Duration) Weights {
 	h := slices.Clone(w.History)
 	for i, number := range r.Numbers {
 		if i >= len(r.AtMS) {
 			break
 		}
-		at := time.UnixMilli(r.AtMS[i])
+		at := time.UnixMilli(r.AtMS[i]).Add(-wallOffset)
 		j := slices.IndexFunc(h, func(x WeightsVersion) bool { return x.Number >= number })
 		switch {
 		case j < 0:
@@ -119,7 +121,8 @@
 // or zero if none are known.
 func (v *View) TargetWeights(model string) uint64 { return v.Weights[model].Version }
 
-// State is a copy of the objects in the store. It is not safe for concurrent use.
+// State is a copy of the objects in the store. It is not safe for concurrent use. The
+// times that its methods take must come from one clock.
 type State struct {
 	dec             Decoder
 	objects         map[string]vane.Object   // objects by key, including removed ones, which are marked as deleted
@@ -127,6 +130,7 @@
 	delayedRemovals map[string]vane.Object   // removals that are delayed until the end of the grace period, by key
 	graceEnd        time.Time                // end of the grace period after an outage
 	storeDown       bool                     // the store does not answer
+	wallOffset      time.Duration            // wall time minus the time of the clock
 	view            *View
 }
 
@@ -140,6 +144,10 @@
 // View returns the current view.
 func (s *State) View() *View { return s.view }
 
+// SetWallOffset sets the wall time minus the time of the clock. It converts the times of
+// records, which are shared between hosts. The default is zero.
+func (s *State) SetWallOffset(d time.Duration) { s.wallOffset = d }
+
 // SetStoreDown records whether the store is down. The end of an outage starts the grace
 // period.
 func (s *State) SetStoreDown(now time.Time, down bool) {
@@ -302,7 +310,7 @@
 	}
 	for _, n := range records {
 		if w, ok := v.Weights[n.Model]; ok {
-			v.Weights[n.Model] = w.merge(n)
+			v.Weights[n.Model] = w.merge(n, s.wallOffset)
 		}
 	}
 	s.view = v
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -21,7 +21,9 @@
 	ended   bool      // End was called
 }
 
-// Placer chooses upstreams. It is safe for concurrent use.
+// Placer chooses upstreams. It is safe for concurrent use. The times that its methods
+// take must come from the clock of the view's times. That clock has to continue while the
+// host is suspended, since the upstreams are not.
 type Placer struct {
 	dataCentre   string
 	weightsLimit time.Duration // time from the announcement of new weights until engines with older ones get no requests
