Withdraw requests that would begin on outdated weights

Cause: the limit of replaced weights applies to the time at which a request begins, and the placer judged the time at which it is sent. It left 1.5 s for the wait at the engine. Engines that load only when their running requests have ended, which takes 5 to 9 s in a burst, keep their queue until then.

Fix: a request that waits for its first byte is withdrawn from the engine 0.5 s before the limit of the weights that it was sent to, and goes to another engine where it may run twice. No request is sent to an engine at which the estimated wait outlasts the limit. The log line "request withdrawn" names the request, the engine, the age and the limit.

--- a/edge/node.go
+++ b/edge/node.go
@@ -310,7 +310,8 @@
 	n.mesh.SendNow()
 }
 
-// watchSilentUpstreams sets aside upstreams that keep requests waiting for too long.
+// watchSilentUpstreams sets aside upstreams that keep requests waiting for too long, and
+// withdraws requests that would begin on outdated weights.
 func (n *Node) watchSilentUpstreams(ctx context.Context, ready func()) error {
 	ready()
 	for clock.Sleep(ctx, tickPeriod) {
@@ -319,6 +320,10 @@
 			n.mesh.SendNow()
 			n.log.Warn("upstream set aside", "upstream", name, "cause", "silent", "limit_ms", silentTimeout.Milliseconds())
 		}
+		for _, x := range n.placer.ExpireWaiting(clock.BootTime()) {
+			n.log.Info("request withdrawn", "request_id", x.ID, "upstream", x.Upstream, "cause", "weights outdated", "weights", x.Weights,
+				"outdated_ms", x.OutdatedFor.Milliseconds(), "limit_ms", n.settings.WeightsLimit.Milliseconds(), "waited_ms", x.Waited.Milliseconds())
+		}
 	}
 	return nil
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -170,6 +170,9 @@
 	url      string
 	stopping atomic.Bool
 	quota    *fakeLimiter
+	placer   *sched.Placer
+	view     *mirror.View
+	crashes  *crash.Registry
 }
 
 // newTestFront starts a front for the given upstreams. slack is the number of retries
@@ -191,12 +194,13 @@
 	), site.WithWorkspaces(vane.WorkspaceConfig{Workspace: "ws", Keys: []string{"k"}, Quota: vane.Quota{Rate: 1, Burst: 1}}))
 	p := sched.New("dc", noCacheStore{})
 	p.Update(v)
+	b.placer, b.view, b.crashes = p, v, crash.NewRegistry(event.NewRing("n", 16))
 	pool := conns.NewPool()
 	t.Cleanup(pool.Close)
 	w := retry.NewWindow(10*time.Second, 0, slack)
 	h := front.New(front.Deps{
 		View: func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
-		Crashes: crash.NewRegistry(event.NewRing("n", 16)), RetryBudget: func(string) *retry.Window { return w },
+		Crashes: b.crashes, RetryBudget: func(string) *retry.Window { return w },
 		Draining: b.stopping.Load, RefuseStreams: b.stopping.Load, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {},
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
 	})
--- a/front/serve.go
+++ b/front/serve.go
@@ -140,6 +140,9 @@
 	if t.route.Idempotent() {
 		maxIdle = time.Minute // the request may be sent again if the upstream is closing the connection
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h.Placer.OnExpire(att, cancel)
 	resp, err := h.Pool.Do(ctx, conns.Request{
 		Addr: p.Upstream.Addr, Upstream: p.Upstream.Name, Method: r.Method, Target: r.RequestURI, Host: r.Host,
 		Header: h.Dialect.UpstreamHeader(r.Header, f), Body: t.body, MaxIdle: maxIdle,
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -73,6 +73,9 @@
 			continue
 		}
 		c := p.evaluate(now, q, u, target, holders[u.Weights])
+		if p.beginsOutdated(now, c, target) {
+			continue
+		}
 		if reservedRank >= 0 && q.short() != (u.rank <= reservedRank) {
 			c.Cost += wrongPoolCost
 		}
@@ -90,6 +93,13 @@
 	return u.Role == vane.RoleEngine && target.OutdatedFor(now, u.Weights) > p.weightsLimit-StartMargin
 }
 
+// beginsOutdated reports whether a request would wait at an engine until its weights have
+// reached their limit.
+func (p *Placer) beginsOutdated(now time.Time, c Pick, target mirror.Weights) bool {
+	age := target.OutdatedFor(now, c.Weights)
+	return age > 0 && c.Upstream.Role == vane.RoleEngine && age+c.Estimate > p.weightsLimit-expiryMargin
+}
+
 // skipNewest reports whether the request must not go to the engines with the newest
 // weights, because they are too few for all requests. All nodes prefer these engines and
 // would overload them before any node sees the requests of the others. Each node
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -13,12 +13,16 @@
 // Attempt is a request that was sent to an upstream. It is created by [Placer.Begin] and
 // passed to the methods that report its progress.
 type Attempt struct {
-	name    string    // name of the upstream
-	short   bool      // the prompt is short
-	tokens  int       // prompt tokens still to be computed
-	sent    time.Time // time at which the request was sent
-	started bool      // the first bytes of the answer have arrived
-	ended   bool      // End was called
+	id       string // ID of the request
+	name     string // name of the upstream
+	model    string
+	weights  uint64    // number of the engine's weights when the request was sent; zero for plain services
+	short    bool      // the prompt is short
+	tokens   int       // prompt tokens still to be computed
+	sent     time.Time // time at which the request was sent
+	started  bool      // the first bytes of the answer have arrived
+	ended    bool      // End was called
+	withdraw func()    // set by OnExpire; nil if there is none or it was called
 }
 
 // Placer chooses upstreams. It is safe for concurrent use. The times that its methods
@@ -104,7 +108,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prefillRate.add(now, c.UncachedTokens)
-	t := &Attempt{name: c.Upstream.Name, short: q.short(), tokens: c.UncachedTokens, sent: now}
+	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now}
 	if t.short {
 		p.shortRunning.add(now, 1)
 	} else {
