lease: a holder that stood still acquires the lease again

The second clause of the rule breaks too: engines still had older weights when the traffic ended.

Cause: a holder that stands still for longer than its lease, or whose last renewal gets no answer, loses the lease and reads the object. The object still shows its own last write. handleRead took that as a successful write and entered the holding phase with an end in the past; the next tick lost the lease again, for ever, without a write. Holds is false all the while, so nobody orders weights, and the other nodes defer to the node because it reaches the store and comes first by name. In a large site a node counts as alive for 4.5 s, longer than the lease of 1.8 s, so that the others do not take over while it stands still; in a small one (1.3 s) they mostly do. That is why the grown sites showed it.

--- a/lease/machine.go
+++ b/lease/machine.go
@@ -307,7 +307,7 @@
 			m.seenAt = m.hintAt
 		}
 	}
-	if m.isOwnRecord() && m.record.Nonce == m.lastNonce && !m.record.Released {
+	if m.isOwnRecord() && m.record.Nonce == m.lastNonce && !m.record.Released && now.Before(m.lastWriteAt.Add(m.times.Lease)) {
 		m.startHolding(now, r.Object.Version)
 		return
 	}
