mirror: weights named during an interruption count from its begin

Cause: a node counted the age of replaced weights from the time at which it learned of the new ones. A node that stands still while they are named, or whose calls to the store fail, learns of them when that ends, and is back in touch contact-ms later; from then on it sends to engines with old weights for as long after their limit as it was late.

Fix: the mirror keeps until when it was complete: until the last tick before the process stood still, and until the store's last answer before a failed call. Weights that arrive after such an interruption count from that time, the earliest possible one. It is marked as a lower bound; the time that a node in contact recorded in the store replaces it.

--- a/mirror/service.go
+++ b/mirror/service.go
@@ -37,7 +37,8 @@
 	mu           sync.Mutex
 	state        *State
 	failingSince map[string]time.Time // time of the first of the consecutive failed calls, by prefix
-	lastAnswer   time.Time            // last answer of the store; zero if there was none
+	contact      contact
+	lastAnswer   time.Time // last answer of the store; zero if there was none
 }
 
 // Option configures a service in [NewService].
@@ -70,7 +71,7 @@
 func NewService(st Store, dec Decoder, opts ...Option) *Service {
 	s := &Service{
 		store: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, watchPolicy: func(string) WatchPolicy { return defaultWatchPolicy },
-		failingSince: make(map[string]time.Time),
+		failingSince: make(map[string]time.Time), contact: newContact(),
 	}
 	for _, o := range opts {
 		o(s)
@@ -110,7 +111,10 @@
 
 // Import applies objects received from another node.
 func (s *Service) Import(objs []vane.Object) {
-	s.update(func(now time.Time) bool { return s.state.Apply(now, objs) })
+	s.mu.Lock()
+	until := s.contact.stalledSince(clock.BootTime())
+	s.mu.Unlock()
+	s.updateSince(until, func(now time.Time) bool { return s.state.Apply(now, objs) })
 }
 
 // update changes the state under the lock, and calls onChange if the view changed.
@@ -124,6 +128,26 @@
 	}
 }
 
+// updateFromStore applies an answer of the store. If calls failed or the process stood
+// still before it, the changes count from the time at which the node was last complete.
+func (s *Service) updateFromStore(prefix string, f func(now time.Time) bool) {
+	s.mu.Lock()
+	until := s.contact.completeUntil(clock.BootTime(), prefix)
+	s.mu.Unlock()
+	s.recordResult(prefix, nil)
+	s.updateSince(until, f)
+}
+
+// updateSince is update for changes after the time until which the node was complete;
+// zero if it was complete until now.
+func (s *Service) updateSince(until time.Time, f func(now time.Time) bool) {
+	s.update(func(now time.Time) bool {
+		s.state.SetCompleteUntil(until)
+		defer s.state.SetCompleteUntil(time.Time{})
+		return f(now)
+	})
+}
+
 // Run implements kernel.Service. It is ready at once, because a node can also learn the
 // objects from its peers.
 func (s *Service) Run(ctx context.Context, ready func()) error {
@@ -134,7 +158,7 @@
 	}
 	wg.Go(func() {
 		for clock.Sleep(ctx, removalCheckInterval) {
-			s.update(s.state.Tick)
+			s.update(func(now time.Time) bool { s.contact.tick(now); return s.state.Tick(now) })
 		}
 	})
 	ready()
@@ -172,8 +196,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s.recordResult(prefix, nil)
-	s.update(func(now time.Time) bool { return s.state.Replace(now, prefix, b) })
+	s.updateFromStore(prefix, func(now time.Time) bool { return s.state.Replace(now, prefix, b) })
 	return b.Revision, nil
 }
 
@@ -187,9 +210,8 @@
 	if err != nil {
 		return rev, err
 	}
-	s.recordResult(prefix, nil)
+	s.updateFromStore(prefix, func(now time.Time) bool { return len(b.Objects) > 0 && s.state.Apply(now, b.Objects) })
 	if len(b.Objects) > 0 {
-		s.update(func(now time.Time) bool { return s.state.Apply(now, b.Objects) })
 		if prefix == s.state.dec.UpstreamPrefix() {
 			clock.Sleep(ctx, clock.Jitter(policy.BatchWindow)) // jitter spreads the load of the nodes on the store
 		}
@@ -206,6 +228,7 @@
 func (s *Service) recordResultAt(now time.Time, prefix string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.contact.recordResult(now, prefix, err == nil)
 	wasDown := s.state.storeDown
 	if err == nil || vane.KindOf(err) == vane.KindCompacted {
 		// Failures of other prefixes are cleared as well: calls sent during an outage
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -48,7 +48,8 @@
 }
 
 // merge returns w with a history that includes the record. Where both have a number,
-// the earlier time counts. Numbers newer than all in the history are ignored.
+// the earlier time counts, but a time of the record replaces one that is only a lower
+// bound. Numbers newer than all in the history are ignored.
 // wallOffset is as for [Weights.Record].
 func (w Weights) merge(r WeightsRecord, wallOffset time.Duration) Weights {
 	h := slices.Clone(w.History)
@@ -60,10 +61,10 @@
 		j := slices.IndexFunc(h, func(x WeightsVersion) bool { return x.Number >= number })
 		switch {
 		case j < 0:
-		case h[j].Number == number && at.Before(h[j].Since):
-			h[j].Since = at
+		case h[j].Number == number && (at.Before(h[j].Since) || h[j].Bound):
+			h[j].Since, h[j].Bound = at, false
 		case h[j].Number > number:
-			h = slices.Insert(h, j, WeightsVersion{number, at})
+			h = slices.Insert(h, j, WeightsVersion{Number: number, Since: at})
 		}
 	}
 	w.History = h[max(0, len(h)-maxHistory):]
@@ -92,6 +93,7 @@
 type WeightsVersion struct {
 	Number uint64
 	Since  time.Time
+	Bound  bool // the number was designated after Since, while this node could not learn of it
 }
 
 // maxHistory is the maximum number of entries in a history. Older weights are no longer
@@ -131,6 +133,7 @@
 	graceEnd        time.Time                // end of the grace period after an outage
 	storeDown       bool                     // the store does not answer
 	wallOffset      time.Duration            // wall time minus the time of the clock
+	completeUntil   time.Time                // time at which no change was missing; zero if none is now
 	view            *View
 }
 
@@ -148,6 +151,11 @@
 // records, which are shared between hosts. The default is zero.
 func (s *State) SetWallOffset(d time.Duration) { s.wallOffset = d }
 
+// SetCompleteUntil sets the time until which the state was complete, for changes that are
+// applied after an interruption. The designation of weights then counts from that time,
+// the earliest possible one. The zero time ends this.
+func (s *State) SetCompleteUntil(t time.Time) { s.completeUntil = t }
+
 // SetStoreDown records whether the store is down. The end of an outage starts the grace
 // period.
 func (s *State) SetStoreDown(now time.Time, down bool) {
@@ -306,7 +314,7 @@
 			records = append(records, n)
 			continue
 		}
-		v.add(now, d.value)
+		v.add(now, s.completeUntil, d.value)
 	}
 	for _, n := range records {
 		if w, ok := v.Weights[n.Model]; ok {
@@ -324,8 +332,9 @@
 	value   any
 }
 
-// add adds a decoded value to a view under construction.
-func (v *View) add(now time.Time, value any) {
+// add adds a decoded value to a view under construction. A completeUntil other than zero
+// is the earliest possible time of the change.
+func (v *View) add(now, completeUntil time.Time, value any) {
 	switch x := value.(type) {
 	case *site.Config:
 		if v.Config == nil || x.Version > v.Config.Version {
@@ -335,8 +344,12 @@
 		v.Upstreams[x.Name] = x
 	case vane.TargetWeights:
 		if x.Version > v.Weights[x.Model].Version {
-			h := append(slices.Clone(v.Weights[x.Model].History), WeightsVersion{x.Version, now})
-			v.Weights[x.Model] = Weights{TargetWeights: x, Since: now, History: h[max(0, len(h)-maxHistory):]}
+			n := WeightsVersion{Number: x.Version, Since: now}
+			if !completeUntil.IsZero() && completeUntil.Before(now) {
+				n.Since, n.Bound = completeUntil, true
+			}
+			h := append(slices.Clone(v.Weights[x.Model].History), n)
+			v.Weights[x.Model] = Weights{TargetWeights: x, Since: n.Since, History: h[max(0, len(h)-maxHistory):]}
 		}
 	case vane.PeerRecord:
 		v.Peers[x.Name] = x
