Nodes tell each other how long ago weights were named

Cause: a node that restarts knows the time at which weights were named only from the record in the store, which holds wall times. On a host whose clock is behind the clock of the writer, the age comes out too small by the difference.

Fix: the messages of the nodes that follow the store closely carry the ages of the newest weights, measured on a clock that is never set; the greatest age counts. A time that is only a lower bound is not passed on. The field is the last of the message, so that nodes of the build before ignore it.

Open: weights that are named while no node runs count from the start of the nodes.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -102,7 +102,9 @@
 	m.Ready, m.Leaving = n.isReady(), n.isLeaving()
 	m.InFlight = n.placer.InFlight()
 	m.QuotaSpent, m.QuotaLevels = n.quota.publish(now)
-	if !n.mesh.IsPromptWatcher() {
+	if n.mesh.IsPromptWatcher() {
+		m.WeightsAges = n.weightsAges()
+	} else {
 		m.QuotaLevels = nil // a starting node needs the levels from only a few others
 	}
 	if fence, ok := n.leases.Holds(0); ok {
@@ -113,6 +115,24 @@
 	n.pendingUpdates.fill(now, m)
 }
 
+// maxWeightsAges is the number of newest weights of a model whose ages are sent. Engines
+// seldom serve older ones.
+const maxWeightsAges = 4
+
+// weightsAges returns how long ago this node learned of the newest weights.
+func (n *Node) weightsAges() []mesh.WeightsAge {
+	var out []mesh.WeightsAge
+	now := clock.BootTime()
+	for model, w := range n.mirror.View().Weights {
+		for _, h := range w.History[max(0, len(w.History)-maxWeightsAges):] {
+			if !h.Bound {
+				out = append(out, mesh.WeightsAge{Model: model, Weights: h.Number, AgeMS: now.Sub(h.Since).Milliseconds()})
+			}
+		}
+	}
+	return out
+}
+
 // receive applies a message from another node.
 func (n *Node) receive(now time.Time, m *mesh.Message) {
 	at := clock.BootTime() // the clock of the placer
@@ -125,6 +145,9 @@
 			n.placer.SetLoading(e.Upstream, at.Add(time.Duration(e.LoadingMS)*time.Millisecond))
 		}
 	}
+	for _, a := range m.WeightsAges {
+		n.mirror.MergeAge(a.Model, a.Weights, time.Duration(a.AgeMS)*time.Millisecond)
+	}
 	for _, name := range m.Unresponsive {
 		n.placer.RecordPeerFailure(at, name)
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -29,6 +29,14 @@
 	Unresponsive    []string            // upstreams that do not answer the node
 	PromptParts     map[string][]uint64 // prompt parts that were sent to engines, by engine name, in the packed form of package sched
 	WeightsVersion  uint64              // newest known version of any target weights
+	WeightsAges     []WeightsAge        // how long ago weights were designated; nil if the node need not send them
+}
+
+// WeightsAge tells how long ago weights were designated for a model.
+type WeightsAge struct {
+	Model   string
+	Weights uint64 // number of the weights
+	AgeMS   int64  // time since the designation in milliseconds, as far as the sender knows
 }
 
 // EngineUpdate tells about the weights of an engine.
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -117,6 +117,11 @@
 	s.updateSince(until, func(now time.Time) bool { return s.state.Apply(now, objs) })
 }
 
+// MergeAge records how long ago another node learned of weights.
+func (s *Service) MergeAge(model string, number uint64, age time.Duration) {
+	s.update(func(now time.Time) bool { return s.state.MergeAge(now, model, number, age) })
+}
+
 // update changes the state under the lock, and calls onChange if the view changed.
 func (s *Service) update(f func(now time.Time) bool) {
 	s.mu.Lock()
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -194,6 +194,31 @@
 	return s.rebuildView(now, changed)
 }
 
+// ageTolerance is the least difference in age at which [State.MergeAge] changes a time,
+// since messages with ages are delayed by different times.
+const ageTolerance = 100 * time.Millisecond
+
+// MergeAge records that another node learned of weights longer ago than this node, which
+// started later or could not learn of them. It reports whether the view changed.
+func (s *State) MergeAge(now time.Time, model string, number uint64, age time.Duration) bool {
+	w, ok := s.view.Weights[model]
+	since := now.Add(-age)
+	for _, h := range w.History {
+		if h.Number == number && !h.Bound && !since.Before(h.Since.Add(-ageTolerance)) {
+			return false
+		}
+	}
+	if !ok || number > w.Version {
+		return false // the weights themselves are still to arrive
+	}
+	r := WeightsRecord{Model: model, Numbers: []uint64{number}, AtMS: []int64{since.Add(s.wallOffset).UnixMilli()}}
+	v := *s.view
+	v.Weights = maps.Clone(v.Weights)
+	v.Weights[model] = w.merge(r, s.wallOffset)
+	s.view = &v
+	return true
+}
+
 // Tick applies delayed removals once the grace period is over. It reports whether the
 // view changed.
 func (s *State) Tick(now time.Time) bool {
