front: a stream that ends inside an event is broken off

Callers got a stream that looked complete although its last event was cut off, when the response ended as announced: with its last chunk, at its length, or, for a response with neither, with the connection.

Cause: relayStream took the end of the body for the end of the stream and sent the bytes of an unfinished event along. Now only complete comment lines may follow the last event. A resumable stream is resumed elsewhere, any other is broken off (502 before its first event).

--- a/front/relay.go
+++ b/front/relay.go
@@ -33,7 +33,8 @@
 
 // relayStream relays the complete events of a response. It returns nil at the end
 // of the stream, or a refusal if the response is not signed by the upstream, ends
-// early, or can't be written to the caller.
+// early, or can't be written to the caller. A response that ends inside an event ends
+// early, also if its body is as long as announced.
 func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, att *sched.Attempt, resp *conns.Response) *vane.Refusal {
 	if t.relay == nil && !h.Dialect.ParseResponse(resp.Status, resp.Header).Signed {
 		return vane.Refuse(vane.ReasonUpstreamWrongID, "the response of upstream %s lacks that upstream's signature", p.Upstream.Name).WithExecution(vane.MayHaveRun)
@@ -66,7 +67,7 @@
 			event = event[:0]
 			continue
 		}
-		if err == io.EOF && resp.Complete() {
+		if err == io.EOF && resp.Complete() && onlyComments(event) {
 			if t.relay == nil {
 				t.relay = startRelay(w, resp)
 			}
@@ -82,6 +83,17 @@
 	}
 }
 
+// onlyComments reports whether the bytes after the last complete event of a stream
+// are complete comment lines, or none. Other bytes are the beginning of an event.
+func onlyComments(rest []byte) bool {
+	for line := range bytes.Lines(rest) {
+		if line[0] != ':' || line[len(line)-1] != '\n' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventBuffered reports whether br already holds another complete event.
 func eventBuffered(br *bufio.Reader) bool {
 	// Peek does not fail for bytes that are already buffered.
