conns, front: bound what an upstream can send in each phase of an exchange

An upstream that sent without end in a head, before the response, in a refusal or in comments of a stream was read until the request's time limit. A request was recorded as a cause of crashes when its upstream had only sent garbage, and an upstream whose body was endless got the next request too.

Cause: only bodies and single events had limits, each at its reader, and all failures of an exchange counted alike.

Now the connection's reader has a limit for each phase: 32 KB for a head, 1 MB for the body of a late response, 64 KB and 50 ms for the rest of a refusal, 16 MB for a response and 64 MB for a stream. An event with the comments before it may have 256 KB. A response of more than 256 KB is relayed before its end has arrived, so a request holds at most that much. Failures other than the end of the connection set the upstream aside and are no crash.

A plain response of 256 KB to 16 MB that breaks is now broken off at the caller; it was replaced by a 502 or a second try before.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,9 +19,14 @@
 // requests after which an exchange fails.
 const maxSkippedResponses = 3
 
-// maxSkippedBodyBytes is the body size at which a response to another request is no
-// longer skipped but fails the exchange.
-const maxSkippedBodyBytes = 1 << 20
+// Limits of what is read in each phase of an exchange. An exchange in which the
+// upstream sends more fails. Request.MaxBytes limits the body.
+const (
+	maxHeadBytes        = 32 << 10              // status line and headers
+	maxSkippedBodyBytes = 1 << 20               // body of a response to another request
+	maxDiscardBytes     = 64 << 10              // body that Discard reads
+	discardTimeout      = 50 * time.Millisecond // time that Discard takes at most
+)
 
 // Request is one request to an upstream.
 type Request struct {
@@ -32,6 +38,7 @@
 	Header   http.Header // must not contain Host, Content-Length or Transfer-Encoding
 	Body     []byte
 	MaxIdle  time.Duration // a kept connection that was idle for longer is not used
+	MaxBytes int64         // limit of the response's body with its framing; zero for none
 	// Match reports whether a response belongs to this request. If it is nil, every
 	// response does.
 	Match func(status int, h http.Header) bool
@@ -41,7 +48,7 @@
 type Error struct {
 	Sent        bool // bytes of the request may have reached the upstream
 	Dial        bool // no connection could be opened
-	Reset       bool // the connection failed before a response, other than by a deadline
+	Malformed   bool // the upstream sent bytes that are no response, or more than the limits allow
 	ContextDone bool // the context had ended: time limit reached or caller left
 	Cause       error
 }
@@ -93,7 +100,8 @@
 		stop()
 		_ = c.Close()
 		<-w.done
-		return nil, &Error{Sent: w.started.Load(), Reset: !isTimeout(err), ContextDone: ctx.Err() != nil, Cause: err}
+		malformed := !c.in.ended || errors.Is(err, errNotResponse)
+		return nil, &Error{Sent: w.started.Load(), Malformed: malformed && ctx.Err() == nil, ContextDone: ctx.Err() != nil, Cause: err}
 	}
 	a := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, pool: p, conn: c, resp: resp, write: w, stopCancel: stop}
 	a.Body = readerFunc(a.read)
@@ -128,6 +136,10 @@
 func (c *conn) readHead(r Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxSkippedResponses {
+		c.in.left = maxHeadBytes
+		if b, _ := c.br.Peek(len(responsePrefix)); !strings.HasPrefix(responsePrefix, string(b)) {
+			return nil, errNotResponse
+		}
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, err
@@ -136,18 +148,30 @@
 			continue
 		}
 		if r.Match == nil || r.Match(resp.StatusCode, resp.Header) {
+			c.in.left = noLimit
+			if r.MaxBytes > 0 {
+				c.in.left = r.MaxBytes
+			}
 			return resp, nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errors.New("response to another request without a length; its end is unknown")
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, maxSkippedBodyBytes); err != io.EOF {
-			return nil, errors.New("body of a response to another request is incomplete or too long")
+		c.in.left = maxSkippedBodyBytes
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, errors.Wrap(err, "body of a response to another request")
 		}
 	}
 	return nil, errors.New("too many interim responses or responses to other requests")
 }
 
+// responsePrefix begins every response.
+const responsePrefix = "HTTP/"
+
+// errNotResponse is the error of an exchange in which the upstream's first bytes do
+// not begin a response.
+var errNotResponse = errors.New("bytes that are no response")
+
 // read reads from the body and records its end.
 func (a *Response) read(b []byte) (int, error) {
 	n, err := a.resp.Body.Read(b)
@@ -160,6 +184,33 @@
 // Complete reports whether the body was read to its end.
 func (a *Response) Complete() bool { return a.complete }
 
+// Ended reports whether the connection ended or failed while the body was read. If a
+// body is incomplete without that, the upstream sent malformed bytes, or the reader
+// stopped early.
+func (a *Response) Ended() bool { return a.conn.in.ended }
+
+// Discard reads the rest of a body that is not needed, so that Close can keep the
+// connection. It gives up if that takes long, and returns false if the upstream sends
+// more than a response of this kind may hold.
+func (a *Response) Discard() bool {
+	if !a.framed() || a.Length > maxDiscardBytes || a.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return true
+	}
+	a.conn.in.left = maxDiscardBytes
+	// The error says whether the body is complete, which read records.
+	_, _ = io.Copy(io.Discard, a.Body)
+	if a.complete && a.conn.SetReadDeadline(time.Time{}) != nil {
+		a.complete = false
+	}
+	return a.complete || a.conn.in.ended
+}
+
+// framed reports whether the response states the end of its body by a length or
+// chunks.
+func (a *Response) framed() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+}
+
 // Close ends the exchange. The connection is kept only if the response was read to
 // its end and the connection can be reused; else it is closed.
 func (a *Response) Close() {
@@ -184,14 +235,7 @@
 	if a.conn.SetWriteDeadline(time.Time{}) != nil {
 		return false
 	}
-	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-	return a.write.err == nil && a.complete && framed && !a.resp.Close && a.conn.br.Buffered() == 0
-}
-
-// isTimeout reports whether a deadline ended the read.
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
+	return a.write.err == nil && a.complete && a.framed() && !a.resp.Close && a.conn.br.Buffered() == 0
 }
 
 // readerFunc is a function that implements io.Reader.
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -69,8 +69,9 @@
 type conn struct {
 	net.Conn
 	key       upstreamKey
-	br        *bufio.Reader
-	keepUntil time.Time // end of the upstream's idle limit
+	in        *limitedReader
+	br        *bufio.Reader // reads from in
+	keepUntil time.Time     // end of the upstream's idle limit
 	idleSince time.Time
 }
 
@@ -140,7 +141,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, key: k, br: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	in := &limitedReader{r: nc, left: noLimit}
+	return &conn{Conn: nc, key: k, in: in, br: bufio.NewReaderSize(in, readBufferBytes)}, nil
 }
 
 // pop removes and returns the idle connection that was kept last, since the upstream
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -170,13 +170,14 @@
 	url      string
 	stopping atomic.Bool
 	quota    *fakeLimiter
+	events   *event.Ring
 }
 
 // newTestFront starts a front for the given upstreams. slack is the number of retries
 // that its retry budget allows.
 func newTestFront(t *testing.T, slack float64, ups ...*scriptedUpstream) *testFront {
 	t.Helper()
-	b := &testFront{quota: &fakeLimiter{}}
+	b := &testFront{quota: &fakeLimiter{}, events: event.NewRing("n", 16)}
 	v := &mirror.View{Upstreams: map[string]vane.Upstream{}}
 	for i, u := range ups {
 		name := fmt.Sprintf("u%d", i)
@@ -196,7 +197,7 @@
 	w := retry.NewWindow(10*time.Second, 0, slack)
 	h := front.New(front.Deps{
 		View: func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
-		Crashes: crash.NewRegistry(event.NewRing("n", 16)), RetryBudget: func(string) *retry.Window { return w },
+		Crashes: crash.NewRegistry(b.events), RetryBudget: func(string) *retry.Window { return w },
 		Draining: b.stopping.Load, RefuseStreams: b.stopping.Load, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {},
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
 	})
@@ -339,8 +340,6 @@
 	is.Equal(status, 200)
 }
 
-const streamText = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
-
 // Wherever a resumable stream breaks, another upstream continues it after its last
 // complete event, and no event is lost or repeated.
 func TestStreamGoesOn(t *testing.T) {
--- a/front/relay.go
+++ b/front/relay.go
@@ -13,10 +13,11 @@
 	"mustardvane.org/vane/sched"
 )
 
-// Sizes of the read buffer and of the largest event that is relayed.
+// Sizes of the read buffer and of the largest event that is relayed, with the comments
+// and empty lines before it.
 const (
 	readBufferBytes = 8 << 10
-	maxEventBytes   = 1 << 20
+	maxEventBytes   = 256 << 10
 )
 
 // relay writes one stream to the caller. If upstreams fail, it takes the events of
@@ -40,58 +41,51 @@
 		return vane.Refuse(vane.ReasonUpstreamWrongID, "the response of upstream %s lacks that upstream's signature", p.Upstream.Name).WithExecution(vane.MayHaveRun)
 	}
 	br := bufio.NewReaderSize(resp.Body, readBufferBytes)
-	var event []byte
+	var block []byte  // lines that have not been relayed
+	size := 0         // bytes since the last event
+	lineStart := true // the next bytes begin a line
+	inEvent := false  // block has a line that is neither empty nor a comment
 	for {
 		line, err := br.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s sent an event of more than %d bytes", p.Upstream.Name, maxEventBytes).WithExecution(vane.MayHaveRun)
+		block = append(block, line...)
+		if size += len(line); size > maxEventBytes {
+			return h.responseBroken(ctx, t, p, resp, errTooLong)
 		}
 		if n := h.Dialect.ParseEventWeights(line); n > 0 {
 			h.WeightsChanged(p.Upstream.Name, n)
 		}
-		if err == bufio.ErrBufferFull {
+		blank := lineStart && len(bytes.TrimRight(line, "\r\n")) == 0
+		inEvent = inEvent || lineStart && !blank && line[0] != ':'
+		switch {
+		case err == bufio.ErrBufferFull:
+			lineStart = false
 			continue
+		case err == nil:
+			lineStart = true
+			if !blank || t.relay == nil && !inEvent {
+				continue // comments before the first event are relayed together with it
+			}
+		case err != io.EOF || !resp.Complete() || inEvent || len(line) > 0:
+			return h.responseBroken(ctx, t, p, resp, err)
 		}
-		if err == nil && len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue
+		if t.relay == nil {
+			t.relay = startRelay(w, resp)
 		}
-		if err == nil {
-			if t.relay == nil {
-				t.relay = startRelay(w, resp)
-			}
+		if inEvent {
 			h.Placer.FirstByte(time.Now(), att)
-			if err := t.relay.send(event, !eventBuffered(br)); err != nil {
-				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
-			}
-			event = event[:0]
-			continue
+			t.relay.count(block)
 		}
-		if err == io.EOF && resp.Complete() && onlyComments(event) {
-			if t.relay == nil {
-				t.relay = startRelay(w, resp)
-			}
-			// If no bytes remain, all events have been written, and an error of the last
-			// flush is ignored.
-			if err := t.relay.send(event, true); len(event) > 0 && err != nil {
-				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
-			}
+		if err := t.relay.send(block, !eventBuffered(br)); len(block) > 0 && err != nil {
+			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
+		}
+		if err == io.EOF {
 			h.recordServed(t, p, resp.Status)
 			return nil
 		}
-		return h.responseTruncated(ctx, t, p, err)
-	}
-}
-
-// onlyComments reports whether the bytes after the last complete event of a stream
-// are complete comment lines, or none. Other bytes are the beginning of an event.
-func onlyComments(rest []byte) bool {
-	for line := range bytes.Lines(rest) {
-		if line[0] != ':' || line[len(line)-1] != '\n' {
-			return false
+		if block = block[:0]; inEvent {
+			size, inEvent = 0, false
 		}
 	}
-	return true
 }
 
 // eventBuffered reports whether br already holds another complete event.
@@ -110,9 +104,8 @@
 	return &relay{w: w, flush: rc.Flush}
 }
 
-// send writes a complete event to the caller. flush is false while another complete
-// event is already buffered, so that both are flushed together.
-func (r *relay) send(event []byte, flush bool) error {
+// count records a complete event that is about to be sent.
+func (r *relay) count(event []byte) {
 	if id, ok := eventID(event); ok {
 		r.lastID = id
 	}
@@ -123,7 +116,12 @@
 		r.maxGap = max(r.maxGap, now.Sub(r.lastAt))
 	}
 	r.lastAt = now
-	if _, err := r.w.Write(event); err != nil {
+}
+
+// send writes complete lines to the caller. flush is false while another complete
+// event is already buffered, so that both are flushed together.
+func (r *relay) send(lines []byte, flush bool) error {
+	if _, err := r.w.Write(lines); err != nil {
 		return err
 	}
 	if !flush {
--- a/front/serve.go
+++ b/front/serve.go
@@ -17,7 +17,10 @@
 const (
 	maxSends         = 4                     // number of upstreams that one request is sent to, including those that refuse it
 	minTimeLeft      = 15 * time.Millisecond // no new attempt is made with less time left until the deadline
-	maxResponseBytes = 16 << 20              // larger responses are not relayed, unless they are streams
+	maxResponseBytes = 16 << 20              // limit of a response's body
+	maxStreamBytes   = 64 << 20              // limit of the body of one upstream's response on a route with streams
+	relayBufferBytes = 32 << 10
+	maxHeldBytes     = 256 << 10 // a longer response is relayed before its end has arrived
 )
 
 // errAborted is the panic value that makes the HTTP server close the connection, so
@@ -30,6 +33,7 @@
 	sends       int      // number of upstreams that the request was sent to
 	mayHaveRun  int      // number of upstreams on which the request ran or may have run
 	retryPaid   bool     // the next attempt has already been charged to the retry budget
+	begun       bool     // part of a response that can't be resumed has been sent to the caller
 	avoid       []string // names of the upstreams that were tried
 	relay       *relay   // nil until the headers of a stream have been sent to the caller
 	lastRefusal *vane.Refusal
@@ -75,7 +79,7 @@
 	case !now.Before(t.deadline.Add(-minTimeLeft)):
 		final := vane.Refuse(vane.ReasonQueueDeadline, "no response within the time limit").WithRetryAfter(busyRetryAfter)
 		return t.withExecution(final)
-	case ref.Execution != vane.NotRun && (!t.route.Idempotent() || t.mayHaveRun >= t.route.MaxAttempts):
+	case t.begun, ref.Execution != vane.NotRun && (!t.route.Idempotent() || t.mayHaveRun >= t.route.MaxAttempts):
 		return ref
 	case t.sends >= maxSends:
 		return t.withExecution(ref)
@@ -103,11 +107,15 @@
 }
 
 // finishRefused ends a request that gets no complete response: with the refusal, or
-// by closing the connection if the stream has begun or the caller has left.
+// by closing the connection if the response has begun or the caller has left.
 func (h *Handler) finishRefused(w http.ResponseWriter, t *attempts, ref *vane.Refusal) {
-	if t.relay != nil {
+	if t.relay != nil || t.begun {
+		events := 0
+		if t.relay != nil {
+			events = t.relay.eventCount
+		}
 		h.Metrics.countRefused(t.route.Name, ref.Reason)
-		h.Log.Info("stream broken off", "request_id", t.meta.ID, "route", t.route.Name, "events", t.relay.eventCount, "reason", ref.Reason.String(),
+		h.Log.Info("stream broken off", "request_id", t.meta.ID, "route", t.route.Name, "events", events, "reason", ref.Reason.String(),
 			"elapsed_ms", time.Since(t.start).Milliseconds())
 		panic(errAborted)
 	}
@@ -139,9 +147,13 @@
 	if t.route.Idempotent() {
 		maxIdle = time.Minute // the request may be sent again if the upstream is closing the connection
 	}
+	maxBytes := int64(maxResponseBytes)
+	if t.route.Kind == vane.RouteStream {
+		maxBytes = maxStreamBytes
+	}
 	resp, err := h.Pool.Do(ctx, conns.Request{
 		Addr: p.Upstream.Addr, Upstream: p.Upstream.Name, Method: r.Method, Target: r.RequestURI, Host: r.Host,
-		Header: h.Dialect.UpstreamHeader(r.Header, f), Body: t.body, MaxIdle: maxIdle,
+		Header: h.Dialect.UpstreamHeader(r.Header, f), Body: t.body, MaxIdle: maxIdle, MaxBytes: maxBytes,
 		Match: func(status int, hd http.Header) bool {
 			m := h.Dialect.ParseResponse(status, hd)
 			return m.ID == t.meta.ID || m.ID == "" && m.NotRun
@@ -156,27 +168,33 @@
 
 // exchangeFailed handles an exchange without a response. Unless the time limit or the
 // caller ended it, the placer sets the upstream aside, and the request is recorded
-// as a possible cause of a crash if bytes of it may have reached the upstream.
+// as a possible cause of a crash if bytes of it may have reached the upstream and
+// none that are no response came back.
 func (h *Handler) exchangeFailed(ctx context.Context, t *attempts, p sched.Pick, err error) *vane.Refusal {
 	var ce *conns.Error
 	if !errors.As(err, &ce) || ce.ContextDone {
 		t.sends++
 		return vane.Refuse(vane.ReasonUpstreamSlow, "upstream %s did not respond within the time limit", p.Upstream.Name).WithExecution(executionOf(ce)).WithCause(err)
 	}
-	aside := h.Placer.RecordFailure(time.Now(), p.Upstream.Name)
-	h.UpstreamFailed(p.Upstream)
-	h.Pool.CloseIdle(p.Upstream.Addr, p.Upstream.Name)
-	h.Log.Warn("upstream set aside", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "dial", ce.Dial, "aside_ms", aside.Milliseconds(), "cause", ce.Cause.Error())
+	h.setAside(t, p, ce)
 	if ce.Dial {
 		return vane.Refuse(vane.ReasonNoUpstream, "connecting to upstream %s failed", p.Upstream.Name).WithCause(err)
 	}
 	t.sends++
-	if ce.Sent && ctx.Err() == nil {
+	if ce.Sent && !ce.Malformed && ctx.Err() == nil {
 		h.Crashes.RecordCrash(t.tenancy.Workspace, t.fingerprint, p.Upstream)
 	}
 	return vane.Refuse(vane.ReasonUpstreamFailed, "the connection to upstream %s failed before a response", p.Upstream.Name).WithExecution(executionOf(ce)).WithCause(err)
 }
 
+// setAside makes the placer avoid an upstream that failed, and tells the other nodes.
+func (h *Handler) setAside(t *attempts, p sched.Pick, ce *conns.Error) {
+	aside := h.Placer.RecordFailure(time.Now(), p.Upstream.Name)
+	h.UpstreamFailed(p.Upstream)
+	h.Pool.CloseIdle(p.Upstream.Addr, p.Upstream.Name)
+	h.Log.Warn("upstream set aside", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "dial", ce.Dial, "malformed", ce.Malformed, "aside_ms", aside.Milliseconds(), "cause", ce.Cause.Error())
+}
+
 // executionOf returns NotRun if the exchange failed before any byte of the request
 // could reach the upstream, else MayHaveRun.
 func executionOf(ce *conns.Error) vane.Execution {
@@ -204,9 +222,12 @@
 	if t.relay != nil {
 		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s did not resume the stream (status %d)", p.Upstream.Name, resp.Status).WithExecution(vane.MayHaveRun)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes || !resp.Complete() {
-		return h.responseTruncated(ctx, t, p, err)
+	if resp.Length > maxResponseBytes {
+		return h.responseBroken(ctx, t, p, resp, errTooLong)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes))
+	if err != nil {
+		return h.responseBroken(ctx, t, p, resp, err)
 	}
 	h.Placer.FirstByte(time.Now(), att)
 	if resp.Status >= http.StatusInternalServerError && t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && h.RetryBudget(t.service).Take(time.Now()) {
@@ -226,10 +247,33 @@
 	// If the caller has left, the write fails. Nothing remains to be done then: the
 	// server closes the connection.
 	_, _ = w.Write(body)
+	if !resp.Complete() {
+		if ref := h.relayRest(ctx, w, t, p, resp); ref != nil {
+			return ref
+		}
+	}
 	h.recordServed(t, p, resp.Status)
 	return nil
 }
 
+// relayRest relays the rest of a response that is too long to be held until its end.
+func (h *Handler) relayRest(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, resp *conns.Response) *vane.Refusal {
+	t.begun = true
+	buf := make([]byte, relayBufferBytes)
+	for {
+		n, err := resp.Body.Read(buf)
+		if _, werr := w.Write(buf[:n]); werr != nil {
+			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(werr)
+		}
+		if err == io.EOF && resp.Complete() {
+			return nil
+		}
+		if err != nil {
+			return h.responseBroken(ctx, t, p, resp, err)
+		}
+	}
+}
+
 // impliesNotRun reports whether callers take a status as a statement that their
 // request has not run.
 func impliesNotRun(status int) bool {
@@ -242,8 +286,9 @@
 
 // handleNotRun handles the response of an upstream that refused to run the request.
 func (h *Handler) handleNotRun(t *attempts, p sched.Pick, resp *conns.Response, m vane.ResponseMeta) {
-	// The body is discarded, but reading it lets the connection be reused.
-	_, _ = io.CopyN(io.Discard, resp.Body, maxResponseBytes)
+	if !resp.Discard() {
+		h.setAside(t, p, &conns.Error{Malformed: true, Cause: errTooLong})
+	}
 	h.Placer.MarkFull(time.Now(), p.Upstream.Name)
 	if m.WrongUpstream {
 		h.UpstreamMismatch(p.Upstream)
@@ -251,17 +296,24 @@
 	h.Log.Info("not taken", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "status", resp.Status, "weights", m.Weights, "running", m.Load.Running, "waiting", m.Load.Waiting)
 }
 
-// responseTruncated handles a response that is incomplete or too long. Unless the
-// time limit or the caller ended it, the request is recorded as a possible cause of
-// a crash.
-func (h *Handler) responseTruncated(ctx context.Context, t *attempts, p sched.Pick, err error) *vane.Refusal {
+// errTooLong is the cause if an upstream sends more than a response may hold.
+var errTooLong = errors.New("the response is too long")
+
+// responseBroken handles a response that is incomplete, malformed or too long. Unless
+// the time limit or the caller ended it, the request is recorded as a possible cause
+// of a crash if the connection ended, and otherwise the upstream is set aside. A
+// stream that ends inside an event (io.EOF) is no reason for either.
+func (h *Handler) responseBroken(ctx context.Context, t *attempts, p sched.Pick, resp *conns.Response, err error) *vane.Refusal {
 	reason := vane.ReasonUpstreamFailed
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		reason = vane.ReasonQueueDeadline
-	} else {
+	case resp.Ended():
 		h.Crashes.RecordCrash(t.tenancy.Workspace, t.fingerprint, p.Upstream)
+	case err != io.EOF:
+		h.setAside(t, p, &conns.Error{Malformed: true, Cause: err})
 	}
-	return vane.Refuse(reason, "the response of upstream %s is incomplete or too long", p.Upstream.Name).WithExecution(vane.MayHaveRun).WithCause(err)
+	return vane.Refuse(reason, "the response of upstream %s is incomplete, malformed or too long", p.Upstream.Name).WithExecution(vane.MayHaveRun).WithCause(err)
 }
 
 // recordServed records the metrics and the log line of a request whose response was
@@ -269,7 +321,7 @@
 func (h *Handler) recordServed(t *attempts, p sched.Pick, status int) {
 	d := time.Since(t.start)
 	first, events, pause := d, 0, time.Duration(0)
-	if t.relay != nil {
+	if t.relay != nil && t.relay.eventCount > 0 {
 		first, events, pause = t.relay.firstAt.Sub(t.start), t.relay.eventCount, t.relay.maxGap
 	}
 	h.Metrics.observeServed(t.route.Name, d, first)
--- a/front/unframed_test.go
+++ b/front/unframed_test.go
@@ -14,6 +14,8 @@
 	"github.com/matryer/is"
 )
 
+const streamText = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+
 // respondRaw sends the head of a signed response, with the given extra header lines,
 // and a body. It then closes the connection, with a TCP reset if reset is set.
 func respondRaw(body string, reset bool, extra ...string) responder {
