conns: close kept connections when their time is over

A kept connection that no request took again stayed open until the next request to its upstream, or for ever. An upstream that sent bytes after a complete response without end could so fill the socket's buffers and was never told to stop.

Each kept connection now has a timer that closes it at the end of its time.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -73,6 +74,7 @@
 	br        *bufio.Reader // reads from in
 	keepUntil time.Time     // end of the upstream's idle limit
 	idleSince time.Time
+	expiry    *time.Timer // closes the connection at keepUntil if it is still idle
 }
 
 // Stats returns the pool's counters.
@@ -156,9 +158,29 @@
 	}
 	c := cs[len(cs)-1]
 	p.idle[k] = cs[:len(cs)-1]
+	c.expiry.Stop()
 	return c
 }
 
+// expire closes a connection that has been idle until the end of its time. It does
+// nothing if the connection has been taken meanwhile.
+func (p *Pool) expire(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs := p.idle[c.key]
+	i := slices.Index(cs, c)
+	if i < 0 {
+		return
+	}
+	p.stats.Discarded++
+	_ = c.Close()
+	if cs = slices.Delete(cs, i, i+1); len(cs) == 0 {
+		delete(p.idle, c.key)
+		return
+	}
+	p.idle[c.key] = cs
+}
+
 // put keeps an idle connection for reuse within the given time. It closes the
 // connection if that time is not positive or enough connections are kept.
 func (p *Pool) put(c *conn, keep time.Duration) {
@@ -171,10 +193,7 @@
 		_ = c.Close()
 		return
 	}
-	for len(cs) > 0 && c.idleSince.After(cs[0].keepUntil) {
-		_ = cs[0].Close()
-		cs = cs[1:]
-	}
+	c.expiry = time.AfterFunc(keep, func() { p.expire(c) })
 	p.idle[c.key] = append(cs, c)
 }
 
