store, platform, mesh: calls fail at a response that is too long

A response without end to a call of the store, an engine or a cache was cut at a size and its beginning taken for the whole: an order whose 202 had an endless body counted as accepted, an object of the store could be any 64 MB. Heads could have 10 MB each. A list whose pages do not end was read for ever.

Cause: io.LimitReader ends like a whole body; nothing limited heads and pages. reply.Read makes a longer body an error; all transports limit heads to 32 KB (also those of route and hosts, which had the same gap). An error status of the store is known from its head; at most 64 KB of its body are read.

--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -13,12 +13,13 @@
 	"mustardvane.org/vane/internal/clock"
 )
 
-// Intervals, timeout and concurrency of the polls.
+// Intervals, timeout, concurrency and limit of the polls.
 const (
 	listInterval       = time.Second
 	loadInterval       = time.Second
 	loadTimeout        = 500 * time.Millisecond
 	maxConcurrentPolls = 16
+	maxHeadBytes       = 32 << 10 // longest response head
 )
 
 // Directory is a kernel service that maintains the set of upstreams. Its methods are
@@ -60,7 +61,7 @@
 func New(st vane.Store, placer vane.Placer, rec vane.Recorder, opts ...Option) *Directory {
 	d := &Directory{
 		st: st, placer: placer, rec: rec, draining: make(map[string]uint64), incarnations: make(map[string]uint64),
-		http:   &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		http:   &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes}},
 		polls:  func(string) bool { return true },
 		onLoad: func(string, uint64, vane.Load) {},
 	}
--- a/internal/reply/doc.go
+++ b/internal/reply/doc.go
@@ -1,4 +1,4 @@
-// Package reply writes HTTP responses.
+// Package reply writes HTTP responses, and reads their bodies up to a limit.
 //
 // # Usage
 //
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -23,7 +23,8 @@
 	upstreamAheadDelay        = 1200 * time.Millisecond // value of aheadDelay for changes of upstreams, which are frequent
 	delayedUpstreamAheadDelay = 400 * time.Millisecond  // value of upstreamAheadDelay on nodes that watch the store with delay
 	snapshotTimeout           = time.Second             // time limit for the transfer of a snapshot
-	maxSnapshot               = 64 << 20                // largest size of a snapshot in bytes, both compressed and decompressed
+	maxHeadBytes              = 32 << 10                // largest response head
+	maxSnapshot               = 16 << 20                // largest size of a snapshot in bytes, both compressed and decompressed
 	snapshotPath              = "/v1/objects"           // URL path from which snapshots are fetched
 	aliveTimeout              = 1300 * time.Millisecond // time after its last message until a node counts as down, in a small site
 	maxMissed                 = 3                       // number of message intervals without a message after which a node counts as down, in a large site
@@ -81,7 +82,7 @@
 	return &Mesh{
 		self: self, Deps: d, now: time.Now, peers: make(map[string]*Peer), wake: make(chan struct{}, 1),
 		flushRelay: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1),
-		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: snapshotTimeout},
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}, Timeout: snapshotTimeout},
 	}
 }
 
--- a/route/router.go
+++ b/route/router.go
@@ -27,6 +27,7 @@
 	minFirstTokenWait = 2 * time.Second  // lower bound of that product, before the prefill time is added
 	gapTimeout        = 10 * time.Second // longest time without data in a stream
 	jobTimeout        = 10 * time.Minute // longest duration of a job over all its attempts
+	maxHeadBytes      = 32 << 10         // longest response head, with interim responses
 	maxResponseBytes  = 64 << 20         // largest response that is not streamed
 	maxIdlePerHost    = 256
 	slowPrefillRate   = 2000 // tokens per second; the slowest prefill that an attempt waits for
@@ -98,6 +99,8 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 		DisableKeepAlives:   single,
+		// Without this limit a head may have 10 MB.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/store/client.go
+++ b/store/client.go
@@ -14,6 +14,7 @@
 	"github.com/sony/gobreaker/v2"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/reply"
 )
 
 // Limits of the client.
@@ -24,7 +25,11 @@
 	watchSlack       = 600 * time.Millisecond // added to a watch's wait for the client's time limit; a slow platform needs half of it
 	relaxedWatchWait = 15 * time.Second       // how long the platform holds a relaxed watch without a change; below the platform's limit
 	maxValueBytes    = 1 << 20                // largest value of one object
-	maxResponseBytes = 64 << 20               // longest response body that is read, such as a list
+	maxHeadBytes     = 32 << 10               // longest response head, with interim responses
+	maxResponseBytes = 16 << 20               // longest response body, such as a page of a list
+	maxListBytes     = 64 << 20               // longest list, in all its pages
+	maxListPages     = 1000                   // pages hold some hundred objects
+	maxDiscardBytes  = 64 << 10               // longest body of an error that is read so that the connection can be reused
 	breakerFailures  = 5                      // consecutive failures that open the circuit breaker
 	breakerOpenTime  = time.Second            // time until the open breaker lets a trial call through
 )
@@ -78,7 +83,7 @@
 		watchWait: defaultWatchWait,
 		proto:     native{},
 		http: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true,
+			MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		}},
 		metrics: newMetrics(),
@@ -177,11 +182,13 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
+	if err := statusError(r, resp.StatusCode); err != nil {
+		// The body is of no interest, also if it can't be read.
+		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
 		return nil, err
 	}
-	if err := statusError(r, resp.StatusCode); err != nil {
+	body, err := reply.Read(resp.Body, maxResponseBytes)
+	if err != nil {
 		return nil, err
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
@@ -215,11 +222,15 @@
 // page, so that a watch from there misses no change.
 func (c *Client) List(ctx context.Context, prefix string) (vane.Batch, error) {
 	var all vane.Batch
-	for page := ""; ; {
+	size, page := 0, ""
+	for range maxListPages {
 		resp, err := c.read(ctx, call{op: "list", Request: c.proto.List(prefix, page)})
 		if err != nil {
 			return vane.Batch{}, err
 		}
+		if size += len(resp.Body); size > maxListBytes {
+			break
+		}
 		b, next, err := c.proto.DecodeBatch(prefix, resp)
 		if err != nil {
 			return vane.Batch{}, err
@@ -233,6 +244,7 @@
 		}
 		page = next
 	}
+	return vane.Batch{}, vane.Errorf(vane.KindUnavailable, "store.list", "check the platform; the call is retried", "the list of %q does not end within %d pages and %d bytes", prefix, maxListPages, maxListBytes)
 }
 
 // Watch implements vane.Store.
