soak: upstreams that respond without a length, break off or do not end

Three new faults, in the stand-in server: responses without a length and chunks; the same, with streams that end inside an event and other responses that end by a reset; and responses without end, in turn as bytes that are no response, header lines, interim responses, comments and an event.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,7 +4,8 @@
 // Faults are injected from outside the processes: proxies on the loopback interface
 // delay, drop, reset or refuse connections to the store and to upstreams; signals stop,
 // pause and kill nodes, which are then restarted; the store refuses requests, is slow or
-// loses responses; the configuration and the target weights change. Faults overlap.
+// loses responses; upstreams respond without a length, break off or do not end; the
+// configuration and the target weights change. Faults overlap.
 //
 // # Usage
 //
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -67,6 +67,9 @@
 		sleep(ctx, d)
 		b.servers[up].SetShedding(false)
 	}},
+	{"upstream unframed", trouble(stand.TroubleUnframed)},
+	{"upstream cut", trouble(stand.TroubleCut)},
+	{"upstream endless", trouble(stand.TroubleEndless)},
 	{"store refuses", func(ctx context.Context, b *testbed, _ *sync.Mutex, _ *node, _ int, d time.Duration) {
 		b.store.SetFaults(stand.Faults{Unavailable: true})
 		sleep(ctx, d)
@@ -104,6 +107,16 @@
 	}},
 }
 
+// trouble returns the injection of a fault in which an upstream writes its responses in
+// the given way.
+func trouble(t stand.Trouble) func(context.Context, *testbed, *sync.Mutex, *node, int, time.Duration) {
+	return func(ctx context.Context, b *testbed, _ *sync.Mutex, _ *node, up int, d time.Duration) {
+		b.servers[up].SetTrouble(t)
+		sleep(ctx, d)
+		b.servers[up].SetTrouble(stand.TroubleNone)
+	}
+}
+
 // restart starts a node again after its process has ended, and waits until it listens.
 func (b *testbed) restart(n *node) {
 	err := n.start()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,7 +54,7 @@
 	if out, err := exec.Command("go", "build", "-o", bin, "mustardvane.org/vane/cmd/vaned").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	for _, seed := range []uint64{1, 2} {
+	for _, seed := range []uint64{1, 2, 12} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
