canary: results within 100 ms of each other count as one

What callers saw: a move to a version as good as the old one was rolled back for good (version_slow_first_token, 4 to 10 % of its first tokens slow where 10 % are expected).

Cause: the sequential tests take results as independent. They are not: a pause of the machine, of an engine or of its queue delays all requests in flight, so slow results come in runs.

Fix: the results within 100 ms of the first of them are one observation of the slowness tests, with the mean of their log-likelihood ratios.

Tried on the logs and dropped: an expected fraction of slow results that follows the old version's recent ones.

--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -23,6 +23,7 @@
 
 // Sample is the result of one attempt at an upstream.
 type Sample struct {
+	At             time.Time // when the result became known here; if it is zero, the result counts as independent of all others
 	Version        string
 	Route          string
 	Failed         bool
@@ -121,17 +122,17 @@
 func (c *Comparison) test(t *routeTests, s Sample, route string) {
 	p0 := c.expectedFailureRate()
 	p1 := min(0.95, max(minFaultyFailureRate, faultyFailureFactor*p0))
-	t.failure.add(s.Failed, p0, p1)
+	t.failure.add(time.Time{}, s.Failed, p0, p1)
 	c.checkThreshold(&t.failure, failureThreshold, Regression{vane.ReasonVersionFails, route, 0, p0})
 	if s.Failed {
 		return
 	}
 	if s.FirstToken > 0 && c.firstTokenQuantile.n >= minBaselineResults {
-		t.firstToken.add(s.firstTokenPerToken() > slowFactor*c.firstTokenQuantile.value, expectedSlowFraction, faultySlowFraction)
+		t.firstToken.add(s.At, s.firstTokenPerToken() > slowFactor*c.firstTokenQuantile.value, expectedSlowFraction, faultySlowFraction)
 		c.checkThreshold(&t.firstToken, slownessThreshold, Regression{vane.ReasonVersionSlowFirstToken, route, 0, expectedSlowFraction})
 	}
 	if s.TokenGap > 0 && c.tokenGapQuantile.n >= minBaselineResults {
-		t.tokenGap.add(s.TokenGap.Seconds() > slowFactor*c.tokenGapQuantile.value, expectedSlowFraction, faultySlowFraction)
+		t.tokenGap.add(s.At, s.TokenGap.Seconds() > slowFactor*c.tokenGapQuantile.value, expectedSlowFraction, faultySlowFraction)
 		c.checkThreshold(&t.tokenGap, slownessThreshold, Regression{vane.ReasonVersionSlowTokens, route, 0, expectedSlowFraction})
 	}
 }
--- a/node/moves.go
+++ b/node/moves.go
@@ -134,13 +134,14 @@
 func (s *moves) ReceiveSamples(r *wire.ObserveRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	for _, x := range r.GetSamples() {
 		m := s.byModel[x.GetModel()]
 		if m == nil || !m.InProgress() || m.verdict != nil {
 			continue
 		}
 		m.fleetEvidence.Add(canary.Sample{
-			Version: x.GetVersion(), Route: x.GetRoute(), Failed: x.GetFailed(), UncachedTokens: int(x.GetUncached()),
+			At: now, Version: x.GetVersion(), Route: x.GetRoute(), Failed: x.GetFailed(), UncachedTokens: int(x.GetUncached()),
 			FirstToken: time.Duration(x.GetFirstUs()) * time.Microsecond, TokenGap: time.Duration(x.GetGapUs()) * time.Microsecond,
 		})
 		s.checkVerdict(m)
--- a/route/router.go
+++ b/route/router.go
@@ -166,7 +166,7 @@
 	if ref != nil && (ref.Execution == vane.NotRun || ref.Reason == vane.ReasonCallerGone || ref.Reason == vane.ReasonUpstreamRejected) {
 		return
 	}
-	s := canary.Sample{Version: a.pick.Upstream.Version, Route: a.job.Workspace, Failed: ref != nil, FirstToken: a.firstToken}
+	s := canary.Sample{At: time.Now(), Version: a.pick.Upstream.Version, Route: a.job.Workspace, Failed: ref != nil, FirstToken: a.firstToken}
 	s.UncachedTokens = a.job.Prompt.Tokens
 	if u.Cached >= 0 {
 		s.UncachedTokens = max(0, u.Prompt-u.Cached)
