Serve roll-outs of a service's software on routed sites

Cause: nothing read rollouts/; upstreams of an undecided release counted as equal to all others. Staged moves existed for `vaned run` only.

Now an undecided release gets half of the allowed share. All nodes exchange results; each stops a faulty release by itself, without store or holder. The lease holder decides on the stages of package canary and records running, completed and rolled_back.

Failed tries: (1) new fields at the end of mesh.Message: msgpack refuses another number of fields, so that nodes of two builds would not hear each other (TestEarlierBuildReadsMessages failed); they are in an extension by name.

--- a/cmd/vaned/platform.go
+++ b/cmd/vaned/platform.go
@@ -39,7 +39,7 @@
 	log := slog.New(slog.NewJSONHandler(w, nil)).With("node", set.Node)
 	n, err := edge.New(set, edge.Adapter{
 		Protocol: platform.ObjectProtocol{}, Decoder: platform.ObjectDecoder{}, Dialect: platform.Headers{},
-		Control: platform.NewControl(), Directory: platform.Directory{},
+		Control: platform.NewControl(), Directory: platform.Directory{}, Rollouts: platform.ObjectDecoder{},
 	}, log)
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -110,6 +110,7 @@
 	}
 	m.PromptParts = n.placer.TakeCacheUpdates()
 	m.StoreOK = n.mirror.Reachable() && n.mesh.IsPromptWatcher()
+	n.rollouts.fill(m)
 	n.pendingUpdates.fill(now, m)
 }
 
@@ -118,6 +119,7 @@
 	n.placer.SetPeerInFlight(m.Name, m.InFlight)
 	n.placer.ApplyCacheUpdates(m.PromptParts)
 	n.quota.receive(now, m)
+	n.rollouts.receive(now, m)
 	for _, e := range m.Engines {
 		n.placer.RecordWeights(e.Upstream, e.Weights)
 		if e.LoadingMS != 0 {
--- a/edge/node.go
+++ b/edge/node.go
@@ -51,6 +51,11 @@
 	Answer(addrs []string, ttl time.Duration) any
 }
 
+// StatusEncoder encodes the recorded states of roll-outs.
+type StatusEncoder interface {
+	EncodeRolloutStatus(r vane.Rollout) ([]byte, error)
+}
+
 // Adapter groups everything that depends on the platform's names and formats.
 type Adapter struct {
 	Protocol  store.Protocol
@@ -58,6 +63,7 @@
 	Dialect   vane.Dialect
 	Control   vane.EngineControl
 	Directory Directory
+	Rollouts  StatusEncoder
 }
 
 // Node is an entry node for routed traffic. Its methods are safe for concurrent use.
@@ -78,6 +84,7 @@
 	crash          *crash.Registry
 	leases         *lease.Manager
 	loader         *loader
+	rollouts       *rollouts
 	handler        *front.Handler
 	pendingUpdates *pendingUpdates
 
@@ -108,6 +115,7 @@
 	})
 	n.crash = crash.NewRegistry(recorder{log}, crash.WithBroadcast(n.pendingUpdates.addCrash, func(crash.RequestKey) {}))
 	n.loader = newLoader(n)
+	n.rollouts = newRollouts(n)
 	n.leases = lease.NewManager(n.storeClient, recorder{log}, lease.Config{
 		Prefix: leasePrefix, Node: settings.Node, Boot: clock.BootTime().String(), Shards: 1, Clock: clock.BootTime,
 		Times: lease.Times{Lease: leaseDuration, Renew: renewInterval, Poll: pollInterval, Drift: 0.01}, Wanted: func(int) bool { return n.wantsLease() },
@@ -116,7 +124,7 @@
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash,
-		RetryBudget: n.retryWindow, Draining: n.isLeaving, RefuseStreams: n.isClosing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, Log: log, Metrics: front.NewMetrics(n.registry),
+		RetryBudget: n.retryWindow, Draining: n.isLeaving, RefuseStreams: n.isClosing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
 	})
 	return n, n.register()
 }
@@ -127,7 +135,7 @@
 		name string
 		svc  kernel.Service
 	}{
-		{"mirror", n.mirror}, {"mesh", n.mesh}, {"cache", n.cache}, {"lease", n.leases}, {"loader", n.loader},
+		{"mirror", n.mirror}, {"mesh", n.mesh}, {"cache", n.cache}, {"lease", n.leases}, {"loader", n.loader}, {"rollouts", n.rollouts},
 		{"join", serviceFunc(n.maintainRecord)}, {"watch", serviceFunc(n.watchSilentUpstreams)},
 	} {
 		if err := n.kernel.Add(s.name, s.svc); err != nil {
@@ -257,11 +265,12 @@
 // handleViewChange applies a new view of the objects in the store.
 func (n *Node) handleViewChange(old, v *mirror.View) {
 	n.logChanges(old, v)
+	n.rollouts.update(time.Now(), v)
 	n.placer.Update(v)
 	n.mesh.SetPeers(v.Peers)
 	n.quota.update(v, n.settings.Node)
 	n.cache.update(v)
-	if v.Config != old.Config {
+	if v.Config != old.Config || len(v.Rollouts) > len(old.Rollouts) {
 		n.mesh.SendSoon()
 	}
 	n.mu.Lock()
@@ -283,7 +292,7 @@
 	}
 	for name, u := range v.Upstreams {
 		if o, ok := old.Upstreams[name]; !ok || o != u {
-			n.log.Info("upstream", "upstream", name, "addr", u.Addr, "service", u.Service, "state", u.State.String(), "weights", u.Weights, "incarnation", u.Incarnation)
+			n.log.Info("upstream", "upstream", name, "addr", u.Addr, "service", u.Service, "state", u.State.String(), "release", u.Release, "weights", u.Weights, "incarnation", u.Incarnation)
 		}
 	}
 	for name := range old.Upstreams {
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -35,6 +35,7 @@
 func (decoder) ConfigPrefix() string   { return "config/" }
 func (decoder) UpstreamPrefix() string { return "upstreams/" }
 func (decoder) WeightsPrefix() string  { return "weights/" }
+func (decoder) RolloutPrefix() string  { return "rollouts/" }
 
 func (decoder) Config(o vane.Object) (*site.Config, bool) {
 	var v struct {
@@ -57,6 +58,11 @@
 	return w, json.Unmarshal(o.Value, &w) == nil
 }
 
+func (decoder) Rollout(o vane.Object) (vane.Rollout, bool) {
+	var r vane.Rollout
+	return r, json.Unmarshal(o.Value, &r) == nil
+}
+
 // dialect implements the minimum that a request needs.
 type dialect struct{}
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -27,6 +27,7 @@
 	DirectoryTTLMax time.Duration // longest time for which callers may cache a directory answer
 	FencePause      time.Duration // shortest time between the orders of two lease holders
 	WeightsLimit    time.Duration // time within which all engines must serve newly designated weights
+	ExposeShare     float64       // share of a service's requests that a faulty release may get during its roll-out
 	RetryShare      float64       // retries per request, over all nodes
 	RetrySlack      float64       // retries per window in addition to the share, over all nodes
 	RetryWindow     time.Duration // period over which requests and retries are counted
@@ -36,7 +37,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Grace: 8 * time.Second, DirectoryTTLMax: 5 * time.Second, FencePause: 3 * time.Second,
-		WeightsLimit: 12 * time.Second, RetryShare: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+		WeightsLimit: 12 * time.Second, ExposeShare: 0.1, RetryShare: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 	}
 }
 
--- a/fake/plat/plat.go
+++ b/fake/plat/plat.go
@@ -322,7 +322,7 @@
 	var out []store.WireObject
 	for _, o := range p.changeLog {
 		if o.Version > after && strings.HasPrefix(o.Key, prefix) {
-			out = append(out, store.WireObject(o))
+			out = append(out, store.WireObject{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
 		}
 	}
 	return out, true
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/canary"
 	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/crash"
 	"mustardvane.org/vane/event"
@@ -170,6 +171,15 @@
 	url      string
 	stopping atomic.Bool
 	quota    *fakeLimiter
+
+	mu      sync.Mutex
+	results []canary.Sample
+}
+
+func (b *testFront) recordResult(_ vane.Upstream, _ string, s canary.Sample) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.results = append(b.results, s)
 }
 
 // newTestFront starts a front for the given upstreams. slack is the number of retries
@@ -195,7 +205,8 @@
 	t.Cleanup(pool.Close)
 	w := retry.NewWindow(10*time.Second, 0, slack)
 	h := front.New(front.Deps{
-		View: func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
+		RecordResult: b.recordResult,
+		View:         func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
 		Crashes: crash.NewRegistry(event.NewRing("n", 16)), RetryBudget: func(string) *retry.Window { return w },
 		Draining: b.stopping.Load, RefuseStreams: b.stopping.Load, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {},
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
--- a/front/handler.go
+++ b/front/handler.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/canary"
 	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/mirror"
 	"mustardvane.org/vane/retry"
@@ -58,12 +59,13 @@
 	Pool             *conns.Pool
 	Quota            Limiter
 	Crashes          CrashTracker
-	RetryBudget      func(service string) *retry.Window    // returns the retry budget of a service
-	Draining         func() bool                           // reports whether the node is shutting down; callers are then asked to close their connections
-	RefuseStreams    func() bool                           // reports whether the node stops so soon that a new stream might be cut off
-	WeightsChanged   func(upstream string, weights uint64) // called when a response shows that an upstream's weights have changed
-	UpstreamMismatch func(u vane.Upstream)                 // called when a response shows that another upstream has the address
-	UpstreamFailed   func(u vane.Upstream)                 // called when an upstream can't be reached or its connection fails before a response
+	RetryBudget      func(service string) *retry.Window                     // returns the retry budget of a service
+	Draining         func() bool                                            // reports whether the node is shutting down; callers are then asked to close their connections
+	RefuseStreams    func() bool                                            // reports whether the node stops so soon that a new stream might be cut off
+	WeightsChanged   func(upstream string, weights uint64)                  // called when a response shows that an upstream's weights have changed
+	UpstreamMismatch func(u vane.Upstream)                                  // called when a response shows that another upstream has the address
+	UpstreamFailed   func(u vane.Upstream)                                  // called when an upstream can't be reached or its connection fails before a response
+	RecordResult     func(u vane.Upstream, service string, s canary.Sample) // called with the result of each attempt that ran
 	Log              *slog.Logger
 	Metrics          *Metrics
 }
--- a/front/relay.go
+++ b/front/relay.go
@@ -60,6 +60,7 @@
 				t.relay = startRelay(w, resp)
 			}
 			h.Placer.FirstByte(time.Now(), att)
+			t.result.event(time.Now())
 			if err := t.relay.send(event, !eventBuffered(br)); err != nil {
 				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
 			}
@@ -75,6 +76,7 @@
 			if err := t.relay.send(event, true); len(event) > 0 && err != nil {
 				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
 			}
+			t.result.complete(time.Now(), resp.Status)
 			h.recordServed(t, p, resp.Status)
 			return nil
 		}
--- a/front/serve.go
+++ b/front/serve.go
@@ -33,6 +33,7 @@
 	avoid       []string // names of the upstreams that were tried
 	relay       *relay   // nil until the headers of a stream have been sent to the caller
 	lastRefusal *vane.Refusal
+	result      *result // of the present attempt
 }
 
 // serve sends the request to one upstream after another until a response is relayed
@@ -46,7 +47,9 @@
 			h.finishRefused(w, t, t.withExecution(vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s accepts requests now", c.service).WithRetryAfter(busyRetryAfter)))
 			return
 		}
+		t.result = h.newResult(t, pick)
 		ref := h.attempt(ctx, w, r, t, pick)
+		t.result.end(time.Now(), ref)
 		if ref == nil {
 			h.Crashes.RecordSuccess(c.tenancy.Workspace, c.fingerprint)
 			return
@@ -221,6 +224,7 @@
 	if !m.Signed && resp.Status < http.StatusMultipleChoices {
 		return vane.Refuse(vane.ReasonUpstreamWrongID, "the response of upstream %s lacks that upstream's signature", p.Upstream.Name).WithExecution(vane.MayHaveRun)
 	}
+	t.result.complete(time.Now(), resp.Status)
 	copyHeader(w.Header(), resp.Header)
 	w.WriteHeader(resp.Status)
 	// If the caller has left, the write fails. Nothing remains to be done then: the
--- a/iface.go
+++ b/iface.go
@@ -10,7 +10,8 @@
 	Key     string
 	Version uint64 // platform revision of the last write; zero if the object does not exist
 	Value   []byte
-	Deleted bool // the object was deleted; set on watch events only
+	Status  []byte // what the system recorded about the object, on platforms that keep that apart; nil if nothing
+	Deleted bool   // the object was deleted; set on watch events only
 }
 
 // Batch is the result of a list or a watch.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -33,13 +33,57 @@
 		Engines: []EngineUpdate{{Upstream: "e", Weights: 3, LoadingMS: -1}}, Crashes: []CrashReport{{Workspace: "ws", Fingerprint: 1 << 63, Upstream: "e", Incarnation: 2}},
 		StoreOK: true, UpstreamVersion: 8, Unresponsive: []string{"x"}, PromptParts: map[string][]uint64{"e": {1 << 62}},
 	}
-	b, err := encode(in)
+	b, err := encodeMessage(in)
 	is.NoErr(err)
 	out, err := decodeMessage(b)
 	is.NoErr(err)
 	is.Equal(out, in)
 }
 
+// TestEarlierBuildReadsMessages decodes a message into the fields that the build before
+// the roll-outs had.
+func TestEarlierBuildReadsMessages(t *testing.T) {
+	is := is.New(t)
+	in := &Message{Name: "n1", Boot: 3, Seq: 9, WeightsVersion: 4, Extension: Extension{
+		RolloutVersion: 8, Rollouts: []RolloutUpdate{{Service: "s", Order: "v2", Stage: 2, Fence: 6}},
+		ReleaseResults: []ReleaseResult{{Service: "s", Release: "v2", Failed: true, FirstUS: 70}},
+	}}
+	b, err := encodeMessage(in)
+	is.NoErr(err)
+	var earlier struct {
+		Name            string
+		Boot            uint64
+		Seq             uint64
+		Ready           bool
+		Leaving         bool
+		ConfigVersion   uint64
+		Fence           uint64
+		InFlight        map[string]int
+		QuotaSpent      map[string]float64
+		QuotaLevels     map[string]float64
+		Engines         []EngineUpdate
+		Crashes         []CrashReport
+		Callers         string
+		StoreOK         bool
+		UpstreamVersion uint64
+		Unresponsive    []string
+		PromptParts     map[string][]uint64
+		WeightsVersion  uint64
+	}
+	is.NoErr(decode(b, &earlier))
+	is.Equal(earlier.Name, "n1")
+	is.Equal(earlier.WeightsVersion, uint64(4))
+	m, err := decodeMessage(b)
+	is.NoErr(err)
+	is.Equal(m, in)
+	b, err = encode(&earlier)
+	is.NoErr(err)
+	m, err = decodeMessage(b)
+	is.NoErr(err)
+	is.Equal(m.WeightsVersion, uint64(4))
+	is.Equal(len(m.Rollouts), 0)
+}
+
 func TestOldMessagesAreIgnored(t *testing.T) {
 	m := newSite(2)
 	for _, tt := range []struct {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -2,14 +2,16 @@
 
 import (
 	"bytes"
+	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	vane "mustardvane.org/vane"
 )
 
-// Message is the periodic message of a node to the others. Structs are encoded by the
-// position of their fields, so new fields must be added at the end.
+// Message is the periodic message of a node to the others. Its own fields are encoded by
+// position. Decoders refuse a message with more or fewer of them, so new fields must be
+// added to [Extension].
 type Message struct {
 	Name            string
 	Boot            uint64              // identifies a start of the node; higher for later starts
@@ -29,6 +31,36 @@
 	Unresponsive    []string            // upstreams that do not answer the node
 	PromptParts     map[string][]uint64 // prompt parts that were sent to engines, by engine name, in the packed form of package sched
 	WeightsVersion  uint64              // newest known version of any target weights
+
+	Extension `msgpack:"-"`
+}
+
+// Extension is the part of a message that follows its fields. It is encoded by the names
+// of the fields, so that nodes of different builds understand each other: those before it
+// was introduced do not read it.
+type Extension struct {
+	RolloutVersion uint64          `msgpack:"rollout_version,omitempty"` // newest known version of any roll-out
+	Rollouts       []RolloutUpdate `msgpack:"rollouts,omitempty"`        // roll-outs in progress
+	ReleaseResults []ReleaseResult `msgpack:"release_results,omitempty"` // results of requests to services with a roll-out in progress
+}
+
+// RolloutUpdate tells how far a roll-out is.
+type RolloutUpdate struct {
+	Service string `msgpack:"service"`
+	Order   string `msgpack:"order"`           // identifies the request for the roll-out
+	Stage   int    `msgpack:"stage"`           // value of canary.Stage
+	Fence   uint64 `msgpack:"fence,omitempty"` // fencing number of the lease of the node that decided on the stage; zero if it holds none
+}
+
+// ReleaseResult is the result of one request to a service with a roll-out in progress.
+type ReleaseResult struct {
+	Service  string `msgpack:"service"`
+	Release  string `msgpack:"release"`
+	Route    string `msgpack:"route"`
+	Failed   bool   `msgpack:"failed,omitempty"`
+	FirstUS  uint32 `msgpack:"first_us,omitempty"` // time to the first token in microseconds; zero if there was none
+	Uncached uint32 `msgpack:"uncached,omitempty"` // prompt tokens that were not in the cache
+	GapUS    uint32 `msgpack:"gap_us,omitempty"`   // mean time between tokens in microseconds; zero if unknown
 }
 
 // EngineUpdate tells about the weights of an engine.
@@ -60,10 +92,25 @@
 // decode decodes the result of encode.
 func decode(b []byte, v any) error { return msgpack.Unmarshal(b, v) }
 
-// decodeMessage decodes a message. It returns an error if the sender is missing.
+// encodeMessage returns the wire form of a message.
+func encodeMessage(m *Message) ([]byte, error) {
+	b, err := encode(m)
+	if err != nil {
+		return nil, err
+	}
+	ext, err := msgpack.Marshal(&m.Extension)
+	return append(b, ext...), err
+}
+
+// decodeMessage decodes the result of encodeMessage, with or without an extension. It
+// returns an error if the sender is missing.
 func decodeMessage(b []byte) (*Message, error) {
 	var m Message
-	if err := decode(b, &m); err != nil {
+	d := msgpack.NewDecoder(bytes.NewReader(b))
+	if err := d.Decode(&m); err != nil {
+		return nil, err
+	}
+	if err := d.Decode(&m.Extension); err != nil && err != io.EOF {
 		return nil, err
 	}
 	if m.Name == "" || m.Boot == 0 {
--- a/mesh/post.go
+++ b/mesh/post.go
@@ -32,6 +32,7 @@
 	msg := &Message{Name: m.self.Name, Boot: m.self.Boot, Callers: m.self.Callers}
 	known := m.Versions()
 	msg.UpstreamVersion, msg.ConfigVersion, msg.WeightsVersion = known.Upstreams, known.Config, known.Weights
+	msg.RolloutVersion = known.Rollouts
 	m.Compose(now, msg)
 	m.mu.Lock()
 	m.seq++
@@ -47,7 +48,7 @@
 		to = m.ownDestination(now, urgent)
 	}
 	m.mu.Unlock()
-	b, err := encode(msg)
+	b, err := encodeMessage(msg)
 	if err != nil || len(b) > maxDatagram {
 		m.Log.Error("message not sent: encoding failed or too large", "bytes", len(b), "err", err)
 		return
@@ -215,7 +216,7 @@
 	}
 	p.seq, p.LastHeard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
 	p.Fence, p.StoreOK, p.Callers = msg.Fence, msg.StoreOK, msg.Callers
-	ahead := msg.ConfigVersion > known.Config || msg.WeightsVersion > known.Weights
+	ahead := msg.ConfigVersion > known.Config || msg.WeightsVersion > known.Weights || msg.RolloutVersion > known.Rollouts
 	trackSince(&p.aheadSince, now, ahead)
 	if ahead && !m.promptWatcherLocked(now) {
 		// This node watches the store with delay, so it does not wait for the store.
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -4,6 +4,7 @@
 	"compress/gzip"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -22,12 +23,16 @@
 	paramUpstreams = "upstreams"
 	paramWeights   = "weights"
 	paramNodeState = "own"
+	paramRollouts  = "rollouts"
 )
 
 // serveSnapshot sends another node the objects that it lacks.
 func (m *Mesh) serveSnapshot(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	have := mirror.Versions{Config: versionParam(q, paramConfig), Upstreams: versionParam(q, paramUpstreams), Weights: versionParam(q, paramWeights), NodeState: versionParam(q, paramNodeState)}
+	have := mirror.Versions{Config: versionParam(q, paramConfig), Upstreams: versionParam(q, paramUpstreams), Weights: versionParam(q, paramWeights), NodeState: versionParam(q, paramNodeState), Rollouts: versionParam(q, paramRollouts)}
+	if !q.Has(paramRollouts) {
+		have.Rollouts = math.MaxUint64 // a node of an earlier build would count them as configuration
+	}
 	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
 	if err == nil {
 		err = msgpack.NewEncoder(z).Encode(m.Export(have))
@@ -117,7 +122,7 @@
 func (m *Mesh) fetchSnapshot(ctx context.Context, addr string) ([]vane.Object, error) {
 	have := m.Versions()
 	q := url.Values{}
-	for name, version := range map[string]uint64{paramConfig: have.Config, paramUpstreams: have.Upstreams, paramWeights: have.Weights, paramNodeState: have.NodeState} {
+	for name, version := range map[string]uint64{paramConfig: have.Config, paramUpstreams: have.Upstreams, paramWeights: have.Weights, paramNodeState: have.NodeState, paramRollouts: have.Rollouts} {
 		q.Set(name, strconv.FormatUint(version, 10))
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+snapshotPath+"?"+q.Encode(), nil)
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -127,7 +127,7 @@
 func (s *Service) Run(ctx context.Context, ready func()) error {
 	var wg sync.WaitGroup
 	dec := s.state.dec
-	for _, p := range []string{dec.ConfigPrefix(), dec.UpstreamPrefix(), dec.WeightsPrefix(), NodeStatePrefix} {
+	for _, p := range []string{dec.ConfigPrefix(), dec.UpstreamPrefix(), dec.WeightsPrefix(), dec.RolloutPrefix(), NodeStatePrefix} {
 		wg.Go(func() { s.follow(ctx, p) })
 	}
 	wg.Go(func() {
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -74,9 +74,11 @@
 	ConfigPrefix() string
 	UpstreamPrefix() string
 	WeightsPrefix() string
+	RolloutPrefix() string
 	Config(o vane.Object) (*site.Config, bool)
 	Upstream(o vane.Object) (vane.Upstream, bool)
 	Weights(o vane.Object) (vane.TargetWeights, bool)
+	Rollout(o vane.Object) (vane.Rollout, bool)
 }
 
 // Weights are the target weights of a model and when this node learned of them.
@@ -113,6 +115,7 @@
 	Upstreams map[string]vane.Upstream   // upstreams by name
 	Weights   map[string]Weights         // target weights by model
 	Peers     map[string]vane.PeerRecord // records of all nodes by node name
+	Rollouts  map[string]vane.Rollout    // roll-outs by service
 }
 
 // TargetWeights returns the number of the weights with which the model is to be served,
@@ -133,7 +136,7 @@
 // NewState returns an empty state.
 func NewState(dec Decoder) *State {
 	s := &State{dec: dec, objects: make(map[string]vane.Object), decoded: make(map[string]decodedObject), delayedRemovals: make(map[string]vane.Object)}
-	s.view = &View{Upstreams: map[string]vane.Upstream{}, Weights: map[string]Weights{}, Peers: map[string]vane.PeerRecord{}}
+	s.view = &View{Upstreams: map[string]vane.Upstream{}, Weights: map[string]Weights{}, Peers: map[string]vane.PeerRecord{}, Rollouts: map[string]vane.Rollout{}}
 	return s
 }
 
@@ -198,6 +201,7 @@
 	Upstreams uint64
 	Weights   uint64
 	NodeState uint64 // newest version of the objects that the nodes write themselves
+	Rollouts  uint64
 }
 
 // Export returns the objects that a node with the given versions lacks. It always
@@ -229,6 +233,8 @@
 		return &v.Upstreams
 	case strings.HasPrefix(key, s.dec.WeightsPrefix()):
 		return &v.Weights
+	case strings.HasPrefix(key, s.dec.RolloutPrefix()):
+		return &v.Rollouts
 	case strings.HasPrefix(key, NodeStatePrefix):
 		return &v.NodeState
 	}
@@ -245,8 +251,8 @@
 		if !ok || old.Deleted || o.Version < old.Version {
 			return false
 		}
-		// The value is dropped, since other nodes need to know only of the removal.
-		o.Value = nil
+		// The contents are dropped, since other nodes need to know only of the removal.
+		o.Value, o.Status = nil, nil
 		if strings.HasPrefix(o.Key, s.dec.UpstreamPrefix()) && s.delaysRemovals(now) && !s.isLeaving(old) {
 			s.delayedRemovals[o.Key] = o
 			return false
@@ -280,7 +286,7 @@
 	old := s.view
 	v := &View{
 		Config: old.Config, Upstreams: make(map[string]vane.Upstream, len(s.objects)),
-		Weights: make(map[string]Weights), Peers: make(map[string]vane.PeerRecord),
+		Weights: make(map[string]Weights), Peers: make(map[string]vane.PeerRecord), Rollouts: make(map[string]vane.Rollout),
 	}
 	maps.Copy(v.Weights, old.Weights)
 	var records []WeightsRecord
@@ -332,6 +338,8 @@
 		}
 	case vane.PeerRecord:
 		v.Peers[x.Name] = x
+	case vane.Rollout:
+		v.Rollouts[x.Service] = x
 	}
 }
 
@@ -351,6 +359,10 @@
 		if w, ok := s.dec.Weights(o); ok {
 			return w
 		}
+	case strings.HasPrefix(key, s.dec.RolloutPrefix()):
+		if r, ok := s.dec.Rollout(o); ok {
+			return r
+		}
 	case strings.HasPrefix(key, weightsRecordPrefix):
 		var n WeightsRecord
 		if json.Unmarshal(o.Value, &n) == nil {
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -21,6 +21,7 @@
 func (plainDecoder) ConfigPrefix() string   { return "c/" }
 func (plainDecoder) UpstreamPrefix() string { return "u/" }
 func (plainDecoder) WeightsPrefix() string  { return "w/" }
+func (plainDecoder) RolloutPrefix() string  { return "r/" }
 
 func (plainDecoder) Config(o vane.Object) (*site.Config, bool) {
 	return site.New(uint64(len(o.Value))), len(o.Value) > 0
@@ -38,6 +39,10 @@
 	return vane.TargetWeights{Model: "m", Version: uint64(len(o.Value))}, true
 }
 
+func (plainDecoder) Rollout(o vane.Object) (vane.Rollout, bool) {
+	return vane.Rollout{Service: "s", Target: string(o.Value), Revision: o.Version}, true
+}
+
 // obj returns an object of the store.
 func obj(key, value string, version uint64) vane.Object {
 	return vane.Object{Key: key, Value: []byte(value), Version: version}
@@ -155,6 +160,18 @@
 	is.Equal(b.View().Config.Version, uint64(2))
 }
 
+func TestRolloutHidesNoConfiguration(t *testing.T) {
+	is := is.New(t)
+	a, b := mirror.NewState(plainDecoder{}), mirror.NewState(plainDecoder{})
+	a.Apply(begin, []vane.Object{obj("c/main", "12", 12), obj("r/s", "v2", 13)})
+	b.Apply(begin, []vane.Object{obj("r/s", "v2", 13)})
+	b.Apply(begin, a.Export(b.Versions()))
+	is.Equal(b.View().Config.Version, uint64(2))
+	is.Equal(b.View().Rollouts["s"].Target, "v2")
+	b.Apply(begin, []vane.Object{removed("r/s", 14)})
+	is.Equal(len(b.View().Rollouts), 0)
+}
+
 func TestSnapshotOfAnotherNode(t *testing.T) {
 	is := is.New(t)
 	a, b := mirror.NewState(plainDecoder{}), mirror.NewState(plainDecoder{})
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -49,8 +49,9 @@
 // findHolders returns the holders of the prompt's shared parts, by the number of the
 // weights that they serve, or nil if the prompt has no shared parts. Engines whose rank
 // is at most reservedRank can be the preferred engine of short prompts only, the others
-// of long prompts only. A negative reservedRank means that no engines are reserved.
-func (p *Placer) findHolders(now time.Time, q Query, reservedRank float64) map[uint64]*partHolders {
+// of long prompts only. A negative reservedRank means that no engines are reserved. An
+// engine that f excludes is not preferred.
+func (p *Placer) findHolders(now time.Time, q Query, reservedRank float64, f releaseFilter) map[uint64]*partHolders {
 	shared := q.Shared()
 	if len(shared) == 0 {
 		return nil
@@ -72,7 +73,7 @@
 				h.complete++
 			}
 		}
-		if a := rendezvousHash(last, u.Name); u.usable(now) && (reservedRank < 0 || q.short() == (u.rank <= reservedRank)) && (h.preferred == nil || a < h.lowest) {
+		if a := rendezvousHash(last, u.Name); u.usable(now) && !f.excludes(u) && (reservedRank < 0 || q.short() == (u.rank <= reservedRank)) && (h.preferred == nil || a < h.lowest) {
 			h.preferred, h.lowest = u, a
 		}
 	}
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -64,12 +64,13 @@
 	if q.PromptTokens > 0 {
 		reservedRank = p.reservedRank(now, q)
 	}
-	holders := p.findHolders(now, q, reservedRank)
+	filter := p.releaseFilter(now, q, target)
+	holders := p.findHolders(now, q, reservedRank, filter)
 	skipNewest := p.skipNewest(now, q, target)
 	var best Pick
 	found := false
 	for _, u := range p.byService[q.Service] {
-		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
+		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
 			continue
 		}
 		c := p.evaluate(now, q, u, target, holders[u.Weights])
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -32,6 +32,7 @@
 	upstreams    map[string]*upstream      // upstreams by name
 	byService    map[string][]*upstream    // upstreams by service, sorted by rank
 	peers        map[string]map[string]int // requests in flight by node and upstream
+	releases     map[string]ReleaseShare   // limits by service
 	saves        *saveLog
 	updates      map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
 	storeLink    storeLink
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -62,7 +62,13 @@
 
 // usable reports whether the upstream may get requests.
 func (u *upstream) usable(now time.Time) bool {
-	return u.State == vane.UpstreamLive && !now.Before(u.ejectedUntil) && !now.Before(u.loadingUntil) && !now.Before(u.fullUntil)
+	return u.inService(now) && !now.Before(u.fullUntil)
+}
+
+// inService reports whether the upstream serves requests, even if it is full at the
+// moment.
+func (u *upstream) inService(now time.Time) bool {
+	return u.State == vane.UpstreamLive && !now.Before(u.ejectedUntil) && !now.Before(u.loadingUntil)
 }
 
 // onProbation reports whether the upstream is ejected or its last ejection ended less
--- a/store/native.go
+++ b/store/native.go
@@ -117,7 +117,7 @@
 	}
 	b := vane.Batch{Revision: w.Revision, Objects: make([]vane.Object, 0, len(w.Objects))}
 	for _, o := range w.Objects {
-		b.Objects = append(b.Objects, vane.Object(o))
+		b.Objects = append(b.Objects, vane.Object{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
 	}
 	return b, "", nil
 }
--- a/store/protocol.go
+++ b/store/protocol.go
@@ -59,6 +59,15 @@
 	DecodeHosts(r *Response) ([]vane.Upstream, error)
 }
 
+// StatusProtocol is a Protocol of a platform that keeps what the system records about an
+// object apart from the object's value.
+type StatusProtocol interface {
+	Protocol
+	// PutStatus replaces the status of the object if it has the version expected. Its
+	// response is decoded by DecodePut.
+	PutStatus(key string, expected uint64, status []byte) Request
+}
+
 // NotFound returns the error for an object that does not exist.
 func NotFound(key string) *vane.Error {
 	return vane.Errorf(vane.KindNotFound, "store.get", "create it first", "object %s does not exist", key)
--- a/store/write.go
+++ b/store/write.go
@@ -95,6 +95,22 @@
 	return c.proto.DecodePut(key, expected, resp)
 }
 
+// PutStatus replaces the status of the object if it has the version expected, and
+// returns its new version. It does not repeat a write whose response was lost: the
+// caller sees the object's status in a watch. The error is of KindInvalid if the
+// platform keeps no status.
+func (c *Client) PutStatus(ctx context.Context, key string, expected uint64, status []byte) (uint64, error) {
+	p, ok := c.proto.(StatusProtocol)
+	if !ok {
+		return 0, vane.Errorf(vane.KindInvalid, "store.put_status", "write the object's value instead", "the platform keeps no status of objects")
+	}
+	resp, err := c.do(ctx, call{op: "put_status", Request: p.PutStatus(key, expected, status), timeout: c.timeout})
+	if err != nil {
+		return 0, err
+	}
+	return c.proto.DecodePut(key, expected, resp)
+}
+
 // Delete implements vane.Store. Deleting an object that does not exist is not an
 // error.
 func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
