Merge the roll-outs of a service's software on routed sites

The results of roll-outs carry their time, so that results within 100 ms of each other count as one.

--- a/front/relay.go
+++ b/front/relay.go
@@ -74,12 +74,14 @@
 		}
 		if inEvent {
 			h.Placer.FirstByte(clock.BootTime(), att)
+			t.result.event(time.Now())
 			t.relay.count(block)
 		}
 		if err := t.relay.send(block, !eventBuffered(br)); len(block) > 0 && err != nil {
 			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
 		}
 		if err == io.EOF {
+			t.result.complete(time.Now(), resp.Status)
 			h.recordServed(t, p, resp.Status)
 			return nil
 		}
