crash: find the parts of prompts that crash engines

Callers saw streams cut and 502s for as long as requests with one part of their prompts kept crashing engines, and sound callers of another route got 422 for streams that they sent again.

Cause: crashes were attributed to whole requests only. Requests with the part are never alike, so none was ever refused. At the same time each request in flight on a crashed engine was reported, even one whose stream had long begun.

A request whose answer has begun is no longer reported. A sibling of the registry, crash.Parts, counts crashes by shared part: a crash counts if the engine's host refuses connections, no answer had begun, and 400 ms lie between it and the last counted one, so engines that fail together count once. An answer, or its first event, clears the parts of its prompt on all nodes. Three moments without an answer convict a part; of parts with the same evidence the last one, and a convicted part explains later crashes. Requests with it are refused with 422, as not run, and are not retried. Convictions stand in the messages between nodes, so that a node that starts learns them. One workspace alone convicts a part for its own requests only. After an hour the part is tried again, and one crash renews the conviction.

Messages between nodes: msgpack refuses an array of another length, so a new field at the end of Message, tried first, cut nodes of the build before off from all messages. What is new follows the message as an extension, encoded by name, which that build does not read. TestBuildsWithoutPromptParts failed with the field at the end.

TestDeadlyPartReachesFewEngines and TestStreamThatBeganIsNoSuspect failed before.

--- a/crash/doc.go
+++ b/crash/doc.go
@@ -6,6 +6,10 @@
 // depend on the workspace, so that one workspace can't cause the refusal of another's
 // requests.
 //
+// Where requests state the parts of their prompts, Parts finds those on which upstreams
+// crash though no two requests are alike. A crash counts against each shared part of the
+// requests that had no answer yet, and an answer clears the parts of its prompt.
+//
 // # Usage
 //
 //	r := crash.NewRegistry(recorder)
--- /dev/null
+++ b/crash/parts_test.go
@@ -0,0 +1,160 @@
+package crash_test
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/crash"
+)
+
+// newParts returns a tracker that counts its messages to other nodes.
+func newParts(messages *int) *crash.Parts {
+	return crash.NewParts(crash.PartsConfig{
+		BroadcastCrash: func(crash.PartCrash) { *messages++ }, BroadcastClear: func(uint64) { *messages++ },
+		BroadcastConviction: func(crash.Conviction) { *messages++ }, Log: slog.New(slog.DiscardHandler),
+	})
+}
+
+// step is an event on an upstream: a crash before the answer to a request with the parts,
+// or an answer.
+type step struct {
+	at       time.Duration
+	upstream int // zero for an answer
+	ws       string
+	parts    []uint64
+}
+
+func TestConvictedParts(t *testing.T) {
+	const hot, other, deadly, companion = 1, 2, 3, 4
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, tt := range []struct {
+		name      string
+		steps     []step
+		convicted []uint64 // of the parts above
+		suspect   bool     // a request with the deadly part is not retried
+	}{
+		{"two crashes", []step{{0, 1, "a", []uint64{deadly}}, {ms(500), 2, "a", []uint64{deadly}}}, nil, true},
+		{"three crashes", []step{{0, 1, "a", []uint64{deadly}}, {ms(500), 2, "a", []uint64{deadly}}, {ms(1000), 3, "a", []uint64{deadly}}}, []uint64{deadly}, true},
+		{"one process", []step{{0, 1, "a", []uint64{deadly}}, {ms(500), 1, "a", []uint64{deadly}}, {ms(1000), 1, "a", []uint64{deadly}}}, nil, false},
+		{
+			"many upstreams at once",
+			[]step{{0, 1, "a", []uint64{deadly}}, {ms(50), 2, "a", []uint64{deadly}}, {ms(100), 3, "a", []uint64{deadly}}, {ms(150), 4, "a", []uint64{deadly}}},
+			nil, false,
+		},
+		{
+			"an answer in between",
+			[]step{{0, 1, "a", []uint64{deadly}}, {ms(500), 2, "a", []uint64{deadly}}, {ms(600), 0, "a", []uint64{deadly}}, {ms(1700), 3, "a", []uint64{deadly}}},
+			nil, false,
+		},
+		{
+			"a first part that others are answered with",
+			[]step{
+				{0, 1, "a", []uint64{hot, deadly}}, {ms(100), 0, "a", []uint64{hot, other}}, {ms(500), 2, "a", []uint64{hot, deadly}},
+				{ms(700), 0, "a", []uint64{hot}}, {ms(1000), 3, "a", []uint64{hot, deadly}},
+			},
+			[]uint64{deadly}, true,
+		},
+		{
+			"the same evidence about two parts",
+			[]step{{0, 1, "a", []uint64{companion, deadly}}, {ms(500), 2, "a", []uint64{companion, deadly}}, {ms(1000), 3, "a", []uint64{companion, deadly}}},
+			[]uint64{deadly}, true,
+		},
+		{
+			"a crash that is explained",
+			[]step{
+				{0, 1, "a", []uint64{deadly}}, {ms(500), 2, "a", []uint64{deadly}}, {ms(1000), 3, "a", []uint64{deadly}},
+				{ms(1500), 4, "a", []uint64{other, deadly}}, {ms(2000), 5, "a", []uint64{other, deadly}}, {ms(2500), 6, "a", []uint64{other, deadly}},
+			},
+			[]uint64{deadly}, true,
+		},
+		{
+			"answered after the conviction",
+			[]step{{0, 1, "a", []uint64{deadly}}, {ms(500), 2, "a", []uint64{deadly}}, {ms(1000), 3, "a", []uint64{deadly}}, {ms(1100), 0, "a", []uint64{deadly}}},
+			nil, false,
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			start := time.Now()
+			messages := 0
+			p := newParts(&messages)
+			for _, s := range tt.steps {
+				if s.upstream == 0 {
+					p.RecordSuccess(start.Add(s.at), s.parts)
+					continue
+				}
+				p.RecordCrash(start.Add(s.at), s.ws, s.parts, vane.Upstream{Name: fmt.Sprint(s.upstream), Incarnation: 1})
+			}
+			end := start.Add(3 * time.Second)
+			var got []uint64
+			for _, k := range []uint64{hot, other, deadly, companion} {
+				if p.Check(end, "a", []uint64{k}) != nil {
+					got = append(got, k)
+				}
+			}
+			is.Equal(got, tt.convicted)
+			is.Equal(p.Suspect([]uint64{deadly}), tt.suspect)
+		})
+	}
+}
+
+// convict makes a tracker refuse part 3 of the given workspaces' requests, in turn.
+func convict(p *crash.Parts, start time.Time, workspaces ...string) {
+	for i := range 3 {
+		p.RecordCrash(start.Add(time.Duration(i)*500*time.Millisecond), workspaces[i%len(workspaces)], []uint64{3}, vane.Upstream{Name: fmt.Sprint("u", i)})
+	}
+}
+
+// One workspace alone can't get the requests of another refused.
+func TestConvictionByOneWorkspace(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	messages := 0
+	p := newParts(&messages)
+	convict(p, start, "a")
+	end := start.Add(2 * time.Second)
+	is.True(p.Check(end, "a", []uint64{3}) != nil)
+	is.NoErr(p.Check(end, "b", []uint64{3}))
+	p.RecordCrash(end, "b", []uint64{3}, vane.Upstream{Name: "u9"})
+	for _, ws := range []string{"a", "b", "c"} {
+		is.True(p.Check(end, ws, []uint64{3}) != nil)
+	}
+}
+
+// A node that missed all crashes adopts a conviction with its workspaces. An answer there
+// clears it, and older messages about the conviction don't bring it back.
+func TestAdoptedConviction(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	messages := 0
+	p, other := newParts(&messages), newParts(&messages)
+	convict(p, start, "a", "b")
+	now := start.Add(2 * time.Second)
+	cs := p.Convictions(now)
+	is.Equal(len(cs), 1)
+	other.Adopt(now, cs[0])
+	is.True(other.Check(now, "c", []uint64{3}) != nil)
+	messages = 0
+	other.RecordSuccess(now, []uint64{3})
+	is.Equal(messages, 1)
+	other.Adopt(now.Add(2*time.Second), cs[0])
+	is.NoErr(other.Check(now.Add(2*time.Second), "c", []uint64{3}))
+}
+
+// After an hour requests with the part are tried again. One more crash convicts it again.
+func TestConvictionEnds(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	messages := 0
+	p := newParts(&messages)
+	convict(p, start, "a")
+	later := start.Add(2 * time.Hour)
+	is.NoErr(p.Check(later, "a", []uint64{3}))
+	p.RecordCrash(later, "a", []uint64{3}, vane.Upstream{Name: "u0"})
+	is.True(p.Check(later, "a", []uint64{3}) != nil)
+}
--- /dev/null
+++ b/edge/crash_test.go
@@ -0,0 +1,170 @@
+package edge_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+)
+
+// crashingEngine is an engine whose process ends when it begins to answer a request with
+// the deadly part. It is back after a second.
+type crashingEngine struct {
+	fleet *crashingFleet
+	addr  string
+}
+
+// crashingFleet is a set of crashing engines.
+type crashingFleet struct {
+	mu      sync.Mutex
+	deadly  []time.Time // arrivals of requests with the deadly part
+	crashes []time.Time
+}
+
+// start starts the engine's process.
+func (e *crashingEngine) start() error {
+	ln, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return err
+	}
+	e.addr = ln.Addr().String()
+	srv := &http.Server{}
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		deadly := slices.Contains(r.Header["Part"], "deadly")
+		if deadly {
+			e.fleet.mu.Lock()
+			e.fleet.deadly = append(e.fleet.deadly, time.Now())
+			e.fleet.mu.Unlock()
+		}
+		time.Sleep(20 * time.Millisecond)
+		if deadly {
+			e.crash(srv)
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		_, _ = io.WriteString(w, "id: 1\n\n")
+	})
+	go func() { _ = srv.Serve(ln) }()
+	return nil
+}
+
+// crash ends the process and starts the next one after a second.
+func (e *crashingEngine) crash(srv *http.Server) {
+	_ = srv.Close()
+	e.fleet.mu.Lock()
+	e.fleet.crashes = append(e.fleet.crashes, time.Now())
+	e.fleet.mu.Unlock()
+	time.AfterFunc(time.Second, func() { _ = e.start() })
+}
+
+// send sends a request with the parts to node i and returns the status, or zero if the
+// answer is incomplete.
+func (f *fleet) send(i int, id string, parts ...string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.settings[i].CallerAddr+"/r/x", strings.NewReader(id))
+	if err != nil {
+		f.t.Error(err)
+		return 0
+	}
+	req.Host = "h"
+	req.Header = http.Header{"Id": {id}, "Part": parts}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// Requests of which no two are alike share a part that crashes engines. All nodes refuse
+// them soon, a node that starts later too, and sound requests that share the first part
+// are served throughout.
+func TestDeadlyPartReachesFewEngines(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const nodes = 4
+	f := newFleet(t, nodes, echoHandler(0))
+	cf := &crashingFleet{}
+	for i := range 8 {
+		e := &crashingEngine{fleet: cf, addr: "127.0.0.1:0"}
+		is.NoErr(e.start())
+		name := fmt.Sprintf("e%d", i)
+		f.put("upstreams/"+name, vane.Upstream{Name: name, Addr: e.addr, DataCentre: "dc", Role: vane.RoleEngine, Service: "llm", Model: "m", Weights: 1, Slots: 8})
+	}
+	f.configure(1)
+	for i := range nodes {
+		f.waitFor("all nodes are listed", func() bool { return len(f.entries(i)) == nodes })
+	}
+	stop := make(chan struct{})
+	var sound sync.WaitGroup
+	var mu sync.Mutex
+	denied := 0
+	for i := range nodes {
+		sound.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				if s := f.send(i, fmt.Sprintf("sound-%d-%d", i, n), "first", "session", "own"); s == http.StatusUnprocessableEntity {
+					mu.Lock()
+					denied++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	sent := 0
+	deadly := func(i int) int {
+		sent++
+		return f.send(i, fmt.Sprintf("deadly-%d", sent), "first", "deadly", fmt.Sprint("own-", sent))
+	}
+	const contact = 3 * time.Second // the time in which nodes learn of each other's crashes
+	begin := time.Now()
+	for time.Since(begin) < 2*contact {
+		deadly(sent % nodes)
+		time.Sleep(100 * time.Millisecond)
+	}
+	close(stop)
+	sound.Wait()
+	cf.mu.Lock()
+	late := 0
+	for _, at := range cf.deadly {
+		if len(cf.crashes) >= 5 && at.Sub(cf.crashes[4]) > contact {
+			late++
+		}
+	}
+	crashes := len(cf.crashes)
+	cf.mu.Unlock()
+	t.Logf("%d requests with the part, %d crashes, %d reached engines late, %d sound ones denied", sent, crashes, late, denied)
+	is.True(crashes >= 3)
+	is.True(late <= 3)
+	is.Equal(denied, 0)
+	for i := range nodes {
+		is.Equal(deadly(i), http.StatusUnprocessableEntity)
+		is.Equal(f.send(i, "after", "first", "session", "own"), http.StatusOK)
+	}
+	later := f.settings[0]
+	later.Node = "later"
+	later.CallerAddr = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	later.ReadyAddr = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	later.DirectoryAddr = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	later.MeshPort, later.MetricsPort = freePort(t), freePort(t)
+	f.settings = append(f.settings, later)
+	f.start(nodes)
+	f.waitFor("the later node is listed", func() bool { return len(f.entries(0)) == nodes+1 })
+	f.waitFor("the later node refuses the part", func() bool { return deadly(nodes) == http.StatusUnprocessableEntity })
+}
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -30,6 +30,9 @@
 	engines      map[string]repeated[mesh.EngineUpdate]
 	crashes      []repeated[mesh.CrashReport]
 	unresponsive map[string]time.Time // by upstream: time until which its failure is reported
+	partCrashes  []repeated[crash.PartCrash]
+	partClears   map[uint64]time.Time // by part: time until which its clearance is reported
+	convictions  map[uint64]repeated[crash.Conviction]
 }
 
 // repeated is an update and the time until which messages repeat it.
@@ -40,7 +43,10 @@
 
 // newPendingUpdates returns an empty set.
 func newPendingUpdates() *pendingUpdates {
-	return &pendingUpdates{engines: make(map[string]repeated[mesh.EngineUpdate]), unresponsive: make(map[string]time.Time)}
+	return &pendingUpdates{
+		engines: make(map[string]repeated[mesh.EngineUpdate]), unresponsive: make(map[string]time.Time),
+		partClears: make(map[uint64]time.Time), convictions: make(map[uint64]repeated[crash.Conviction]),
+	}
 }
 
 // addEngine adds an update about an engine. It replaces the previous one of that
@@ -95,6 +101,7 @@
 		}
 	}
 	n.crashes = remaining
+	n.fillParts(now, m)
 }
 
 // compose fills in the next message to the other nodes.
@@ -111,6 +118,7 @@
 	m.PromptParts = n.placer.TakeCacheUpdates()
 	m.StoreOK = n.mirror.Reachable() && n.mesh.IsPromptWatcher()
 	n.pendingUpdates.fill(now, m)
+	n.composeConvictions(now, m)
 }
 
 // receive applies a message from another node.
@@ -133,6 +141,7 @@
 	for _, c := range m.Crashes {
 		n.crash.Add(crash.Report{Request: crash.RequestKey{Workspace: c.Workspace, Fingerprint: c.Fingerprint}, Upstream: c.Upstream, Incarnation: c.Incarnation})
 	}
+	n.receiveParts(now, m)
 }
 
 // wantsLease reports whether this node should hold the lease on weight orders. The
--- a/edge/node.go
+++ b/edge/node.go
@@ -76,6 +76,7 @@
 	cache          *cacheWatcher
 	quota          *limiter
 	crash          *crash.Registry
+	parts          *crash.Parts
 	leases         *lease.Manager
 	loader         *loader
 	handler        *front.Handler
@@ -107,6 +108,10 @@
 		Compose: n.compose, Receive: n.receive, Versions: n.mirror.Versions, Export: n.mirror.Export, Import: n.mirror.Import, Log: log,
 	})
 	n.crash = crash.NewRegistry(recorder{log}, crash.WithBroadcast(n.pendingUpdates.addCrash, func(crash.RequestKey) {}))
+	n.parts = crash.NewParts(crash.PartsConfig{
+		BroadcastCrash: func(c crash.PartCrash) { n.pendingUpdates.addPartCrash(c); n.mesh.SendSoon() }, BroadcastClear: n.pendingUpdates.addPartClear,
+		BroadcastConviction: func(c crash.Conviction) { n.pendingUpdates.addConviction(c); n.mesh.SendNow() }, Log: log,
+	})
 	n.loader = newLoader(n)
 	n.leases = lease.NewManager(n.storeClient, recorder{log}, lease.Config{
 		Prefix: leasePrefix, Node: settings.Node, Boot: clock.BootTime().String(), Shards: 1, Clock: clock.BootTime,
@@ -115,7 +120,7 @@
 		Data: func(int, lease.Purpose, json.RawMessage) json.RawMessage { return nil },
 	})
 	n.handler = front.New(front.Deps{
-		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash,
+		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash, Parts: n.parts,
 		RetryBudget: n.retryWindow, Draining: n.isLeaving, RefuseStreams: n.isClosing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, Log: log, Metrics: front.NewMetrics(n.registry),
 	})
 	return n, n.register()
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -61,10 +61,14 @@
 type dialect struct{}
 
 func (dialect) ParseRequest(h http.Header) vane.RequestMeta {
-	return vane.RequestMeta{ID: h.Get("Id"), Model: "m"}
+	m := vane.RequestMeta{ID: h.Get("Id"), Model: "m"}
+	for _, id := range h["Part"] {
+		m.Parts = append(m.Parts, vane.PromptPart{ID: id, Tokens: 100})
+	}
+	return m
 }
 func (dialect) UpstreamHeader(h http.Header, _ vane.Forward) http.Header {
-	return http.Header{"Id": h["Id"]}
+	return http.Header{"Id": h["Id"], "Part": h["Part"]}
 }
 func (dialect) ParseResponse(_ int, h http.Header) vane.ResponseMeta {
 	return vane.ResponseMeta{ID: h.Get("Id"), Signed: true}
--- /dev/null
+++ b/front/crash.go
@@ -0,0 +1,133 @@
+package front
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/crash"
+)
+
+// Limits of the checks whether an upstream has crashed.
+const (
+	crashCheckTimeout = 300 * time.Millisecond // a host whose process is gone refuses a connection well within this time
+	crashCheckTTL     = time.Second            // time for which the result of a check is used
+)
+
+// PartTracker finds the parts of prompts that crash upstreams. Parts are identified by
+// hashes.
+type PartTracker interface {
+	// Check returns an error if requests with one of the parts must not be sent.
+	Check(now time.Time, workspace string, parts []uint64) error
+	// Suspect reports whether a request with the parts should not be retried.
+	Suspect(parts []uint64) bool
+	// RecordCrash records that u crashed before any of the answer arrived.
+	RecordCrash(now time.Time, workspace string, parts []uint64, u vane.Upstream)
+	// RecordSuccess records that the answer to a request with the parts has begun.
+	RecordSuccess(now time.Time, parts []uint64)
+}
+
+// crashCheck is one check whether an upstream has crashed.
+type crashCheck struct {
+	at      time.Time
+	done    chan struct{} // closed once crashed is valid
+	crashed bool
+}
+
+// crashChecks makes one check for all requests that an upstream breaks off at a time.
+type crashChecks struct {
+	mu     sync.Mutex
+	checks map[string]*crashCheck // by upstream
+}
+
+// crashed reports whether the process of an upstream is gone, as opposed to a connection
+// that was reset or a cut link: its host refuses connections.
+func (k *crashChecks) crashed(u vane.Upstream) bool {
+	now := time.Now()
+	k.mu.Lock()
+	if k.checks == nil {
+		k.checks = make(map[string]*crashCheck)
+	}
+	for name, c := range k.checks {
+		if now.Sub(c.at) > crashCheckTTL {
+			delete(k.checks, name)
+		}
+	}
+	c, ok := k.checks[u.Name]
+	if !ok {
+		c = &crashCheck{at: now, done: make(chan struct{})}
+		k.checks[u.Name] = c
+	}
+	k.mu.Unlock()
+	if !ok {
+		c.crashed = refusesConnections(u.Addr)
+		close(c.done)
+	}
+	<-c.done
+	return c.crashed
+}
+
+// refusesConnections reports whether nothing listens on an address.
+func refusesConnections(addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// checkParts returns a refusal if a part of the request's prompt crashes upstreams.
+func (h *Handler) checkParts(c *request, now time.Time) *vane.Refusal {
+	err := h.Parts.Check(now, c.tenancy.Workspace, c.parts)
+	if err == nil {
+		return nil
+	}
+	h.Log.Info("prompt has a convicted part", "request_id", c.meta.ID, "workspace", c.tenancy.Workspace, "parts", c.partIDs(), "hashes", crash.Hashes(c.parts))
+	return asRefusal(err)
+}
+
+// partIDs returns the ids of the shared parts of the request's prompt.
+func (c *request) partIDs() []string {
+	out := make([]string, len(c.parts))
+	for i := range out {
+		out[i] = c.meta.Parts[i].ID
+	}
+	return out
+}
+
+// recordCut records the request as a possible cause of a crash, since the upstream broke
+// it off. A request whose answer has begun was not the cause.
+func (h *Handler) recordCut(t *attempts, u vane.Upstream) {
+	if t.answering {
+		return
+	}
+	h.Crashes.RecordCrash(t.tenancy.Workspace, t.fingerprint, u)
+	if len(t.parts) == 0 {
+		return
+	}
+	id, ws, parts, ids, at := t.meta.ID, t.tenancy.Workspace, t.parts, t.partIDs(), time.Now()
+	go func() {
+		crashed := h.crashChecks.crashed(u)
+		h.Log.Info("broken off before the answer", "request_id", id, "workspace", ws, "upstream", u.Name, "incarnation", u.Incarnation,
+			"parts", ids, "hashes", crash.Hashes(parts), "crashed", crashed)
+		if crashed {
+			h.Parts.RecordCrash(at, ws, parts, u)
+		}
+	}()
+}
+
+// recordAnswer records that the answer to the request has begun.
+func (h *Handler) recordAnswer(t *attempts) {
+	if !t.answering {
+		t.answering = true
+		h.Parts.RecordSuccess(time.Now(), t.parts)
+	}
+}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -196,7 +196,7 @@
 	w := retry.NewWindow(10*time.Second, 0, slack)
 	h := front.New(front.Deps{
 		View: func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
-		Crashes: crash.NewRegistry(event.NewRing("n", 16)), RetryBudget: func(string) *retry.Window { return w },
+		Crashes: crash.NewRegistry(event.NewRing("n", 16)), Parts: newParts(), RetryBudget: func(string) *retry.Window { return w },
 		Draining: b.stopping.Load, RefuseStreams: b.stopping.Load, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {},
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
 	})
--- a/front/handler.go
+++ b/front/handler.go
@@ -14,6 +14,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/conns"
+	"mustardvane.org/vane/crash"
 	"mustardvane.org/vane/mirror"
 	"mustardvane.org/vane/retry"
 	"mustardvane.org/vane/sched"
@@ -58,6 +59,7 @@
 	Pool             *conns.Pool
 	Quota            Limiter
 	Crashes          CrashTracker
+	Parts            PartTracker
 	RetryBudget      func(service string) *retry.Window    // returns the retry budget of a service
 	Draining         func() bool                           // reports whether the node is shutting down; callers are then asked to close their connections
 	RefuseStreams    func() bool                           // reports whether the node stops so soon that a new stream might be cut off
@@ -71,7 +73,8 @@
 // Handler is the http.Handler for the callers of a node.
 type Handler struct {
 	Deps
-	inFlight atomic.Int64
+	inFlight    atomic.Int64
+	crashChecks crashChecks
 }
 
 // New returns a handler with the given dependencies.
@@ -91,9 +94,10 @@
 	body          []byte
 	start         time.Time
 	deadline      time.Time
-	reserved      float64 // quota units charged and not refunded
-	quotaCost     float64 // quota units that the request costs; zero if its workspace has no quota
-	fingerprint   uint64  // identifies the request's content in the CrashTracker
+	reserved      float64  // quota units charged and not refunded
+	quotaCost     float64  // quota units that the request costs; zero if its workspace has no quota
+	fingerprint   uint64   // identifies the request's content in the CrashTracker
+	parts         []uint64 // identifies the shared parts of the prompt in the PartTracker
 }
 
 // ServeHTTP implements http.Handler.
@@ -151,6 +155,10 @@
 	if err := h.Crashes.Check(c.tenancy.Workspace, c.fingerprint); err != nil {
 		return asRefusal(err)
 	}
+	c.parts = crash.SharedParts(c.service, c.meta.Parts)
+	if ref := h.checkParts(c, c.start); ref != nil {
+		return ref
+	}
 	if c.authenticated && c.tenancy.Quota.Rate > 0 {
 		c.quotaCost = c.tenancy.Quota.Cost(c.meta)
 		c.reserved = c.quotaCost
--- a/front/relay.go
+++ b/front/relay.go
@@ -60,6 +60,7 @@
 				t.relay = startRelay(w, resp)
 			}
 			h.Placer.FirstByte(time.Now(), att)
+			h.recordAnswer(t)
 			if err := t.relay.send(event, !eventBuffered(br)); err != nil {
 				return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
 			}
--- a/front/serve.go
+++ b/front/serve.go
@@ -31,6 +31,7 @@
 	mayHaveRun  int      // number of upstreams on which the request ran or may have run
 	retryPaid   bool     // the next attempt has already been charged to the retry budget
 	avoid       []string // names of the upstreams that were tried
+	answering   bool     // the upstream of the current attempt has begun to answer
 	relay       *relay   // nil until the headers of a stream have been sent to the caller
 	lastRefusal *vane.Refusal
 }
@@ -59,7 +60,23 @@
 			h.finishRefused(w, t, final)
 			return
 		}
+		if final := h.partRefusal(t, ref); final != nil {
+			h.finishRefused(w, t, final)
+			return
+		}
+	}
+}
+
+// partRefusal returns a refusal if the request must not be retried because of a part of
+// its prompt, else nil.
+func (h *Handler) partRefusal(t *attempts, ref *vane.Refusal) *vane.Refusal {
+	if final := h.checkParts(t.request, time.Now()); final != nil {
+		return t.withExecution(final)
+	}
+	if ref.Execution != vane.NotRun && !t.answering && h.Parts.Suspect(t.parts) {
+		return t.withExecution(vane.Refuse(vane.ReasonSuspectRequest, "upstreams crashed on a part of this prompt; it is not retried").WithCause(ref))
 	}
+	return nil
 }
 
 // retryRefusal decides what follows a failed attempt. It returns nil if the request
@@ -121,6 +138,7 @@
 // attempt sends the request to one upstream and relays the response. It returns nil
 // if a complete response was relayed.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick) *vane.Refusal {
+	t.answering = false
 	q := t.placementQuery(nil)
 	att := h.Placer.Begin(time.Now(), q, p)
 	defer func() { h.Placer.End(time.Now(), att) }()
@@ -172,7 +190,7 @@
 	}
 	t.sends++
 	if ce.Sent && ctx.Err() == nil {
-		h.Crashes.RecordCrash(t.tenancy.Workspace, t.fingerprint, p.Upstream)
+		h.recordCut(t, p.Upstream)
 	}
 	return vane.Refuse(vane.ReasonUpstreamFailed, "the connection to upstream %s failed before a response", p.Upstream.Name).WithExecution(executionOf(ce)).WithCause(err)
 }
@@ -221,6 +239,9 @@
 	if !m.Signed && resp.Status < http.StatusMultipleChoices {
 		return vane.Refuse(vane.ReasonUpstreamWrongID, "the response of upstream %s lacks that upstream's signature", p.Upstream.Name).WithExecution(vane.MayHaveRun)
 	}
+	if resp.Status < http.StatusMultipleChoices {
+		h.recordAnswer(t)
+	}
 	copyHeader(w.Header(), resp.Header)
 	w.WriteHeader(resp.Status)
 	// If the caller has left, the write fails. Nothing remains to be done then: the
@@ -259,7 +280,7 @@
 	if ctx.Err() != nil {
 		reason = vane.ReasonQueueDeadline
 	} else {
-		h.Crashes.RecordCrash(t.tenancy.Workspace, t.fingerprint, p.Upstream)
+		h.recordCut(t, p.Upstream)
 	}
 	return vane.Refuse(reason, "the response of upstream %s is incomplete or too long", p.Upstream.Name).WithExecution(vane.MayHaveRun).WithCause(err)
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -40,6 +40,47 @@
 	is.Equal(out, in)
 }
 
+// A node of a build without the reports on prompt parts decodes a message that has them,
+// and its own messages are decoded by this build.
+func TestBuildsWithoutPromptParts(t *testing.T) {
+	is := is.New(t)
+	type before struct {
+		Name                 string
+		Boot, Seq            uint64
+		Ready, Leaving       bool
+		ConfigVersion, Fence uint64
+		InFlight             map[string]int
+		QuotaSpent           map[string]float64
+		QuotaLevels          map[string]float64
+		Engines              []EngineUpdate
+		Crashes              []CrashReport
+		Callers              string
+		StoreOK              bool
+		UpstreamVersion      uint64
+		Unresponsive         []string
+		PromptParts          map[string][]uint64
+		WeightsVersion       uint64
+	}
+	b, err := encodeMessage(&Message{Name: "n", Boot: 1, WeightsVersion: 7, Extension: Extension{
+		PartCrashes: []PartCrash{{Upstream: "u", Incarnation: 2, Workspace: 3, Parts: []uint64{4, 5}, AgeMS: 6}},
+		PartClears:  []uint64{8}, Convictions: []Conviction{{Part: 9, Workspaces: []uint64{3}, AgeMS: 10}},
+	}})
+	is.NoErr(err)
+	var old before
+	is.NoErr(decode(b, &old))
+	is.Equal(old.WeightsVersion, uint64(7))
+	m, err := decodeMessage(b)
+	is.NoErr(err)
+	is.Equal(m.Extension.PartCrashes[0].Parts, []uint64{4, 5})
+	is.Equal(m.Extension.Convictions[0].AgeMS, 10)
+	b, err = encode(&before{Name: "n", Boot: 1, WeightsVersion: 7})
+	is.NoErr(err)
+	m, err = decodeMessage(b)
+	is.NoErr(err)
+	is.Equal(m.WeightsVersion, uint64(7))
+	is.Equal(len(m.Extension.Convictions), 0)
+}
+
 func TestOldMessagesAreIgnored(t *testing.T) {
 	m := newSite(2)
 	for _, tt := range []struct {
--- a/mesh/post.go
+++ b/mesh/post.go
@@ -47,7 +47,7 @@
 		to = m.ownDestination(now, urgent)
 	}
 	m.mu.Unlock()
-	b, err := encode(msg)
+	b, err := encodeMessage(msg)
 	if err != nil || len(b) > maxDatagram {
 		m.Log.Error("message not sent: encoding failed or too large", "bytes", len(b), "err", err)
 		return
