crash: a node that has just seen a part answered tells the others

A node that answered a request with a part less than a second before a crash did not suspect the part, but kept this to itself: nodes without an answer of their own could count on. It now tells them, and also when another node has convicted the part. Found by reading the code; TestRecentAnswerIsTold failed before.

--- a/crash/parts.go
+++ b/crash/parts.go
@@ -163,6 +163,7 @@
 	for _, k := range c.Parts {
 		e := p.entry(k)
 		if now.Sub(e.answeredAt) < answerMemory {
+			p.cfg.BroadcastClear(k) // other nodes may not have seen an answer
 			continue
 		}
 		added = e.addCrash(c) || added
@@ -245,7 +246,11 @@
 		return
 	}
 	e := p.entry(c.Part)
-	if now.Sub(e.clearedAt) < clearHold || now.Sub(e.answeredAt) < answerMemory {
+	if now.Sub(e.answeredAt) < answerMemory {
+		p.cfg.BroadcastClear(c.Part)
+		return
+	}
+	if now.Sub(e.clearedAt) < clearHold {
 		return
 	}
 	for _, ws := range c.Workspaces {
@@ -277,9 +282,7 @@
 func (p *Parts) Clear(now time.Time, k uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e, ok := p.parts.Get(k); ok {
-		p.clear(now, k, e)
-	}
+	p.clear(now, k, p.entry(k))
 }
 
 // clear drops the evidence about a part. It returns false if there is none. The upstreams
--- a/crash/parts_test.go
+++ b/crash/parts_test.go
@@ -158,3 +158,18 @@
 	p.RecordCrash(later, "a", []uint64{3}, vane.Upstream{Name: "u0"})
 	is.True(p.Check(later, "a", []uint64{3}) != nil)
 }
+
+// A node that has just seen an answer tells the nodes that suspect or convict the part.
+func TestRecentAnswerIsTold(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	messages := 0
+	p := newParts(&messages)
+	p.RecordSuccess(start, []uint64{3})
+	is.Equal(messages, 0)
+	p.Add(start.Add(100*time.Millisecond), crash.PartCrash{Upstream: "u", Parts: []uint64{3}, At: start})
+	is.Equal(messages, 1)
+	p.Adopt(start.Add(200*time.Millisecond), crash.Conviction{Part: 3, Workspaces: []uint64{1, 2}, At: start})
+	is.Equal(messages, 2)
+	is.NoErr(p.Check(start.Add(200*time.Millisecond), "a", []uint64{3}))
+}
