--- a/front/front_test.go
+++ b/front/front_test.go
@@ -212,7 +212,7 @@
 	h := front.New(front.Deps{
 		RecordResult: b.recordResult,
 		View:         func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
-		Crashes: b.crashes, RetryBudget: func(string) *retry.Window { return w },
+		Crashes: b.crashes, Parts: newParts(), RetryBudget: func(string) *retry.Window { return w },
 		Draining: b.stopping.Load, RefuseStreams: b.stopping.Load, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {},
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
 	})
--- a/front/relay.go
+++ b/front/relay.go
@@ -76,6 +76,7 @@
 			h.Placer.FirstByte(clock.BootTime(), att)
 			t.result.event(time.Now())
 			t.relay.count(block)
+			h.recordAnswer(t)
 		}
 		if err := t.relay.send(block, !eventBuffered(br)); len(block) > 0 && err != nil {
 			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
--- a/front/serve.go
+++ b/front/serve.go
@@ -36,6 +36,7 @@
 	retryPaid   bool     // the next attempt has already been charged to the retry budget
 	begun       bool     // part of a response that can't be resumed has been sent to the caller
 	avoid       []string // names of the upstreams that were tried
+	answering   bool     // the upstream of the current attempt has begun to answer
 	relay       *relay   // nil until the headers of a stream have been sent to the caller
 	lastRefusal *vane.Refusal
 	result      *result // of the present attempt
@@ -67,7 +68,23 @@
 			h.finishRefused(w, t, final)
 			return
 		}
+		if final := h.partRefusal(t, ref); final != nil {
+			h.finishRefused(w, t, final)
+			return
+		}
+	}
+}
+
+// partRefusal returns a refusal if the request must not be retried because of a part of
+// its prompt, else nil.
+func (h *Handler) partRefusal(t *attempts, ref *vane.Refusal) *vane.Refusal {
+	if final := h.checkParts(t.request, time.Now()); final != nil {
+		return t.withExecution(final)
+	}
+	if ref.Execution != vane.NotRun && !t.answering && h.Parts.Suspect(t.parts) {
+		return t.withExecution(vane.Refuse(vane.ReasonSuspectRequest, "upstreams crashed on a part of this prompt; it is not retried").WithCause(ref))
 	}
+	return nil
 }
 
 // retryRefusal decides what follows a failed attempt. It returns nil if the request
@@ -133,6 +150,7 @@
 // attempt sends the request to one upstream and relays the response. It returns nil
 // if a complete response was relayed.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick) *vane.Refusal {
+	t.answering = false
 	q := t.placementQuery(nil)
 	att := h.Placer.Begin(clock.BootTime(), q, p)
 	defer func() { h.Placer.End(clock.BootTime(), att) }()
@@ -189,7 +207,7 @@
 	}
 	t.sends++
 	if ce.Sent && !ce.Malformed && ctx.Err() == nil {
-		h.Crashes.RecordCrash(t.tenancy.Workspace, t.fingerprint, p.Upstream)
+		h.recordCut(t, p.Upstream)
 	}
 	return vane.Refuse(vane.ReasonUpstreamFailed, "the connection to upstream %s failed before a response", p.Upstream.Name).WithExecution(executionOf(ce)).WithCause(err)
 }
@@ -250,6 +268,9 @@
 		return vane.Refuse(vane.ReasonUpstreamWrongID, "the response of upstream %s lacks that upstream's signature", p.Upstream.Name).WithExecution(vane.MayHaveRun)
 	}
 	t.result.complete(time.Now(), resp.Status)
+	if resp.Status < http.StatusMultipleChoices {
+		h.recordAnswer(t)
+	}
 	copyHeader(w.Header(), resp.Header)
 	w.WriteHeader(resp.Status)
 	// If the caller has left, the write fails. Nothing remains to be done then: the
@@ -317,7 +338,7 @@
 	case ctx.Err() != nil:
 		reason = vane.ReasonQueueDeadline
 	case resp.Ended():
-		h.Crashes.RecordCrash(t.tenancy.Workspace, t.fingerprint, p.Upstream)
+		h.recordCut(t, p.Upstream)
 	case err != io.EOF:
 		h.setAside(t, p, &conns.Error{Malformed: true, Cause: err})
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -43,6 +43,9 @@
 	RolloutVersion uint64          `msgpack:"rollout_version,omitempty"` // newest known version of any roll-out
 	Rollouts       []RolloutUpdate `msgpack:"rollouts,omitempty"`        // roll-outs in progress
 	ReleaseResults []ReleaseResult `msgpack:"release_results,omitempty"` // results of requests to services with a roll-out in progress
+	PartCrashes    []PartCrash     `msgpack:"part_crashes,omitempty"`    // crashes of upstreams before they answered requests, by the parts of the prompts
+	PartClears     []uint64        `msgpack:"part_clears,omitempty"`     // parts of prompts that were suspected and have been answered
+	Convictions    []Conviction    `msgpack:"convictions,omitempty"`     // parts of prompts with which requests are refused
 }
 
 // WeightsAge tells how long ago weights were designated for a model.
@@ -86,6 +89,22 @@
 	Incarnation uint64
 }
 
+// PartCrash tells about a crash before the answer to a request had begun.
+type PartCrash struct {
+	Upstream    string   `msgpack:"upstream"`
+	Incarnation uint64   `msgpack:"incarnation"`
+	Workspace   uint64   `msgpack:"workspace"` // hash of the request's workspace
+	Parts       []uint64 `msgpack:"parts"`     // hashes of the shared parts of the prompt, in order
+	AgeMS       int      `msgpack:"age_ms"`
+}
+
+// Conviction names a part of prompts with which requests are refused.
+type Conviction struct {
+	Part       uint64   `msgpack:"part"`
+	Workspaces []uint64 `msgpack:"workspaces"` // hashes, as in package crash
+	AgeMS      int      `msgpack:"age_ms"`
+}
+
 // encode returns the wire form of a message or an envelope.
 func encode(v any) ([]byte, error) {
 	var b bytes.Buffer
