edge: weights named while no node runs count from the last holder's last write

Cause: when all nodes are down while weights are named, no node records the time, and all count from their start.

Fix: the lease record holds the wall time of each write. A holder records new weights at once, so weights without a record, which a new holder finds at its start, were named after the previous holder's last write. They count from there; the other nodes learn the age from the messages and the record.

TestWeightsNamedWhileNoNodeRan. Left: the age depends on the wall clocks of two hosts.

--- a/edge/loader.go
+++ b/edge/loader.go
@@ -27,6 +27,7 @@
 	recordRetryDelay = 500 * time.Millisecond // before a failed write of a weights record is retried
 	notLoading       = -1                     // value of EngineUpdate.LoadingMS for an engine that is not loading
 	fenceMargin      = 300 * time.Millisecond // added to Settings.FencePause
+	startWindow      = 2 * time.Second        // time after the start of a node within which it reads what was there before
 )
 
 // loader orders engines to load weights while this node holds the lease. Its methods
@@ -55,6 +56,43 @@
 		l.ordersNotBefore = clock.BootTime().Add(l.node.settings.FencePause + fenceMargin)
 	}
 	l.node.log.Info("lease taken", "fence", t.Fence, "before", t.Previous.Holder, "released", t.Previous.Released)
+	l.boundAges(t.Previous)
+}
+
+// leaseData is what a holder adds to its lease record.
+type leaseData struct {
+	WrittenMS int64 `json:"written_ms"` // time of the write, in Unix milliseconds on the holder's clock
+}
+
+// leaseData returns the data for a write of the lease record.
+func (l *loader) leaseData() json.RawMessage {
+	b, err := json.Marshal(leaseData{WrittenMS: time.Now().UnixMilli()})
+	if err != nil {
+		l.node.log.Error("lease data not encoded", "err", err.Error())
+		return nil
+	}
+	return b
+}
+
+// boundAges corrects the ages of weights that were named while no node ran. A holder
+// records new weights at once, so that unrecorded ones, which this node found at its
+// start, were named after the previous holder's last write.
+func (l *loader) boundAges(previous lease.Record) {
+	var d leaseData
+	if len(previous.Data) == 0 {
+		return
+	}
+	if err := json.Unmarshal(previous.Data, &d); err != nil || d.WrittenMS == 0 {
+		l.node.log.Warn("lease data of the previous holder not usable", "holder", previous.Holder)
+		return
+	}
+	age := time.Since(time.UnixMilli(d.WrittenMS))
+	for model, w := range l.node.mirror.View().Weights {
+		if !w.Since.Before(l.node.startedAt) && w.Since.Sub(l.node.startedAt) < startWindow && w.OutdatedFor(clock.BootTime(), w.Version-1) < age {
+			l.node.log.Info("weights named while no node ran", "model", model, "weights", w.Version, "age_ms", age.Milliseconds())
+			l.node.mirror.MergeAge(model, w.Version, age)
+		}
+	}
 }
 
 // Run implements kernel.Service.
--- a/edge/loader_test.go
+++ b/edge/loader_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
+	"mustardvane.org/vane/lease"
 	"mustardvane.org/vane/mesh"
 	"mustardvane.org/vane/mirror"
 	"mustardvane.org/vane/sched"
@@ -68,3 +70,45 @@
 		})
 	}
 }
+
+// weightsOnly decodes weights and nothing else.
+type weightsOnly struct{ mirror.Decoder }
+
+func (weightsOnly) ConfigPrefix() string   { return "c/" }
+func (weightsOnly) UpstreamPrefix() string { return "u/" }
+func (weightsOnly) RolloutPrefix() string  { return "r/" }
+func (weightsOnly) WeightsPrefix() string  { return "w/" }
+func (weightsOnly) Weights(o vane.Object) (vane.TargetWeights, bool) {
+	return vane.TargetWeights{Model: "m", Version: uint64(len(o.Value))}, true
+}
+
+// Weights that were named while no node ran count from the last sign of a holder. Counted
+// from the start of the nodes, the replaced ones would be in use for too long.
+func TestWeightsNamedWhileNoNodeRan(t *testing.T) {
+	now := time.Now()
+	for _, tt := range []struct {
+		name     string
+		data     string
+		recorded time.Duration // age in the record of the weights; zero if there is none
+		age      time.Duration
+	}{
+		{"first start", "", 0, 0},
+		{"unrecorded", fmt.Sprintf(`{"written_ms":%d}`, now.Add(-5*time.Second).UnixMilli()), 0, 5 * time.Second},
+		{"recorded before the last write", fmt.Sprintf(`{"written_ms":%d}`, now.Add(-5*time.Second).UnixMilli()), 9 * time.Second, 9 * time.Second},
+		{"unusable data", `{"written_ms":"x"}`, 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			log := slog.New(slog.DiscardHandler)
+			n := &Node{log: log, startedAt: clock.BootTime(), mirror: mirror.NewService(nil, weightsOnly{})}
+			n.mirror.Import([]vane.Object{{Key: "w/m", Value: []byte("12"), Version: 8}})
+			if tt.recorded > 0 {
+				r := fmt.Sprintf(`{"model":"m","numbers":[2],"at_ms":[%d]}`, now.Add(-tt.recorded).UnixMilli())
+				n.mirror.Import([]vane.Object{{Key: mirror.WeightsRecordKey("m"), Value: []byte(r), Version: 7}})
+			}
+			newLoader(n).boundAges(lease.Record{Holder: "before", Data: []byte(tt.data)})
+			got := n.mirror.View().Weights["m"].OutdatedFor(clock.BootTime(), 1)
+			is.True(got >= tt.age && got < tt.age+4*time.Second)
+		})
+	}
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -73,7 +73,8 @@
 	log            *slog.Logger
 	registry       *prometheus.Registry
 	kernel         *kernel.Kernel
-	boot           uint64 // time of New in milliseconds since the Unix epoch
+	boot           uint64    // time of New in milliseconds since the Unix epoch
+	startedAt      time.Time // time of New as a reading of clock.BootTime
 	storeClient    *store.Client
 	mirror         *mirror.Service
 	mesh           *mesh.Mesh
@@ -103,7 +104,7 @@
 		return nil, err
 	}
 	n := &Node{
-		settings: settings, adapter: adapter, log: log, registry: prometheus.NewRegistry(), kernel: kernel.New(), boot: uint64(time.Now().UnixMilli()),
+		settings: settings, adapter: adapter, log: log, registry: prometheus.NewRegistry(), kernel: kernel.New(), boot: uint64(time.Now().UnixMilli()), startedAt: clock.BootTime(),
 		pool: conns.NewPool(), retries: make(map[string]*retry.Window), pendingUpdates: newPendingUpdates(),
 	}
 	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)))
@@ -125,7 +126,7 @@
 		Prefix: leasePrefix, Node: settings.Node, Boot: clock.BootTime().String(), Shards: 1, Clock: clock.BootTime,
 		Times: lease.Times{Lease: leaseDuration, Renew: renewInterval, Poll: pollInterval, Drift: 0.01}, Wanted: func(int) bool { return n.wantsLease() },
 		OnAcquire: n.loader.handleAcquired, OnExpire: func(int, time.Time) {}, OnLose: func(int) {}, OnWritten: func(int, []byte) {},
-		Data: func(int, lease.Purpose, json.RawMessage) json.RawMessage { return nil },
+		Data: func(int, lease.Purpose, json.RawMessage) json.RawMessage { return n.loader.leaseData() },
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash, Parts: n.parts,
