sched: withdraw requests also from engines whose entries are gone

Requests that wait were kept in the state of their upstream, which Update drops with the upstream's entry and replaces at a new incarnation. An engine that the store no longer reaches keeps working, so a request in its queue could begin on replaced weights after the limit; the check no longer saw it.

The placer keeps the waiting requests of engines itself.

--- a/sched/expire.go
+++ b/sched/expire.go
@@ -34,16 +34,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Expired
-	for _, u := range p.upstreams {
-		for t := range u.waiting {
-			age := p.view.Weights[t.model].OutdatedFor(now, t.weights)
-			if t.weights == 0 || t.withdraw == nil || age <= p.weightsLimit-expiryMargin {
-				continue
-			}
-			t.withdraw()
-			t.withdraw = nil
-			out = append(out, Expired{ID: t.id, Upstream: u.Name, Weights: t.weights, Waited: now.Sub(t.sent), OutdatedFor: age})
+	for t := range p.waiting {
+		age := p.view.Weights[t.model].OutdatedFor(now, t.weights)
+		if t.withdraw == nil || age <= p.weightsLimit-expiryMargin {
+			continue
 		}
+		t.withdraw()
+		delete(p.waiting, t)
+		out = append(out, Expired{ID: t.id, Upstream: t.name, Weights: t.weights, Waited: now.Sub(t.sent), OutdatedFor: age})
 	}
 	return out
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -22,7 +22,7 @@
 	sent     time.Time // time at which the request was sent
 	started  bool      // the first bytes of the answer have arrived
 	ended    bool      // End was called
-	withdraw func()    // set by OnExpire; nil if there is none or it was called
+	withdraw func()    // set by OnExpire; nil if there is none
 }
 
 // Placer chooses upstreams. It is safe for concurrent use. The times that its methods
@@ -37,6 +37,7 @@
 	view         *mirror.View
 	upstreams    map[string]*upstream      // upstreams by name
 	byService    map[string][]*upstream    // upstreams by service, sorted by rank
+	waiting      map[*Attempt]struct{}     // requests at engines without a first byte, also at engines whose entries are gone
 	peers        map[string]map[string]int // requests in flight by node and upstream
 	saves        *saveLog
 	updates      map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
@@ -66,7 +67,7 @@
 func New(dataCentre string, c StoreIndex, opts ...Option) *Placer {
 	p := &Placer{
 		dataCentre: dataCentre, weightsLimit: defaultWeightsLimit, cache: c, view: &mirror.View{}, upstreams: make(map[string]*upstream),
-		byService: make(map[string][]*upstream), peers: make(map[string]map[string]int), saves: newSaveLog(), updates: make(map[string][]uint64),
+		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), saves: newSaveLog(), updates: make(map[string][]uint64),
 	}
 	for _, o := range opts {
 		o(p)
@@ -114,6 +115,9 @@
 	} else {
 		p.longPrefill.add(now, c.UncachedTokens)
 	}
+	if t.weights != 0 {
+		p.waiting[t] = struct{}{}
+	}
 	if u, ok := p.upstreams[t.name]; ok {
 		u.begin(t)
 		p.recordParts(u, q, c)
@@ -137,6 +141,7 @@
 		u.firstByte(now, t)
 	}
 	t.started = true
+	delete(p.waiting, t)
 }
 
 // End records the end of an attempt, successful or not. Further calls for the same
@@ -148,6 +153,7 @@
 		return
 	}
 	t.ended = true
+	delete(p.waiting, t)
 	if u, ok := p.upstreams[t.name]; ok {
 		u.end(t)
 	}
