mirror: wall clocks do not age weights that a node saw designated

The record of a designation holds wall times, and a node took the earlier of its own time and the record's, at each rebuild of the view with the offset of that moment. On a host whose clock is ahead of the writer's, or is set forward, replaced weights looked older by the difference (21 s instead of 1 s in the test), past their limit at once: no engine that still serves them gets requests. Since nodes tell each other ages and the greatest counts, one such host did this to the whole site.

A time at which a node followed the store and saw the designation is marked Seen. Neither records nor ages that others took from a record replace it; measured ages do. Ages from a record do not replace lower bounds either, since a node that started late counts from its start. WeightsAge has a further field at its end.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -126,7 +126,7 @@
 	for model, w := range n.mirror.View().Weights {
 		for _, h := range w.History[max(0, len(w.History)-maxWeightsAges):] {
 			if !h.Bound {
-				out = append(out, mesh.WeightsAge{Model: model, Weights: h.Number, AgeMS: now.Sub(h.Since).Milliseconds()})
+				out = append(out, mesh.WeightsAge{Model: model, Weights: h.Number, AgeMS: now.Sub(h.Since).Milliseconds(), Seen: h.Seen})
 			}
 		}
 	}
@@ -146,7 +146,7 @@
 		}
 	}
 	for _, a := range m.WeightsAges {
-		n.mirror.MergeAge(a.Model, a.Weights, time.Duration(a.AgeMS)*time.Millisecond)
+		n.mirror.MergeAge(a.Model, a.Weights, time.Duration(a.AgeMS)*time.Millisecond, a.Seen)
 	}
 	for _, name := range m.Unresponsive {
 		n.placer.RecordPeerFailure(at, name)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -37,6 +37,7 @@
 	Model   string
 	Weights uint64 // number of the weights
 	AgeMS   int64  // time since the designation in milliseconds, as far as the sender knows
+	Seen    bool   // the age is measured, not taken from a record in the store
 }
 
 // EngineUpdate tells about the weights of an engine.
--- a/mirror/contact_internal_test.go
+++ b/mirror/contact_internal_test.go
@@ -65,10 +65,10 @@
 	s.Apply(now, []vane.Object{{Key: "w/m", Value: []byte("12"), Version: 2}})
 	s.Apply(now, []vane.Object{{Key: WeightsRecordKey("m"), Value: []byte(`{"model":"m","numbers":[1,2],"at_ms":[0,6996000]}`), Version: 3}})
 	is.Equal(s.View().Weights["m"].OutdatedFor(now, 1), time.Second) // four seconds on a correct clock
-	is.True(s.MergeAge(now, "m", 2, 4*time.Second))
+	is.True(s.MergeAge(now, "m", 2, 4*time.Second, false))
 	is.Equal(s.View().Weights["m"].OutdatedFor(now, 1), 4*time.Second)
-	is.True(!s.MergeAge(now.Add(time.Second), "m", 2, 4900*time.Millisecond)) // delayed message
-	is.True(!s.MergeAge(now, "m", 3, time.Hour))                              // weights that are not known yet
-	is.True(!s.MergeAge(now, "other", 1, time.Hour))
+	is.True(!s.MergeAge(now.Add(time.Second), "m", 2, 4900*time.Millisecond, true)) // delayed message
+	is.True(!s.MergeAge(now, "m", 3, time.Hour, true))                              // weights that are not known yet
+	is.True(!s.MergeAge(now, "other", 1, time.Hour, true))
 	is.Equal(s.View().Weights["m"].OutdatedFor(now, 1), 4*time.Second)
 }
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -117,9 +117,9 @@
 	s.updateSince(until, func(now time.Time) bool { return s.state.Apply(now, objs) })
 }
 
-// MergeAge records how long ago another node learned of weights.
-func (s *Service) MergeAge(model string, number uint64, age time.Duration) {
-	s.update(func(now time.Time) bool { return s.state.MergeAge(now, model, number, age) })
+// MergeAge is [State.MergeAge] at the present time.
+func (s *Service) MergeAge(model string, number uint64, age time.Duration, seen bool) {
+	s.update(func(now time.Time) bool { return s.state.MergeAge(now, model, number, age, seen) })
 }
 
 // update changes the state under the lock, and calls onChange if the view changed.
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -49,7 +50,8 @@
 
 // merge returns w with a history that includes the record. Where both have a number,
 // the earlier time counts, but a time of the record replaces one that is only a lower
-// bound. Numbers newer than all in the history are ignored.
+// bound, and none at which this node saw the designation, since wall clocks may be wrong.
+// Numbers newer than all in the history are ignored.
 // wallOffset is as for [Weights.Record].
 func (w Weights) merge(r WeightsRecord, wallOffset time.Duration) Weights {
 	h := slices.Clone(w.History)
@@ -61,7 +63,7 @@
 		j := slices.IndexFunc(h, func(x WeightsVersion) bool { return x.Number >= number })
 		switch {
 		case j < 0:
-		case h[j].Number == number && (at.Before(h[j].Since) || h[j].Bound):
+		case h[j].Number == number && !h[j].Seen && (at.Before(h[j].Since) || h[j].Bound):
 			h[j].Since, h[j].Bound = at, false
 		case h[j].Number > number:
 			h = slices.Insert(h, j, WeightsVersion{Number: number, Since: at})
@@ -94,6 +96,7 @@
 	Number uint64
 	Since  time.Time
 	Bound  bool // the number was designated after Since, while this node could not learn of it
+	Seen   bool // this node, or one that told it the age, followed the store when the number was designated
 }
 
 // maxHistory is the maximum number of entries in a history. Older weights are no longer
@@ -134,6 +137,7 @@
 	storeDown       bool                     // the store does not answer
 	wallOffset      time.Duration            // wall time minus the time of the clock
 	completeUntil   time.Time                // time at which no change was missing; zero if none is now
+	followsWeights  bool                     // the target weights have been listed, so that further ones are new
 	view            *View
 }
 
@@ -185,6 +189,9 @@
 		present[o.Key] = true
 		changed = s.apply(now, o) || changed
 	}
+	if prefix == s.dec.WeightsPrefix() {
+		defer func() { s.followsWeights = true }()
+	}
 	for k, o := range s.objects {
 		if strings.HasPrefix(k, prefix) && !present[k] && !o.Deleted && o.Version <= b.Revision {
 			o.Deleted = true
@@ -199,22 +206,29 @@
 const ageTolerance = 100 * time.Millisecond
 
 // MergeAge records that another node learned of weights longer ago than this node, which
-// started later or could not learn of them. It reports whether the view changed.
-func (s *State) MergeAge(now time.Time, model string, number uint64, age time.Duration) bool {
+// started later or could not learn of them. seen is that node's [WeightsVersion.Seen]; an
+// age without it comes from a record and replaces none that was seen. It reports whether
+// the view changed.
+func (s *State) MergeAge(now time.Time, model string, number uint64, age time.Duration, seen bool) bool {
 	w, ok := s.view.Weights[model]
-	since := now.Add(-age)
-	for _, h := range w.History {
-		if h.Number == number && !h.Bound && !since.Before(h.Since.Add(-ageTolerance)) {
-			return false
-		}
-	}
 	if !ok || number > w.Version {
 		return false // the weights themselves are still to arrive
 	}
-	r := WeightsRecord{Model: model, Numbers: []uint64{number}, AtMS: []int64{since.Add(s.wallOffset).UnixMilli()}}
+	x := WeightsVersion{Number: number, Since: now.Add(-age), Seen: seen}
+	hist := slices.Clone(w.History)
+	i, found := slices.BinarySearchFunc(hist, number, func(h WeightsVersion, n uint64) int { return cmp.Compare(h.Number, n) })
+	switch {
+	case !found:
+		hist = slices.Insert(hist, i, x)
+	case !seen && (hist[i].Seen || hist[i].Bound), !hist[i].Bound && !x.Since.Before(hist[i].Since.Add(-ageTolerance)):
+		return false
+	default:
+		hist[i] = x
+	}
 	v := *s.view
 	v.Weights = maps.Clone(v.Weights)
-	v.Weights[model] = w.merge(r, s.wallOffset)
+	w.History = hist[max(0, len(hist)-maxHistory):]
+	v.Weights[model] = w
 	s.view = &v
 	return true
 }
@@ -339,7 +353,7 @@
 			records = append(records, n)
 			continue
 		}
-		v.add(now, s.completeUntil, d.value)
+		v.add(now, s.completeUntil, s.followsWeights, d.value)
 	}
 	for _, n := range records {
 		if w, ok := v.Weights[n.Model]; ok {
@@ -358,8 +372,9 @@
 }
 
 // add adds a decoded value to a view under construction. A completeUntil other than zero
-// is the earliest possible time of the change.
-func (v *View) add(now, completeUntil time.Time, value any) {
+// is the earliest possible time of the change. followed is set if all weights before were
+// known.
+func (v *View) add(now, completeUntil time.Time, followed bool, value any) {
 	switch x := value.(type) {
 	case *site.Config:
 		if v.Config == nil || x.Version > v.Config.Version {
@@ -369,9 +384,9 @@
 		v.Upstreams[x.Name] = x
 	case vane.TargetWeights:
 		if x.Version > v.Weights[x.Model].Version {
-			n := WeightsVersion{Number: x.Version, Since: now}
+			n := WeightsVersion{Number: x.Version, Since: now, Seen: followed}
 			if !completeUntil.IsZero() && completeUntil.Before(now) {
-				n.Since, n.Bound = completeUntil, true
+				n.Since, n.Bound, n.Seen = completeUntil, true, false
 			}
 			h := append(slices.Clone(v.Weights[x.Model].History), n)
 			v.Weights[x.Model] = Weights{TargetWeights: x, Since: n.Since, History: h[max(0, len(h)-maxHistory):]}
