--- a/mirror/clock_internal_test.go
+++ b/mirror/clock_internal_test.go
@@ -18,8 +18,10 @@
 func (weightsDecoder) ConfigPrefix() string                       { return "c/" }
 func (weightsDecoder) UpstreamPrefix() string                     { return "u/" }
 func (weightsDecoder) WeightsPrefix() string                      { return "w/" }
+func (weightsDecoder) RolloutPrefix() string                      { return "r/" }
 func (weightsDecoder) Config(vane.Object) (*site.Config, bool)    { return nil, false }
 func (weightsDecoder) Upstream(vane.Object) (vane.Upstream, bool) { return vane.Upstream{}, false }
+func (weightsDecoder) Rollout(vane.Object) (vane.Rollout, bool)   { return vane.Rollout{}, false }
 func (weightsDecoder) Weights(o vane.Object) (vane.TargetWeights, bool) {
 	return vane.TargetWeights{Model: "m", Version: uint64(len(o.Value))}, true
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -39,6 +39,7 @@
 	byService    map[string][]*upstream    // upstreams by service, sorted by rank
 	waiting      map[*Attempt]struct{}     // requests at engines without a first byte, also at engines whose entries are gone
 	peers        map[string]map[string]int // requests in flight by node and upstream
+	releases     map[string]ReleaseShare   // limits by service
 	saves        *saveLog
 	updates      map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
 	storeLink    storeLink
