--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -46,4 +46,4 @@
 
 // WallOffset returns the wall time minus the reading of [BootTime]. It changes whenever
 // the wall clock is set.
-func WallOffset() time.Duration { return time.Now().Sub(BootTime()) }
+func WallOffset() time.Duration { return time.Since(BootTime()) }
