--- a/mesh/message.go
+++ b/mesh/message.go
@@ -53,6 +53,7 @@
 	Model   string `msgpack:"model"`
 	Weights uint64 `msgpack:"weights"` // number of the weights
 	AgeMS   int64  `msgpack:"age_ms"`  // time since the designation in milliseconds, as far as the sender knows
+	Seen    bool   `msgpack:"seen"`    // the age is measured, not taken from a record in the store
 }
 
 // RolloutUpdate tells how far a roll-out is.
