--- a/edge/loader.go
+++ b/edge/loader.go
@@ -90,7 +90,7 @@
 	for model, w := range l.node.mirror.View().Weights {
 		if !w.Since.Before(l.node.startedAt) && w.Since.Sub(l.node.startedAt) < startWindow && w.OutdatedFor(clock.BootTime(), w.Version-1) < age {
 			l.node.log.Info("weights named while no node ran", "model", model, "weights", w.Version, "age_ms", age.Milliseconds())
-			l.node.mirror.MergeAge(model, w.Version, age)
+			l.node.mirror.MergeAge(model, w.Version, age, false)
 		}
 	}
 }
