rollout: the recorded begin counts only for nodes that learn of it there

The begin is recorded in wall milliseconds of one node, and every tracker took it if it was earlier than its own. It is at the recording node too, by the part of a millisecond that is cut off, so that from then on the duration was measured against the wall clock, which can be set; and at other nodes a recorder whose clock is behind made the limit come early: the next lease holder rolled a good release back, or completed one too soon.

A node that saw the request keeps its own monotonic time. One that learns of a roll-out already begun takes the recorded begin, as a distance from its own time.

TestBeginRecordedByAWrongClock failed before.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -81,6 +81,10 @@
 // New returns the tracker of a roll-out that a node learns of at now.
 func New(r vane.Rollout, now time.Time, l Limits) *Tracker {
 	t := &Tracker{limits: l, comparison: canary.NewComparison(oldSide, newSide), learned: now, since: now}
+	if !r.Began.IsZero() {
+		// Added to now, so that later steps of the clock do not count.
+		t.learned = now.Add(-max(0, now.Sub(r.Began)))
+	}
 	t.SetRollout(now, r)
 	return t
 }
@@ -95,9 +99,6 @@
 		return
 	}
 	t.rollout = r
-	if !r.Began.IsZero() && r.Began.Before(t.learned) {
-		t.learned = r.Began
-	}
 	switch r.State {
 	case vane.RolloutRolledBack:
 		t.enter(now, canary.StageRolledBack)
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -346,3 +346,18 @@
 	is.True(due)
 	is.Equal(r.State, vane.RolloutRolledBack)
 }
+
+// The clock of the node that recorded the begin may be wrong.
+func TestBeginRecordedByAWrongClock(t *testing.T) {
+	for _, skew := range []time.Duration{-duration, -time.Second, time.Second, duration} {
+		t.Run(skew.String(), func(t *testing.T) {
+			is := is.New(t)
+			r := vane.Rollout{Service: "s", Target: "v2", Duration: duration, Revision: 4}
+			n := rollout.New(r, begin, rollout.Limits{Share: exposeShare})
+			r.Revision++
+			n.SetRollout(begin.Add(time.Second), r.WithState(vane.RolloutRunning).WithBegan(begin.Add(skew)))
+			is.Equal(n.Decide(begin.Add(duration*87/100), 9), false)
+			is.True(n.Decide(begin.Add(duration*89/100), 9))
+		})
+	}
+}
