edge: crashes of prompts with many parts fit a message

Callers choose how many parts a prompt has. A node told of up to 128 crashes with all parts, so that about 50 parts each, or two prompts of some thousand, made its message longer than 60 KiB. Such a message is not sent at all, and the node counts as down for the 1.5 s of the repetition. All crashes that are told now have 1024 parts at most; the oldest go first, and one with more is not told, so that it does not displace others.

TestPromptsOfManyPartsFitMessage failed before.

--- a/edge/parts.go
+++ b/edge/parts.go
@@ -8,18 +8,29 @@
 	"mustardvane.org/vane/mesh"
 )
 
-// maxPartUpdates limits the pending crashes and clearances of prompt parts. The oldest
-// crashes, and further clearances, are dropped: the answers that clear a part go on.
-const maxPartUpdates = 128
+// Limits of the pending updates about prompt parts. The oldest crashes, and further
+// clearances, are dropped: the answers that clear a part go on. Crashes with more parts
+// than all may have are not told.
+const (
+	maxPartUpdates = 128  // crashes, and clearances
+	maxCrashHashes = 1024 // parts in all crashes, since callers choose how many a prompt has
+)
 
 // addPartCrash adds a crash during which requests with some parts had no answer yet.
 func (n *pendingUpdates) addPartCrash(c crash.PartCrash) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.partCrashes) >= maxPartUpdates {
-		n.partCrashes = n.partCrashes[1:]
+	if len(c.Parts) > maxCrashHashes {
+		return
 	}
 	n.partCrashes = append(n.partCrashes, repeated[crash.PartCrash]{c, time.Now().Add(updateRepeatTime)})
+	hashes := 0
+	for i, x := range slices.Backward(n.partCrashes) {
+		if hashes += len(x.value.Parts); hashes > maxCrashHashes || len(n.partCrashes)-i > maxPartUpdates {
+			n.partCrashes = slices.Delete(n.partCrashes, 0, i+1)
+			break
+		}
+	}
 }
 
 // addPartClear adds the clearance of a part.
