front: an upstream that crashes soon after a reset is seen to have crashed

The check whether an upstream's host refuses connections was reused for 1 s, also if it had found the upstream alive. A crash in that second counted as a reset, so that the parts of its prompts were not suspected. Only a check in progress or one that found a crash is shared now.

TestCrashSoonAfterReset failed before.

--- a/front/crash.go
+++ b/front/crash.go
@@ -45,6 +45,16 @@
 	checks map[string]*crashCheck // by upstream
 }
 
+// passed reports whether the check has ended and the upstream had not crashed.
+func (c *crashCheck) passed() bool {
+	select {
+	case <-c.done:
+		return !c.crashed
+	default:
+		return false
+	}
+}
+
 // crashed reports whether the process of an upstream is gone, as opposed to a connection
 // that was reset or a cut link: its host refuses connections.
 func (k *crashChecks) crashed(u vane.Upstream) bool {
@@ -59,6 +69,9 @@
 		}
 	}
 	c, ok := k.checks[u.Name]
+	if ok && c.passed() {
+		ok = false // the upstream may have crashed since
+	}
 	if !ok {
 		c = &crashCheck{at: now, done: make(chan struct{})}
 		k.checks[u.Name] = c
