crash: evidence older than an answer does not count

A conviction was adopted again 5 s after its part had been cleared, whatever its age, and a crash counted that was told more than 1 s after an answer that followed it. A node that stood still or was cut off while the others cleared a part told them its old conviction when it came back; if the part was answered less than once a second, all refused it for the rest of the hour, and since refused requests get no answer nothing cleared it.

The times of the crash and of the conviction are compared with those of the answer and the clearance, as the comment of Adopt has said.

TestOldConvictionStaysCleared and TestLateCrashBeforeAnswer failed before.

--- a/crash/parts.go
+++ b/crash/parts.go
@@ -162,7 +162,7 @@
 	most := 0
 	for _, k := range c.Parts {
 		e := p.entry(k)
-		if now.Sub(e.answeredAt) < answerMemory {
+		if now.Sub(e.answeredAt) < answerMemory || e.answeredAt.After(c.At) {
 			p.cfg.BroadcastClear(k) // other nodes may not have seen an answer
 			continue
 		}
@@ -246,11 +246,11 @@
 		return
 	}
 	e := p.entry(c.Part)
-	if now.Sub(e.answeredAt) < answerMemory {
+	if now.Sub(e.answeredAt) < answerMemory || e.answeredAt.After(c.At) {
 		p.cfg.BroadcastClear(c.Part)
 		return
 	}
-	if now.Sub(e.clearedAt) < clearHold {
+	if now.Sub(e.clearedAt) < clearHold || e.clearedAt.After(c.At) {
 		return
 	}
 	for _, ws := range c.Workspaces {
--- a/crash/parts_test.go
+++ b/crash/parts_test.go
@@ -173,3 +173,46 @@
 	is.Equal(messages, 2)
 	is.NoErr(p.Check(start.Add(200*time.Millisecond), "a", []uint64{3}))
 }
+
+// A node that stood still while a part was answered elsewhere does not get it refused
+// again.
+func TestOldConvictionStaysCleared(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		clear func(p *crash.Parts, now time.Time)
+		told  int
+	}{
+		{"answered here", func(p *crash.Parts, now time.Time) { p.RecordSuccess(now, []uint64{3}) }, 1},
+		{"cleared by another node", func(p *crash.Parts, now time.Time) { p.Clear(now, 3) }, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			start := time.Now()
+			messages := 0
+			p := newParts(&messages)
+			convict(p, start, "a", "b")
+			old := p.Convictions(start.Add(time.Second))[0]
+			tt.clear(p, start.Add(1500*time.Millisecond))
+			messages = 0
+			now := start.Add(20 * time.Second)
+			p.Adopt(now, old)
+			is.NoErr(p.Check(now, "c", []uint64{3}))
+			is.Equal(messages, tt.told)
+			old.At = now
+			p.Adopt(now, old) // a new conviction
+			is.True(p.Check(now, "c", []uint64{3}) != nil)
+		})
+	}
+}
+
+// A crash that is told late does not count against a part that was answered since.
+func TestLateCrashBeforeAnswer(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	messages := 0
+	p := newParts(&messages)
+	p.RecordSuccess(start.Add(time.Second), []uint64{3})
+	is.Equal(p.Add(start.Add(3*time.Second), crash.PartCrash{Upstream: "u", Parts: []uint64{3}, At: start}), false)
+	is.Equal(messages, 1)
+	is.True(p.Add(start.Add(3*time.Second), crash.PartCrash{Upstream: "u", Parts: []uint64{3}, At: start.Add(1500 * time.Millisecond)}))
+}
