front: log and count how upstreams state the end of their responses

The line 'answered' did not say whether the response had a length, chunks or neither, nor did the lines of a response that was broken off, so the hypotheses could not be told apart. conns.Framing names the three cases; 'answered' and the new line 'response broken off' state it, vane_front_answers_total counts it.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -67,6 +67,8 @@
 	Header http.Header
 	Body   io.Reader
 	Length int64 // of the body in bytes; negative if not stated
+	// Framing is how the response states the end of its body.
+	Framing Framing
 
 	pool       *Pool
 	conn       *conn
@@ -103,7 +105,7 @@
 		malformed := !c.in.ended || errors.Is(err, errNotResponse)
 		return nil, &Error{Sent: w.started.Load(), Malformed: malformed && ctx.Err() == nil, ContextDone: ctx.Err() != nil, Cause: err}
 	}
-	a := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, pool: p, conn: c, resp: resp, write: w, stopCancel: stop}
+	a := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), pool: p, conn: c, resp: resp, write: w, stopCancel: stop}
 	a.Body = readerFunc(a.read)
 	return a, nil
 }
@@ -154,7 +156,7 @@
 			}
 			return resp, nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if framingOf(resp) == FramingClose {
 			return nil, errors.New("response to another request without a length; its end is unknown")
 		}
 		c.in.left = maxSkippedBodyBytes
@@ -193,7 +195,7 @@
 // connection. It gives up if that takes long, and returns false if the upstream sends
 // more than a response of this kind may hold.
 func (a *Response) Discard() bool {
-	if !a.framed() || a.Length > maxDiscardBytes || a.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+	if a.Framing == FramingClose || a.Length > maxDiscardBytes || a.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
 		return true
 	}
 	a.conn.in.left = maxDiscardBytes
@@ -205,12 +207,6 @@
 	return a.complete || a.conn.in.ended
 }
 
-// framed reports whether the response states the end of its body by a length or
-// chunks.
-func (a *Response) framed() bool {
-	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-}
-
 // Close ends the exchange. The connection is kept only if the response was read to
 // its end and the connection can be reused; else it is closed.
 func (a *Response) Close() {
@@ -235,7 +231,7 @@
 	if a.conn.SetWriteDeadline(time.Time{}) != nil {
 		return false
 	}
-	return a.write.err == nil && a.complete && a.framed() && !a.resp.Close && a.conn.br.Buffered() == 0
+	return a.write.err == nil && a.complete && a.Framing != FramingClose && !a.resp.Close && a.conn.br.Buffered() == 0
 }
 
 // readerFunc is a function that implements io.Reader.
--- /dev/null
+++ b/conns/framing.go
@@ -0,0 +1,30 @@
+package conns
+
+import "net/http"
+
+//go:generate stringer -type=Framing -linecomment -output=framing_string.go
+
+// Framing is the way in which a response states the end of its body (RFC 9112, section
+// 6.3).
+type Framing int
+
+// The framings: a declared length, which may be zero (FramingLength), chunks
+// (FramingChunked), and the end of the connection (FramingClose). The latter does not
+// show whether the body is complete: the connection of an upstream that crashes ends in
+// the same way.
+const (
+	FramingLength  Framing = iota // length
+	FramingChunked                // chunked
+	FramingClose                  // close
+)
+
+// framingOf returns the framing of a response.
+func framingOf(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return FramingChunked
+	case r.ContentLength >= 0:
+		return FramingLength
+	}
+	return FramingClose
+}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -6,11 +6,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/conns"
 )
 
 // Metrics are the Prometheus collectors of a [Handler].
 type Metrics struct {
 	refusals          *prometheus.CounterVec
+	answers           *prometheus.CounterVec
 	responseSeconds   *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
 }
@@ -22,6 +24,10 @@
 			Name: "vane_front_refused_total",
 			Help: "Requests without a whole answer, by route and reason.",
 		}, []string{"route", "reason"}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vane_front_answers_total",
+			Help: "Requests with a whole answer, by route and by how the upstream's response stated its end.",
+		}, []string{"route", "framing"}),
 		responseSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "vane_front_answer_seconds",
 			Help:    "Time until the end of answers, by route.",
@@ -33,7 +39,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"route"}),
 	}
-	r.MustRegister(m.refusals, m.responseSeconds, m.firstEventSeconds)
+	r.MustRegister(m.refusals, m.answers, m.responseSeconds, m.firstEventSeconds)
 	return m
 }
 
@@ -42,6 +48,11 @@
 	m.refusals.WithLabelValues(route, reason.String()).Inc()
 }
 
+// countAnswer counts a request whose response was relayed to its end.
+func (m *Metrics) countAnswer(route string, f conns.Framing) {
+	m.answers.WithLabelValues(route, f.String()).Inc()
+}
+
 // observeServed records the durations of a request from its arrival: d until the end
 // of the response, first until the first event of a stream. For a response that is not
 // streamed, first equals d.
--- a/front/relay.go
+++ b/front/relay.go
@@ -83,7 +83,7 @@
 		}
 		if err == io.EOF {
 			t.result.complete(time.Now(), resp.Status)
-			h.recordServed(t, p, resp.Status)
+			h.recordServed(t, p, resp)
 			return nil
 		}
 		if block = block[:0]; inEvent {
--- a/front/serve.go
+++ b/front/serve.go
@@ -281,7 +281,7 @@
 			return ref
 		}
 	}
-	h.recordServed(t, p, resp.Status)
+	h.recordServed(t, p, resp)
 	return nil
 }
 
@@ -334,6 +334,7 @@
 // stream that ends inside an event (io.EOF) is no reason for either.
 func (h *Handler) responseBroken(ctx context.Context, t *attempts, p sched.Pick, resp *conns.Response, err error) *vane.Refusal {
 	reason := vane.ReasonUpstreamFailed
+	h.Log.Info("response broken off", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "framing", resp.Framing.String(), "ended", resp.Ended(), "err", err.Error())
 	switch {
 	case ctx.Err() != nil:
 		reason = vane.ReasonQueueDeadline
@@ -347,14 +348,15 @@
 
 // recordServed records the metrics and the log line of a request whose response was
 // relayed completely.
-func (h *Handler) recordServed(t *attempts, p sched.Pick, status int) {
+func (h *Handler) recordServed(t *attempts, p sched.Pick, resp *conns.Response) {
 	d := time.Since(t.start)
 	first, events, pause := d, 0, time.Duration(0)
 	if t.relay != nil && t.relay.eventCount > 0 {
 		first, events, pause = t.relay.firstAt.Sub(t.start), t.relay.eventCount, t.relay.maxGap
 	}
 	h.Metrics.observeServed(t.route.Name, d, first)
-	h.Log.Info("answered", "request_id", t.meta.ID, "route", t.route.Name, "upstream", p.Upstream.Name, "status", status,
+	h.Metrics.countAnswer(t.route.Name, resp.Framing)
+	h.Log.Info("answered", "request_id", t.meta.ID, "route", t.route.Name, "upstream", p.Upstream.Name, "status", resp.Status, "framing", resp.Framing.String(),
 		"attempts", t.sends, "events", events, "first_ms", first.Milliseconds(), "pause_ms", pause.Milliseconds(), "elapsed_ms", d.Milliseconds())
 }
 
