front: tests of responses that state no end (failing)

An upstream whose response has neither a length nor chunks crashes between two events, or after some bytes of a plain body: its connection ends in order, and the caller gets a last chunk or a Content-Length, as if the response were complete.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -78,6 +78,7 @@
 // scriptedUpstream is an upstream whose responses are written by a responder.
 type scriptedUpstream struct {
 	addr         string
+	listener     net.Listener
 	requests     atomic.Int64
 	mu           sync.Mutex
 	lastEventIDs []string      // Last header of each request received
@@ -95,7 +96,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	u := &scriptedUpstream{addr: ln.Addr().String(), disconnected: make(chan struct{}, 16)}
+	u := &scriptedUpstream{addr: ln.Addr().String(), listener: ln, disconnected: make(chan struct{}, 16)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -225,9 +226,19 @@
 // send sends a request with the header names and values in hdr. It returns the
 // status, the headers, and the body with the error of reading it.
 func (b *testFront) send(ctx context.Context, path string, hdr ...string) (int, http.Header, string, error) {
+	resp, body, err := b.exchange(ctx, path, hdr...)
+	if resp == nil {
+		return 0, nil, "", err
+	}
+	return resp.StatusCode, resp.Header, body, err
+}
+
+// exchange is like send, but returns the whole response, which is nil if there was none.
+// Its body has been read.
+func (b *testFront) exchange(ctx context.Context, path string, hdr ...string) (*http.Response, string, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+path, strings.NewReader("body"))
 	if err != nil {
-		return 0, nil, "", err
+		return nil, "", err
 	}
 	req.Host = "h"
 	req.Header.Set("Id", "id1")
@@ -237,11 +248,11 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, nil, "", err
+		return nil, "", err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, resp.Header, string(body), err
+	return resp, string(body), err
 }
 
 // A 503 states that the request has not run, so it may only be sent if no upstream
--- a/front/unframed_test.go
+++ b/front/unframed_test.go
@@ -115,3 +115,80 @@
 		}
 	}
 }
+
+// newCrashingUpstream returns an upstream that writes its response with f and is gone
+// then: its host refuses connections.
+func newCrashingUpstream(t *testing.T, f responder) *scriptedUpstream {
+	t.Helper()
+	var u *scriptedUpstream
+	u = newScriptedUpstream(t, func(n int, w io.Writer, id string, r *http.Request) bool {
+		f(n, w, id, r)
+		_ = u.listener.Close()
+		return false
+	})
+	return u
+}
+
+// A response without a length and chunks that ends with its upstream's connection reaches
+// the caller in the same way, since nothing shows that it is complete. If the upstream
+// has crashed, the response is not.
+func TestCrashedUpstreamsAnswerLooksComplete(t *testing.T) {
+	const some = "id: 1\ndata: a\n\n"
+	for _, tt := range []struct {
+		name, path, body string
+		crash            bool
+		status           int    // of the caller's response; zero if it is broken off
+		want             string // body of the caller's response
+		received         int64  // requests at the second upstream
+	}{
+		{"stream", "/once/x", some, false, 200, some, 0},
+		{"stream that may be resumed", "/resume/x", some, false, 200, some, 0},
+		{"plain", "/unsafe/x", "some bytes", false, 200, "some bytes", 0},
+		{"long plain", "/unsafe/x", strings.Repeat("x", 300<<10), false, 200, strings.Repeat("x", 300<<10), 0},
+		{"stream without events", "/once/x", "", false, 502, "", 0},
+		{"stream of a crashed upstream", "/once/x", some, true, 0, "", 0},
+		{"stream of a crashed upstream that may be resumed", "/resume/x", some, true, 200, streamText, 1},
+		{"plain of a crashed upstream", "/unsafe/x", "some bytes", true, 502, "", 0},
+		{"plain of a crashed upstream that may be repeated", "/safe/x", "some bytes", true, 200, "whole", 1},
+		{"long plain of a crashed upstream", "/unsafe/x", strings.Repeat("x", 300<<10), true, 0, "", 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			first, answer := newScriptedUpstream, respondRaw(tt.body, false)
+			if tt.crash {
+				first = newCrashingUpstream
+			}
+			next := newScriptedUpstream(t, func(n int, w io.Writer, id string, r *http.Request) bool {
+				if r.Header.Get("Last") == "1" {
+					return respondEvents(streamText[len(some):], -1)(n, w, id, r)
+				}
+				return respondSigned(200, "whole")(n, w, id, r)
+			})
+			b := newTestFront(t, 5, first(t, answer), next)
+			resp, body, err := b.exchange(t.Context(), tt.path)
+			is.Equal(next.requests.Load(), tt.received)
+			if tt.status == 0 {
+				is.True(err != nil) // the caller must see that the response was broken off
+				return
+			}
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tt.status)
+			if tt.status == 200 {
+				is.Equal(body, tt.want)
+				stated := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+				is.Equal(stated, tt.path == "/safe/x") // only the second upstream's plain response states its end
+			}
+		})
+	}
+}
+
+// A stream whose end the caller was promised does not end with a response that states no
+// end.
+func TestResumedStreamLooksComplete(t *testing.T) {
+	is := is.New(t)
+	first := newScriptedUpstream(t, respondEvents(streamText, len("id: 1\ndata: a\n\n")))
+	next := newScriptedUpstream(t, respondRaw("id: 2\ndata: b\n\n", false))
+	b := newTestFront(t, 5, first, next)
+	_, _, err := b.exchange(t.Context(), "/resume/x")
+	is.True(err != nil)
+}
