front: a response that states no end reaches the caller without one

Cause: the node stated an end that it did not know. The end of a connection says nothing about the end of a body without framing (RFC 9112, section 8). Class of fault: what is not known is treated as good.

Such a response is now relayed as it came: no length, no chunks, the connection is closed at its end, and reset if the response is broken off. A stream without events is broken off, and so is one whose upstream refuses connections after it: its crash is known. Those are resumed, repeated or refused like any other. A stream whose caller was promised chunks does not end with a response that states no end. The check for a crash keeps the connection that it opens, which the next request needs anyway.

Evidence: TestCrashedUpstreamsAnswerLooksComplete (10 cases) and TestResumedStreamLooksComplete failed before, none now; ten runs. TestStreamEndsInsideAnEvent expected an unexpected end of the chunks for all framings; without framing the caller now gets a reset, and only that is accepted there.

--- a/front/crash.go
+++ b/front/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/crash"
 )
 
@@ -56,8 +56,9 @@
 }
 
 // crashed reports whether the process of an upstream is gone, as opposed to a connection
-// that was reset or a cut link: its host refuses connections.
-func (k *crashChecks) crashed(u vane.Upstream) bool {
+// that was reset or a cut link: its host refuses connections. A connection that the check
+// opens is kept in the pool.
+func (k *crashChecks) crashed(pool *conns.Pool, u vane.Upstream) bool {
 	now := time.Now()
 	k.mu.Lock()
 	if k.checks == nil {
@@ -78,25 +79,23 @@
 	}
 	k.mu.Unlock()
 	if !ok {
-		c.crashed = refusesConnections(u.Addr)
+		c.crashed = refusesConnections(pool, u)
 		close(c.done)
 	}
 	<-c.done
 	return c.crashed
 }
 
-// refusesConnections reports whether nothing listens on an address.
-func refusesConnections(addr string) bool {
+// refusesConnections reports whether nothing listens on an upstream's address.
+func refusesConnections(pool *conns.Pool, u vane.Upstream) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
-	if err == nil {
-		_ = conn.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return errors.Is(pool.Probe(ctx, u.Addr, u.Name), syscall.ECONNREFUSED)
 }
 
+// crashed reports whether an upstream that has closed a connection has crashed.
+func (h *Handler) crashed(u vane.Upstream) bool { return h.crashChecks.crashed(h.Pool, u) }
+
 // checkParts returns a refusal if a part of the request's prompt crashes upstreams.
 func (h *Handler) checkParts(c *request, now time.Time) *vane.Refusal {
 	err := h.Parts.Check(now, c.tenancy.Workspace, c.parts)
@@ -128,7 +127,7 @@
 	}
 	id, ws, parts, ids, at := t.meta.ID, t.tenancy.Workspace, t.parts, t.partIDs(), time.Now()
 	go func() {
-		crashed := h.crashChecks.crashed(u)
+		crashed := h.crashed(u)
 		h.Log.Info("broken off before the answer", "request_id", id, "workspace", ws, "upstream", u.Name, "incarnation", u.Incarnation,
 			"parts", ids, "hashes", crash.Hashes(parts), "crashed", crashed)
 		if crashed {
--- a/front/crashcheck_test.go
+++ b/front/crashcheck_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/conns"
 )
 
 // A crash counts although the upstream has just accepted a connection.
@@ -16,7 +17,9 @@
 	is.NoErr(err)
 	u := vane.Upstream{Name: "u", Addr: l.Addr().String()}
 	var k crashChecks
-	is.Equal(k.crashed(u), false) // a reset
+	pool := conns.NewPool()
+	t.Cleanup(pool.Close)
+	is.Equal(k.crashed(pool, u), false) // a reset
 	is.NoErr(l.Close())
-	is.True(k.crashed(u))
+	is.True(k.crashed(pool, u))
 }
--- a/front/relay.go
+++ b/front/relay.go
@@ -36,7 +36,8 @@
 // relayStream relays the complete events of a response. It returns nil at the end
 // of the stream, or a refusal if the response is not signed by the upstream, ends
 // early, or can't be written to the caller. A response that ends inside an event ends
-// early, also if its body is as long as announced.
+// early, also if its body is as long as announced. If it states no end, the caller's
+// response states none either.
 func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, att *sched.Attempt, resp *conns.Response) *vane.Refusal {
 	if t.relay == nil && !h.Dialect.ParseResponse(resp.Status, resp.Header).Signed {
 		return vane.Refuse(vane.ReasonUpstreamWrongID, "the response of upstream %s lacks that upstream's signature", p.Upstream.Name).WithExecution(vane.MayHaveRun)
@@ -66,11 +67,11 @@
 			if !blank || t.relay == nil && !inEvent {
 				continue // comments before the first event are relayed together with it
 			}
-		case err != io.EOF || !resp.Complete() || inEvent || len(line) > 0:
+		case err != io.EOF || !resp.Complete() || inEvent || len(line) > 0 || !h.mayEnd(t, p, resp):
 			return h.responseBroken(ctx, t, p, resp, err)
 		}
 		if t.relay == nil {
-			t.relay = startRelay(w, resp)
+			t.relay, t.unstated = startRelay(w, resp), resp.Framing == conns.FramingClose
 		}
 		if inEvent {
 			h.Placer.FirstByte(clock.BootTime(), att)
@@ -92,6 +93,13 @@
 	}
 }
 
+// mayEnd reports whether the caller's response may end with the stream of an upstream that
+// has ended after complete events. A stream that states no end must have had events, and
+// must not be known to be incomplete, nor end a response that states its end.
+func (h *Handler) mayEnd(t *attempts, p sched.Pick, resp *conns.Response) bool {
+	return resp.Framing != conns.FramingClose || t.unstated && !h.crashed(p.Upstream)
+}
+
 // eventBuffered reports whether br already holds another complete event.
 func eventBuffered(br *bufio.Reader) bool {
 	// Peek does not fail for bytes that are already buffered.
@@ -101,7 +109,7 @@
 
 // startRelay sends the status and the headers of the first upstream's response.
 func startRelay(w http.ResponseWriter, resp *conns.Response) *relay {
-	copyHeader(w.Header(), resp.Header)
+	copyHeader(w.Header(), resp)
 	w.Header().Del("Content-Length")
 	w.WriteHeader(resp.Status)
 	rc := http.NewResponseController(w)
--- a/front/serve.go
+++ b/front/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"time"
@@ -35,6 +36,7 @@
 	mayHaveRun  int      // number of upstreams on which the request ran or may have run
 	retryPaid   bool     // the next attempt has already been charged to the retry budget
 	begun       bool     // part of a response that can't be resumed has been sent to the caller
+	unstated    bool     // the caller's response has begun and states no end
 	avoid       []string // names of the upstreams that were tried
 	answering   bool     // the upstream of the current attempt has begun to answer
 	relay       *relay   // nil until the headers of a stream have been sent to the caller
@@ -128,7 +130,8 @@
 }
 
 // finishRefused ends a request that gets no complete response: with the refusal, or
-// by closing the connection if the response has begun or the caller has left.
+// by closing the connection if the response has begun or the caller has left. The
+// connection is reset if its end would complete the response.
 func (h *Handler) finishRefused(w http.ResponseWriter, t *attempts, ref *vane.Refusal) {
 	if t.relay != nil || t.begun {
 		events := 0
@@ -138,6 +141,11 @@
 		h.Metrics.countRefused(t.route.Name, ref.Reason)
 		h.Log.Info("stream broken off", "request_id", t.meta.ID, "route", t.route.Name, "events", events, "reason", ref.Reason.String(),
 			"elapsed_ms", time.Since(t.start).Milliseconds())
+		if t.unstated {
+			if err := resetConn(w); err != nil {
+				h.Log.Warn("connection to the caller not reset", "request_id", t.meta.ID, "err", err.Error())
+			}
+		}
 		panic(errAborted)
 	}
 	if ref.Reason == vane.ReasonCallerGone {
@@ -147,6 +155,25 @@
 	h.refuse(w, t.request, ref)
 }
 
+// resetConn resets the connection to the caller. After TLS, a connection that ends without
+// an alert shows the same as a reset.
+func resetConn(w http.ResponseWriter) error {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err
+	}
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		err = l.SetLinger(0)
+	}
+	if cerr := c.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
 // attempt sends the request to one upstream and relays the response. It returns nil
 // if a complete response was relayed.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick) *vane.Refusal {
@@ -254,6 +281,9 @@
 	if err != nil {
 		return h.responseBroken(ctx, t, p, resp, err)
 	}
+	if resp.Framing == conns.FramingClose && resp.Complete() && h.crashed(p.Upstream) {
+		return h.responseBroken(ctx, t, p, resp, io.ErrUnexpectedEOF)
+	}
 	h.Placer.FirstByte(clock.BootTime(), att)
 	if resp.Status >= http.StatusInternalServerError && t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && h.RetryBudget(t.service).Take(time.Now()) {
 		t.retryPaid = true
@@ -271,8 +301,9 @@
 	if resp.Status < http.StatusMultipleChoices {
 		h.recordAnswer(t)
 	}
-	copyHeader(w.Header(), resp.Header)
+	copyHeader(w.Header(), resp)
 	w.WriteHeader(resp.Status)
+	t.unstated = resp.Framing == conns.FramingClose
 	// If the caller has left, the write fails. Nothing remains to be done then: the
 	// server closes the connection.
 	_, _ = w.Write(body)
@@ -294,7 +325,7 @@
 		if _, werr := w.Write(buf[:n]); werr != nil {
 			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(werr)
 		}
-		if err == io.EOF && resp.Complete() {
+		if err == io.EOF && resp.Complete() && !(t.unstated && h.crashed(p.Upstream)) {
 			return nil
 		}
 		if err != nil {
@@ -364,8 +395,11 @@
 // sets its own.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
-// copyHeader copies the headers of a response, except those for one connection.
-func copyHeader(dst, src http.Header) {
+// copyHeader copies the headers of a response, except those for one connection. The body
+// must be written as it is if the response states no end of its own: the caller is then
+// told of none either.
+func copyHeader(dst http.Header, resp *conns.Response) {
+	src := resp.Header
 	for k, v := range src {
 		dst[k] = v
 	}
@@ -378,4 +412,7 @@
 	if src.Get("Content-Type") == "" {
 		dst["Content-Type"] = nil // keeps the HTTP server from guessing a type
 	}
+	if resp.Framing == conns.FramingClose {
+		dst.Set("Transfer-Encoding", "identity") // makes the HTTP server end the response by closing the connection
+	}
 }
--- a/front/unframed_test.go
+++ b/front/unframed_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,17 +61,19 @@
 	}
 }
 
-// framings are the ways in which the end of a body of n bytes can be announced.
+// framings are the ways in which the end of a body of n bytes can be announced. broken is
+// the error of a caller whose response is broken off.
 var framings = []struct {
-	name string
-	head func(n int) []string
-	body func(s string) string
+	name   string
+	head   func(n int) []string
+	body   func(s string) string
+	broken error
 }{
-	{"by the connection", func(int) []string { return nil }, func(s string) string { return s }},
-	{"by length", func(n int) []string { return []string{"Content-Length: " + strconv.Itoa(n)} }, func(s string) string { return s }},
+	{"by the connection", func(int) []string { return nil }, func(s string) string { return s }, syscall.ECONNRESET},
+	{"by length", func(n int) []string { return []string{"Content-Length: " + strconv.Itoa(n)} }, func(s string) string { return s }, io.ErrUnexpectedEOF},
 	{"by chunks", func(int) []string { return []string{"Transfer-Encoding: chunked"} }, func(s string) string {
 		return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(s), s)
-	}},
+	}, io.ErrUnexpectedEOF},
 }
 
 // A stream that ends inside an event is not taken for complete, however its end is
@@ -103,7 +106,7 @@
 					is.NoErr(err)
 					is.Equal(body, tt.text)
 				} else {
-					is.True(status == 502 || errors.Is(err, io.ErrUnexpectedEOF))
+					is.True(status == 502 || errors.Is(err, f.broken))
 				}
 				is.Equal(next.requests.Load(), int64(0))
 
@@ -168,7 +171,7 @@
 			resp, body, err := b.exchange(t.Context(), tt.path)
 			is.Equal(next.requests.Load(), tt.received)
 			if tt.status == 0 {
-				is.True(err != nil) // the caller must see that the response was broken off
+				is.True(errors.Is(err, syscall.ECONNRESET)) // else the response looks complete
 				return
 			}
 			is.NoErr(err)
