soak: upstreams that close the connection within a response

In the new fault, 'upstream short', the connection is closed in order after half of the response, streams between two events.

The check for whole responses asked for the whole body of each response that was read without an error. A response that states no end may now stop early, where its upstream's did, but only at a prefix of the right body, and streams between events; one that states its end must be whole as before.

--- a/front/endless_test.go
+++ b/front/endless_test.go
@@ -263,3 +263,22 @@
 	t.Logf("peak of the heap: %d MB, %d MB before", peak>>20, before.HeapInuse>>20)
 	is.True(peak-before.HeapInuse < limitBytes)
 }
+
+// A stream with comments without end after its last event is resumed after that event. If
+// nothing is left, the caller's response is complete: its events are whole, and it holds as
+// many comments as may stand between two events.
+func TestEndlessCommentsAfterTheLastEvent(t *testing.T) {
+	is := is.New(t)
+	written := make(chan int, 4)
+	first := newScriptedUpstream(t, respondEndlessly("HTTP/1.1 200 OK\r\nId: ID\r\nSig: 1\r\nTransfer-Encoding: chunked\r\n\r\n"+
+		"2d\r\n"+streamText+"\r\n", "5\r\n: x\n\n\r\n", written))
+	next := newScriptedUpstream(t, respondEvents("", -1))
+	b := newTestFront(t, 5, first, next)
+	_, _, body, err := b.send(t.Context(), "/resume/x")
+	is.NoErr(err)
+	is.Equal(next.lastEventIDs, []string{"3"})
+	comments, ok := strings.CutPrefix(body, streamText)
+	is.True(ok)
+	is.Equal(strings.ReplaceAll(comments, ": x\n\n", ""), "")
+	is.True(len(comments) > 250<<10 && len(comments) < 256<<10)
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -42,6 +42,7 @@
 	kind          kind
 	status        int // zero if no response headers were received
 	body          string
+	stated        bool  // the response stated the end of its body
 	err           error // error from sending the request or reading the body
 	sent, ended   time.Time
 	nodeAddr      string
@@ -124,6 +125,7 @@
 		b, rerr := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		res.status, res.body, res.err = resp.StatusCode, string(b), rerr
+		res.stated = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	}
 	res.ended = time.Now()
 	c.mu.Lock()
--- a/soak/check.go
+++ b/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"mustardvane.org/vane/platform/stand"
 )
@@ -47,7 +48,7 @@
 		if promisesNotRun(r.status) && r.kind == unsafe && len(ran) > 0 {
 			add("not run", r.id, "status %d promises that it did not run, but it ran at %s", r.status, ran[0].Server)
 		}
-		if r.status == http.StatusOK && r.err == nil && r.body != completeBody(r) {
+		if r.status == http.StatusOK && r.err == nil && !looksAsItIs(r) {
 			add("whole", r.id, "got %q", r.body)
 		}
 		if r.status == http.StatusUnauthorized || r.status == http.StatusNotFound {
@@ -66,10 +67,37 @@
 	return false
 }
 
-// completeBody returns the body of the complete response to a request.
-func completeBody(r result) string {
+// looksAsItIs reports whether a body that was read without an error is complete, or may
+// end where it does. A response that does not state its end may be incomplete if its
+// upstream's was, but a stream must not end inside an event.
+func looksAsItIs(r result) bool {
+	want, got := stand.ResponseBody(r.id), r.body
 	if r.kind == stream {
-		return stand.Stream(r.id)
+		want, got = stand.Stream(r.id), withoutComments(r.body)
 	}
-	return stand.ResponseBody(r.id)
+	if r.stated || got == want {
+		return got == want
+	}
+	return strings.HasPrefix(want, got) && (r.kind != stream || strings.HasSuffix(got, "\n\n"))
+}
+
+// withoutComments returns the events of a stream without comments, and without empty lines
+// that end no event, both of which callers ignore.
+func withoutComments(body string) string {
+	var b strings.Builder
+	inEvent := false
+	for line := range strings.Lines(body) {
+		switch {
+		case strings.HasPrefix(line, ":"):
+			continue
+		case line != "\n":
+			inEvent = true
+		case inEvent:
+			inEvent = false
+		default:
+			continue
+		}
+		b.WriteString(line)
+	}
+	return b.String()
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -68,6 +68,7 @@
 		b.servers[up].SetShedding(false)
 	}},
 	{"upstream unframed", trouble(stand.TroubleUnframed)},
+	{"upstream short", trouble(stand.TroubleShort)},
 	{"upstream cut", trouble(stand.TroubleCut)},
 	{"upstream endless", trouble(stand.TroubleEndless)},
 	{"store refuses", func(ctx context.Context, b *testbed, _ *sync.Mutex, _ *node, _ int, d time.Duration) {
