route, entry: plain responses that state no end reach callers without one

The response now keeps its framing, and so does the recorded outcome. Chat completions were not affected: a stream must end with [DONE] and a body must be JSON.

--- a/bench/caller_test.go
+++ b/bench/caller_test.go
@@ -344,3 +344,32 @@
 	is.Equal(status(bench.KeyOf("w1")), 401)
 	is.Equal(status("the-second-key-of-w1"), 200)
 }
+
+// A response of a plain service that does not state the end of its body does not reach the
+// caller as if it were complete, nor does its repetition.
+func TestServiceAnswerWithoutItsEnd(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, bench.WithNodes(1), bench.WithServices(1))
+	f.Services[0].SetFaults(plain.Faults{Unframed: true})
+	book := func() *http.Response {
+		req, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+f.Nodes[0].Addr()+"/v1/services/booking/bookings", strings.NewReader("{}"))
+		is.NoErr(err)
+		req.Header.Set("Authorization", bearer("w1"))
+		req.Header.Set("Idempotency-Key", "a")
+		req.Header.Set(plain.HeaderOperation, "op-a")
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		return resp
+	}
+	check := func(resp *http.Response) {
+		is.Equal(resp.ContentLength, int64(-1))
+		is.Equal(len(resp.TransferEncoding), 0)
+	}
+	check(book())
+	var again *http.Response
+	eventually(t, "the outcome of the booking is recorded", func() bool { again = book(); return again.StatusCode == 200 })
+	check(again)
+	is.Equal(again.Header.Get("Idempotent-Replayed"), "true")
+	is.Equal(f.RunCounter.Runs("op-a"), 1)
+}
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -51,6 +51,7 @@
 	ContentType string `json:"content_type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
 	Truncated   bool   `json:"truncated,omitempty"` // the body was larger than maxBodyBytes and is not recorded
+	Unframed    bool   `json:"unframed,omitempty"`  // the response did not state the end of its body, which may be incomplete
 }
 
 // record is the stored form of a claim.
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -105,7 +105,7 @@
 		malformed := !c.in.ended || errors.Is(err, errNotResponse)
 		return nil, &Error{Sent: w.started.Load(), Malformed: malformed && ctx.Err() == nil, ContextDone: ctx.Err() != nil, Cause: err}
 	}
-	a := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), pool: p, conn: c, resp: resp, write: w, stopCancel: stop}
+	a := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: FramingOf(resp), pool: p, conn: c, resp: resp, write: w, stopCancel: stop}
 	a.Body = readerFunc(a.read)
 	return a, nil
 }
@@ -156,7 +156,7 @@
 			}
 			return resp, nil
 		}
-		if framingOf(resp) == FramingClose {
+		if FramingOf(resp) == FramingClose {
 			return nil, errors.New("response to another request without a length; its end is unknown")
 		}
 		c.in.left = maxSkippedBodyBytes
--- a/conns/framing.go
+++ b/conns/framing.go
@@ -18,8 +18,8 @@
 	FramingClose                  // close
 )
 
-// framingOf returns the framing of a response.
-func framingOf(r *http.Response) Framing {
+// FramingOf returns the framing of a response.
+func FramingOf(r *http.Response) Framing {
 	switch {
 	case len(r.TransferEncoding) > 0:
 		return FramingChunked
@@ -28,3 +28,11 @@
 	}
 	return FramingClose
 }
+
+// SetHeader sets the header by which an HTTP server of net/http ends a response by closing
+// the connection, if that is the framing. The server chooses between the others itself.
+func (f Framing) SetHeader(h http.Header) {
+	if f == FramingClose {
+		h.Set("Transfer-Encoding", "identity")
+	}
+}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -7,6 +7,7 @@
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/auth"
 	"mustardvane.org/vane/claim"
+	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/prefix"
 	"mustardvane.org/vane/route"
 )
@@ -100,7 +101,7 @@
 		return
 	}
 	if cl != nil {
-		cl.Finish(claim.Outcome{Status: res.Status, ContentType: res.Header.Get("Content-Type"), Body: res.Body})
+		cl.Finish(claim.Outcome{Status: res.Status, ContentType: res.Header.Get("Content-Type"), Body: res.Body, Unframed: res.Framing == conns.FramingClose})
 	}
 	s.Recorder.Record(vane.Event{Kind: vane.EventServed, Workspace: c.workspace, RequestID: c.requestID(), Subject: call.Service, Observed: time.Since(c.arrived).Seconds()})
 	s.metrics.served.WithLabelValues(c.workspace).Inc()
@@ -109,6 +110,7 @@
 		h[k] = v
 	}
 	h.Set(headerRequestID, c.requestID())
+	res.Framing.SetHeader(h)
 	w.WriteHeader(res.Status)
 	_, _ = w.Write(res.Body)
 }
@@ -126,6 +128,9 @@
 	}
 	h.Set(headerReplayed, "true")
 	h.Set(headerRequestID, c.requestID())
+	if out.Unframed {
+		conns.FramingClose.SetHeader(h)
+	}
 	w.WriteHeader(out.Status)
 	_, _ = w.Write(out.Body)
 }
--- a/fake/plain/plain.go
+++ b/fake/plain/plain.go
@@ -19,6 +19,7 @@
 type Faults struct {
 	CutBefore  bool `json:"cut_before"`  // abort the connection before running the operation
 	CutAfter   bool `json:"cut_after"`   // run the operation, then abort the connection without a response
+	Unframed   bool `json:"unframed"`    // respond with half of the body, without its length, and close the connection
 	DelayMS    int  `json:"slow_ms"`     // delay before running the operation, in milliseconds
 	Fail       bool `json:"fail"`        // respond with status 500 without running the operation
 	RefuseBusy bool `json:"refuse_busy"` // respond with status 503 without running the operation
@@ -150,5 +151,10 @@
 		fake.AbortConnection(w)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if f.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+		_, _ = io.WriteString(w, `{"service":"`)
+		return
+	}
 	_ = json.NewEncoder(w).Encode(Response{Service: s.service, Operation: op, RunCount: n, Body: string(body)})
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -412,7 +412,5 @@
 	if src.Get("Content-Type") == "" {
 		dst["Content-Type"] = nil // keeps the HTTP server from guessing a type
 	}
-	if resp.Framing == conns.FramingClose {
-		dst.Set("Transfer-Encoding", "identity") // makes the HTTP server end the response by closing the connection
-	}
+	resp.Framing.SetHeader(dst)
 }
--- a/route/plain.go
+++ b/route/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/retry"
 )
@@ -35,11 +36,13 @@
 	Begin      time.Time // when the request arrived
 }
 
-// Result is the complete response of a plain service.
+// Result is the response of a plain service. It is complete unless its framing is
+// conns.FramingClose, which does not show whether it is.
 type Result struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Framing conns.Framing
 }
 
 // Call sends the request to one instance after another until one responds. A call that
@@ -101,7 +104,7 @@
 	}
 	h := resp.Header.Clone()
 	removeHopByHopHeaders(h)
-	return Result{Status: resp.StatusCode, Header: h, Body: body}, nil
+	return Result{Status: resp.StatusCode, Header: h, Body: body, Framing: conns.FramingOf(resp)}, nil
 }
 
 // request builds the request to one instance.
