store, mirror: log eras, lists and objects that are ignored as older

The line 'store era' says that the store came back from a copy, 'objects listed' that a node listed again, and 'older object ignored' which version was dropped in favour of which; 'configuration in force' has its revision. vane_platform_era is the era.

--- a/edge/node.go
+++ b/edge/node.go
@@ -107,7 +107,8 @@
 		settings: settings, adapter: adapter, log: log, registry: prometheus.NewRegistry(), kernel: kernel.New(), boot: uint64(time.Now().UnixMilli()), startedAt: clock.BootTime(),
 		pool: conns.NewPool(), retries: make(map[string]*retry.Window), pendingUpdates: newPendingUpdates(),
 	}
-	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)))
+	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)),
+		store.WithEraFunc(func(old, era uint64) { log.Info("store era", "era", era, "before", old) }))
 	n.cache = newCacheWatcher(adapter.Control, log, func() bool { return n.mesh.IsPromptWatcher() })
 	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit))
 	n.quota = newLimiter(settings.Node, func() { n.mesh.SendSoon() })
@@ -294,7 +295,7 @@
 // logChanges logs the differences between two views.
 func (n *Node) logChanges(old, v *mirror.View) {
 	if v.Config != old.Config && v.Config != nil {
-		n.log.Info("configuration in force", "version", v.Config.Version)
+		n.log.Info("configuration in force", "version", v.Config.Version, "revision", v.ConfigRevision)
 	}
 	for name, u := range v.Upstreams {
 		if o, ok := old.Upstreams[name]; !ok || o != u {
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -131,6 +131,9 @@
 	if f(clock.BootTime()) {
 		s.onChange(old, s.state.View())
 	}
+	for _, o := range s.state.TakeIgnored() {
+		s.log.Info("older object ignored", "key", o.Key, "version", o.Version, "known", o.Known)
+	}
 }
 
 // updateFromStore applies an answer of the store. If calls failed or the process stood
@@ -201,6 +204,7 @@
 	if err != nil {
 		return 0, err
 	}
+	s.log.Info("objects listed", "prefix", prefix, "objects", len(b.Objects), "revision", b.Revision)
 	s.updateFromStore(prefix, func(now time.Time) bool { return s.state.Replace(now, prefix, b) })
 	return b.Revision, nil
 }
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -40,11 +40,12 @@
 
 // View is the decoded copy of the objects. It is immutable.
 type View struct {
-	Config    *site.Config               // nil if none is known
-	Upstreams map[string]vane.Upstream   // upstreams by name
-	Weights   map[string]Weights         // target weights by model
-	Peers     map[string]vane.PeerRecord // records of all nodes by node name
-	Rollouts  map[string]vane.Rollout    // roll-outs by service
+	Config         *site.Config               // nil if none is known
+	ConfigRevision uint64                     // version of the store's object that holds it
+	Upstreams      map[string]vane.Upstream   // upstreams by name
+	Weights        map[string]Weights         // target weights by model
+	Peers          map[string]vane.PeerRecord // records of all nodes by node name
+	Rollouts       map[string]vane.Rollout    // roll-outs by service
 }
 
 // TargetWeights returns the number of the weights with which the model is to be served,
@@ -60,6 +61,7 @@
 	delayedRemovals map[string]vane.Object   // removals that are delayed until the end of the grace period, by key
 	graceEnd        time.Time                // end of the grace period after an outage
 	storeDown       bool                     // the store does not answer
+	ignored         []IgnoredObject          // since the last call of TakeIgnored
 	wallOffset      time.Duration            // wall time minus the time of the clock
 	completeUntil   time.Time                // time at which no change was missing; zero if none is now
 	followsWeights  bool                     // the target weights have been listed, so that further ones are new
@@ -126,6 +128,22 @@
 	return s.rebuildView(now, changed)
 }
 
+// IgnoredObject is an object that was not applied, since a newer version is known.
+type IgnoredObject struct {
+	Key            string
+	Version, Known uint64
+}
+
+// maxIgnored is the number of ignored objects that are kept for the log.
+const maxIgnored = 16
+
+// TakeIgnored returns the objects that were ignored since the last call.
+func (s *State) TakeIgnored() []IgnoredObject {
+	out := s.ignored
+	s.ignored = nil
+	return out
+}
+
 // Tick applies delayed removals once the grace period is over. It reports whether the
 // view changed.
 func (s *State) Tick(now time.Time) bool {
@@ -206,6 +224,9 @@
 		s.objects[o.Key] = o
 		return true
 	}
+	if ok && o.Version < old.Version && len(s.ignored) < maxIgnored {
+		s.ignored = append(s.ignored, IgnoredObject{o.Key, o.Version, old.Version})
+	}
 	if ok && o.Version <= old.Version {
 		if o.Version == old.Version && !old.Deleted {
 			delete(s.delayedRemovals, o.Key)
@@ -230,7 +251,7 @@
 	}
 	old := s.view
 	v := &View{
-		Config: old.Config, Upstreams: make(map[string]vane.Upstream, len(s.objects)),
+		Config: old.Config, ConfigRevision: old.ConfigRevision, Upstreams: make(map[string]vane.Upstream, len(s.objects)),
 		Weights: make(map[string]Weights), Peers: make(map[string]vane.PeerRecord), Rollouts: make(map[string]vane.Rollout),
 	}
 	maps.Copy(v.Weights, old.Weights)
@@ -249,7 +270,7 @@
 			records = append(records, n)
 			continue
 		}
-		v.add(now, s.completeUntil, s.followsWeights, d.value)
+		v.add(now, s.completeUntil, s.followsWeights, d)
 	}
 	for _, n := range records {
 		if w, ok := v.Weights[n.Model]; ok {
@@ -270,11 +291,11 @@
 // add adds a decoded value to a view under construction. A completeUntil other than zero
 // is the earliest possible time of the change. followed is set if all weights before were
 // known.
-func (v *View) add(now, completeUntil time.Time, followed bool, value any) {
-	switch x := value.(type) {
+func (v *View) add(now, completeUntil time.Time, followed bool, d decodedObject) {
+	switch x := d.value.(type) {
 	case *site.Config:
 		if v.Config == nil || x.Version > v.Config.Version {
-			v.Config = x
+			v.Config, v.ConfigRevision = x, d.version
 		}
 	case vane.Upstream:
 		v.Upstreams[x.Name] = x
--- a/store/client.go
+++ b/store/client.go
@@ -44,6 +44,8 @@
 	breaker   *gobreaker.CircuitBreaker[*Response]
 	metrics   *metrics
 	onState   func(up bool) // called when the platform becomes reachable or unreachable
+	onEra     func(old, era uint64)
+	era       atomic.Uint64 // highest era that a response has stated
 	blocked   atomic.Bool   // whether all calls fail as if the platform were unreachable
 }
 
@@ -75,6 +77,10 @@
 // or unreachable, that is when the circuit breaker closes or opens.
 func WithStateFunc(f func(up bool)) Option { return func(c *Client) { c.onState = f } }
 
+// WithEraFunc sets a function that is called when a response states a higher era than all
+// before, which the first one does, too. It must not block.
+func WithEraFunc(f func(old, era uint64)) Option { return func(c *Client) { c.onEra = f } }
+
 // New returns a client of the platform at the base URL.
 func New(base string, opts ...Option) *Client {
 	c := &Client{
@@ -88,6 +94,7 @@
 		}},
 		metrics: newMetrics(),
 		onState: func(bool) {},
+		onEra:   func(_, _ uint64) {},
 	}
 	for _, o := range opts {
 		o(c)
@@ -182,6 +189,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	c.recordEra(resp.Header)
 	if err := statusError(r, resp.StatusCode); err != nil {
 		// The body is of no interest, also if it can't be read.
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
@@ -194,6 +202,22 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// recordEra records the era that a response states.
+func (c *Client) recordEra(h http.Header) {
+	era := c.proto.Era(h)
+	for {
+		old := c.era.Load()
+		if era <= old {
+			return
+		}
+		if c.era.CompareAndSwap(old, era) {
+			c.metrics.era.Set(float64(era))
+			c.onEra(old, era)
+			return
+		}
+	}
+}
+
 // statusError returns the error for a status that says that the platform did not
 // serve the call, or nil. After 429 and 503 a write had no effect; after other
 // server errors that is not known.
--- a/store/metrics.go
+++ b/store/metrics.go
@@ -15,13 +15,14 @@
 type metrics struct {
 	calls   *prometheus.CounterVec
 	seconds *prometheus.HistogramVec
+	era     prometheus.Gauge
 }
 
 // NewMetrics registers the collectors with r. It panics if they are registered
 // already.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := newMetrics()
-	r.MustRegister(m.calls, m.seconds)
+	r.MustRegister(m.calls, m.seconds, m.era)
 	return &Metrics{m: m}
 }
 
@@ -31,6 +32,10 @@
 			Name: "vane_platform_calls_total",
 			Help: "Calls to the platform by operation and outcome.",
 		}, []string{"op", "outcome"}),
+		era: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "vane_platform_era",
+			Help: "Era of the platform's store, which rises when the store comes back from a copy; zero if it states none.",
+		}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "vane_platform_call_seconds",
 			Help:    "Duration of calls to the platform.",
--- a/store/protocol.go
+++ b/store/protocol.go
@@ -46,6 +46,11 @@
 	// Hosts requests the list of upstreams.
 	Hosts() Request
 
+	// Era returns the era that the headers of a response state. It rises by one each time
+	// the platform comes back from a copy, which takes its revisions back. It is zero for a
+	// platform without eras.
+	Era(h http.Header) uint64
+
 	// DecodeGet decodes the response to Get.
 	DecodeGet(key string, r *Response) (vane.Object, error)
 	// DecodePut decodes the response to Put and returns the object's new version.
