store: put revisions in order across returns from a copy

Cause: revisions were compared for order, and the store gives them out again after it has come back from a copy. A node dropped config/main at revision 65 because it knew it at 67; and a watch from revision 6 did not show what was written at 4 and 5, once the store had got past 6 again. Class of fault: a number is compared outside of the range in which it is an order.

The versions of objects, lists and watches now hold how often the store has come back, from Store-Era, above the revision. It drops answers from before a return that it knows, sends no write that is conditional on a revision from before it, and ends watches and lists that span one, so that they begin again.

--- a/edge/node.go
+++ b/edge/node.go
@@ -108,7 +108,7 @@
 		pool: conns.NewPool(), retries: make(map[string]*retry.Window), pendingUpdates: newPendingUpdates(),
 	}
 	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)),
-		store.WithEraFunc(func(old, era uint64) { log.Info("store era", "era", era, "before", old) }))
+		store.WithRestoreFunc(n.handleRestore))
 	n.cache = newCacheWatcher(adapter.Control, log, func() bool { return n.mesh.IsPromptWatcher() })
 	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit))
 	n.quota = newLimiter(settings.Node, func() { n.mesh.SendSoon() })
@@ -237,6 +237,11 @@
 	return n.leaving && time.Since(n.leavingSince) > 3*n.settings.ttl()
 }
 
+// handleRestore is called when the store has come back from a copy.
+func (n *Node) handleRestore(restores uint64) {
+	n.log.Warn("store came back from a copy", "restores", restores)
+}
+
 // watchPolicy returns how closely this node follows the objects under the prefix.
 func (n *Node) watchPolicy(prefix string) mirror.WatchPolicy {
 	switch {
@@ -295,7 +300,7 @@
 // logChanges logs the differences between two views.
 func (n *Node) logChanges(old, v *mirror.View) {
 	if v.Config != old.Config && v.Config != nil {
-		n.log.Info("configuration in force", "version", v.Config.Version, "revision", v.ConfigRevision)
+		n.log.Info("configuration in force", "version", v.Config.Version, "restores", vane.RestoresOf(v.ConfigRevision), "revision", vane.RevisionOf(v.ConfigRevision))
 	}
 	for name, u := range v.Upstreams {
 		if o, ok := old.Upstreams[name]; !ok || o != u {
--- a/iface.go
+++ b/iface.go
@@ -8,7 +8,7 @@
 // Object is one versioned value of the platform's object API.
 type Object struct {
 	Key     string
-	Version uint64 // platform revision of the last write; zero if the object does not exist
+	Version uint64 // of the last write, see [VersionOf]; its revision is zero if the object does not exist
 	Value   []byte
 	Status  []byte // what the system recorded about the object, on platforms that keep that apart; nil if nothing
 	Deleted bool   // the object was deleted; set on watch events only
@@ -16,7 +16,7 @@
 
 // Batch is the result of a list or a watch.
 type Batch struct {
-	Revision uint64 // platform revision after which a watch continues
+	Revision uint64 // version after which a watch continues, see [VersionOf]
 	Objects  []Object
 }
 
@@ -24,11 +24,13 @@
 // use. Errors are of type [*Error]; KindUnknownOutcome marks a write whose
 // response was lost.
 type Store interface {
-	// Get returns the object. The error is KindNotFound if it does not exist.
+	// Get returns the object. The error is KindNotFound if it does not exist; the object
+	// then has a version without a revision.
 	Get(ctx context.Context, key string) (Object, error)
-	// Put writes value if the object has the version expected; zero creates the
-	// object. It returns the new version. The error is KindConflict if the object
-	// has another version.
+	// Put writes value if the object has the version expected; one without a revision
+	// creates the object. It returns the new version. The error is KindConflict if the
+	// object has another version. If the platform came back from a copy meanwhile, the
+	// object may have had the same revision with another value; the new version shows that.
 	Put(ctx context.Context, key string, expected uint64, value []byte) (uint64, error)
 	// Delete removes the object if it has the version expected. The error is
 	// KindConflict if it has another version.
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -204,7 +204,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s.log.Info("objects listed", "prefix", prefix, "objects", len(b.Objects), "revision", b.Revision)
+	s.log.Info("objects listed", "prefix", prefix, "objects", len(b.Objects), "restores", vane.RestoresOf(b.Revision), "revision", vane.RevisionOf(b.Revision))
 	s.updateFromStore(prefix, func(now time.Time) bool { return s.state.Replace(now, prefix, b) })
 	return b.Revision, nil
 }
--- a/store/client.go
+++ b/store/client.go
@@ -44,9 +44,9 @@
 	breaker   *gobreaker.CircuitBreaker[*Response]
 	metrics   *metrics
 	onState   func(up bool) // called when the platform becomes reachable or unreachable
-	onEra     func(old, era uint64)
-	era       atomic.Uint64 // highest era that a response has stated
-	blocked   atomic.Bool   // whether all calls fail as if the platform were unreachable
+	onRestore func(restores uint64)
+	restores  atomic.Int64 // highest number of restores that a response has stated; negative before the first response
+	blocked   atomic.Bool  // whether all calls fail as if the platform were unreachable
 }
 
 var _ vane.Store = (*Client)(nil)
@@ -77,9 +77,10 @@
 // or unreachable, that is when the circuit breaker closes or opens.
 func WithStateFunc(f func(up bool)) Option { return func(c *Client) { c.onState = f } }
 
-// WithEraFunc sets a function that is called when a response states a higher era than all
-// before, which the first one does, too. It must not block.
-func WithEraFunc(f func(old, era uint64)) Option { return func(c *Client) { c.onEra = f } }
+// WithRestoreFunc sets a function that is called when a response shows that the platform
+// has come back from a copy since an earlier response. It gets the number of restores, and
+// must not block.
+func WithRestoreFunc(f func(restores uint64)) Option { return func(c *Client) { c.onRestore = f } }
 
 // New returns a client of the platform at the base URL.
 func New(base string, opts ...Option) *Client {
@@ -92,13 +93,14 @@
 			MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		}},
-		metrics: newMetrics(),
-		onState: func(bool) {},
-		onEra:   func(_, _ uint64) {},
+		metrics:   newMetrics(),
+		onState:   func(bool) {},
+		onRestore: func(uint64) {},
 	}
 	for _, o := range opts {
 		o(c)
 	}
+	c.restores.Store(-1)
 	c.breaker = gobreaker.NewCircuitBreaker[*Response](gobreaker.Settings{
 		Name:         "platform",
 		Timeout:      breakerOpenTime,
@@ -189,7 +191,10 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	c.recordEra(resp.Header)
+	restores, err := c.recordRestores(r, resp.Header)
+	if err != nil {
+		return nil, err
+	}
 	if err := statusError(r, resp.StatusCode); err != nil {
 		// The body is of no interest, also if it can't be read.
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
@@ -199,25 +204,40 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Restores: restores}, nil
 }
 
-// recordEra records the era that a response states.
-func (c *Client) recordEra(h http.Header) {
-	era := c.proto.Era(h)
+// recordRestores returns the number of restores that a response states. The error is that
+// of a response from before a restore that is already known; its contents are outdated.
+func (c *Client) recordRestores(r call, h http.Header) (uint64, error) {
+	n := c.proto.Restores(h)
 	for {
-		old := c.era.Load()
-		if era <= old {
-			return
-		}
-		if c.era.CompareAndSwap(old, era) {
-			c.metrics.era.Set(float64(era))
-			c.onEra(old, era)
-			return
+		old := c.restores.Load()
+		switch {
+		case int64(n) == old:
+			return n, nil
+		case int64(n) < old:
+			kind := vane.KindUnavailable
+			if r.Method != http.MethodGet {
+				kind = vane.KindUnknownOutcome
+			}
+			return 0, vane.Errorf(kind, "store."+r.op, "the call is repeated", "the response is from before the platform came back from a copy")
+		case c.restores.CompareAndSwap(old, int64(n)):
+			c.metrics.restores.Set(float64(n))
+			if old >= 0 {
+				c.onRestore(n)
+			}
+			return n, nil
 		}
 	}
 }
 
+// outdated reports whether a version is from before a restore that is known. The revision
+// in it may by now stand for something else.
+func (c *Client) outdated(version uint64) bool {
+	return vane.RevisionOf(version) > 0 && int64(vane.RestoresOf(version)) < c.restores.Load()
+}
+
 // statusError returns the error for a status that says that the platform did not
 // serve the call, or nil. After 429 and 503 a write had no effect; after other
 // server errors that is not known.
@@ -239,7 +259,9 @@
 	if err != nil {
 		return vane.Object{}, err
 	}
-	return c.proto.DecodeGet(key, resp)
+	o, err := c.proto.DecodeGet(key, resp)
+	o.Version = vane.VersionOf(resp.Restores, o.Version)
+	return o, err
 }
 
 // List implements vane.Store. A list of several pages has the revision of its first
@@ -255,13 +277,16 @@
 		if size += len(resp.Body); size > maxListBytes {
 			break
 		}
-		b, next, err := c.proto.DecodeBatch(prefix, resp)
+		b, next, err := c.decodeBatch(prefix, resp)
 		if err != nil {
 			return vane.Batch{}, err
 		}
 		if page == "" {
 			all.Revision = b.Revision
 		}
+		if vane.RestoresOf(all.Revision) != resp.Restores {
+			return vane.Batch{}, vane.Errorf(vane.KindUnavailable, "store.list", "the call is repeated", "the platform came back from a copy between two pages of the list")
+		}
 		all.Objects = append(all.Objects, b.Objects...)
 		if next == "" {
 			return all, nil
@@ -284,15 +309,31 @@
 
 // watchOnce waits for one batch of changes.
 func (c *Client) watchOnce(ctx context.Context, prefix string, after uint64, wait time.Duration, relaxed bool) (vane.Batch, error) {
-	x := c.proto.Watch(prefix, after, wait, relaxed)
+	if c.outdated(after) {
+		return vane.Batch{}, Compacted()
+	}
+	x := c.proto.Watch(prefix, vane.RevisionOf(after), wait, relaxed)
 	resp, err := c.do(ctx, call{op: opWatch, Request: x, timeout: wait + watchSlack})
 	if err != nil {
 		return vane.Batch{}, err
 	}
-	b, _, err := c.proto.DecodeBatch(prefix, resp)
+	if c.outdated(after) {
+		return vane.Batch{}, Compacted()
+	}
+	b, _, err := c.decodeBatch(prefix, resp)
 	return b, err
 }
 
+// decodeBatch decodes the response to a list or a watch.
+func (c *Client) decodeBatch(prefix string, resp *Response) (vane.Batch, string, error) {
+	b, next, err := c.proto.DecodeBatch(prefix, resp)
+	b.Revision = vane.VersionOf(resp.Restores, b.Revision)
+	for i, o := range b.Objects {
+		b.Objects[i].Version = vane.VersionOf(resp.Restores, o.Version)
+	}
+	return b, next, err
+}
+
 // Hosts implements vane.Store.
 func (c *Client) Hosts(ctx context.Context) ([]vane.Upstream, error) {
 	resp, err := c.read(ctx, call{op: "hosts", Request: c.proto.Hosts()})
--- a/store/metrics.go
+++ b/store/metrics.go
@@ -13,16 +13,16 @@
 
 // metrics holds the Prometheus collectors.
 type metrics struct {
-	calls   *prometheus.CounterVec
-	seconds *prometheus.HistogramVec
-	era     prometheus.Gauge
+	calls    *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	restores prometheus.Gauge
 }
 
 // NewMetrics registers the collectors with r. It panics if they are registered
 // already.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := newMetrics()
-	r.MustRegister(m.calls, m.seconds, m.era)
+	r.MustRegister(m.calls, m.seconds, m.restores)
 	return &Metrics{m: m}
 }
 
@@ -32,9 +32,9 @@
 			Name: "vane_platform_calls_total",
 			Help: "Calls to the platform by operation and outcome.",
 		}, []string{"op", "outcome"}),
-		era: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "vane_platform_era",
-			Help: "Era of the platform's store, which rises when the store comes back from a copy; zero if it states none.",
+		restores: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "vane_platform_restores",
+			Help: "How often the platform's store has come back from a copy, as it states.",
 		}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "vane_platform_call_seconds",
--- a/store/native.go
+++ b/store/native.go
@@ -57,8 +57,8 @@
 	return Request{Method: http.MethodGet, Path: "/v1/objects", Query: url.Values{"prefix": {prefix}}}
 }
 
-// Era implements Protocol. The protocol has no eras.
-func (native) Era(http.Header) uint64 { return 0 }
+// Restores implements Protocol. The platform loses nothing that it has acknowledged.
+func (native) Restores(http.Header) uint64 { return 0 }
 
 // Watch implements Protocol.
 func (native) Watch(prefix string, after uint64, wait time.Duration, _ bool) Request {
--- a/store/protocol.go
+++ b/store/protocol.go
@@ -19,13 +19,14 @@
 
 // Response is an HTTP response whose body has been read.
 type Response struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Restores uint64 // see Protocol.Restores
 }
 
 // Protocol encodes the requests to a platform's object API and decodes the
-// responses. Connections, time limits, retries and the resolution of lost
+// responses. Versions in its parameters and results are the platform's plain revisions. Connections, time limits, retries and the resolution of lost
 // responses are up to the client.
 type Protocol interface {
 	// Get requests one object.
@@ -46,10 +47,10 @@
 	// Hosts requests the list of upstreams.
 	Hosts() Request
 
-	// Era returns the era that the headers of a response state. It rises by one each time
-	// the platform comes back from a copy, which takes its revisions back. It is zero for a
-	// platform without eras.
-	Era(h http.Header) uint64
+	// Restores returns how often the platform has come back from a copy of its objects, as
+	// the headers of a response state. Its revisions go back each time. The number may lack
+	// a constant; it is zero for a platform that does not state it.
+	Restores(h http.Header) uint64
 
 	// DecodeGet decodes the response to Get.
 	DecodeGet(key string, r *Response) (vane.Object, error)
--- a/store/write.go
+++ b/store/write.go
@@ -88,11 +88,7 @@
 
 // putOnce sends one conditional write, without a retry.
 func (c *Client) putOnce(ctx context.Context, key string, expected uint64, value []byte) (uint64, error) {
-	resp, err := c.do(ctx, call{op: "put", Request: c.proto.Put(key, expected, value), timeout: c.timeout})
-	if err != nil {
-		return 0, err
-	}
-	return c.proto.DecodePut(key, expected, resp)
+	return c.write(ctx, key, expected, call{op: "put", Request: c.proto.Put(key, vane.RevisionOf(expected), value), timeout: c.timeout})
 }
 
 // PutStatus replaces the status of the object if it has the version expected, and
@@ -104,19 +100,42 @@
 	if !ok {
 		return 0, vane.Errorf(vane.KindInvalid, "store.put_status", "write the object's value instead", "the platform keeps no status of objects")
 	}
-	resp, err := c.do(ctx, call{op: "put_status", Request: p.PutStatus(key, expected, status), timeout: c.timeout})
+	return c.write(ctx, key, expected, call{op: "put_status", Request: p.PutStatus(key, vane.RevisionOf(expected), status), timeout: c.timeout})
+}
+
+// write sends a write that is conditional on the version expected, and returns the new
+// version.
+func (c *Client) write(ctx context.Context, key string, expected uint64, r call) (uint64, error) {
+	if c.outdated(expected) {
+		return 0, restoredConflict(r.op, key, expected)
+	}
+	resp, err := c.do(ctx, r)
 	if err != nil {
 		return 0, err
 	}
-	return c.proto.DecodePut(key, expected, resp)
+	rev, err := c.proto.DecodePut(key, vane.RevisionOf(expected), resp)
+	if err != nil {
+		return 0, err
+	}
+	return vane.VersionOf(resp.Restores, rev), nil
+}
+
+// restoredConflict returns the error for a write that is conditional on a version from
+// before a restore.
+func restoredConflict(op, key string, expected uint64) *vane.Error {
+	return Conflict(op, key, vane.RevisionOf(expected), "an unknown one since the platform came back from a copy")
 }
 
 // Delete implements vane.Store. Deleting an object that does not exist is not an
 // error.
 func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
-	resp, err := c.do(ctx, call{op: "delete", Request: c.proto.Delete(key, expected), timeout: c.timeout})
+	if c.outdated(expected) {
+		return restoredConflict("delete", key, expected)
+	}
+	rev := vane.RevisionOf(expected)
+	resp, err := c.do(ctx, call{op: "delete", Request: c.proto.Delete(key, rev), timeout: c.timeout})
 	if err != nil {
 		return err
 	}
-	return c.proto.DecodeDelete(key, expected, resp)
+	return c.proto.DecodeDelete(key, rev, resp)
 }
