mirror, edge: what the store lost stays in force until it is written again

An upstream that had just registered, a roll-out that had just been requested (its new release would then get requests without a limit), and the records of nodes that had just joined (on which the limits of quotas and retries per node rest) were gone at once.

Upstreams, roll-outs and nodes that the first list after a return lacks now stay for the 2.2 s for which entries may be missing after an outage. Nodes write their records again within a second, and the holder of the lease the times at which weights were named, which it took for recorded: a node that started later would have counted their age from its own start.

--- a/edge/loader.go
+++ b/edge/loader.go
@@ -128,6 +128,14 @@
 	return mirror.Weights{}, false
 }
 
+// forgetRecorded makes this node write the records of all weights again when it holds the
+// lease.
+func (l *loader) forgetRecorded() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.recorded)
+}
+
 // writeWeightsRecord stores when the weights were designated, so that nodes that start
 // later know. After a failure the weights count as unrecorded again.
 func (l *loader) writeWeightsRecord(ctx context.Context, w mirror.Weights) {
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	unresponsiveRepeatTime = 300 * time.Millisecond  // enough for one or two messages
 	maxCrashReports        = 64                      // pending crash reports; further ones are dropped
 	joinRetryDelay         = 500 * time.Millisecond  // before a failed write of the node's record is retried
+	rejoinSpread           = time.Second             // all nodes write their records again within this time after a restore
 	peerSilenceLimit       = 15 * time.Second        // records of nodes silent for longer are removed
 	peerCleanupInterval    = 5 * time.Second         // between two checks of the records
 )
@@ -206,13 +208,21 @@
 	if !n.writeRecord(ctx, key, value) {
 		return nil
 	}
-	for clock.Sleep(ctx, clock.Jitter(peerCleanupInterval)) {
-		n.removeSilentPeers(ctx)
-		if n.recordMissing() && !n.writeRecord(ctx, key, value) {
+	for {
+		lost := false
+		select {
+		case <-n.rejoin:
+			clock.Sleep(ctx, rand.N(rejoinSpread))
+			lost = true
+		case <-time.After(clock.Jitter(peerCleanupInterval)):
+			n.removeSilentPeers(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+		if (lost && !n.isLeaving() || n.recordMissing()) && !n.writeRecord(ctx, key, value) {
 			return nil
 		}
 	}
-	return nil
 }
 
 // writeRecord writes the node's record and retries until it succeeds. It returns false
--- a/edge/node.go
+++ b/edge/node.go
@@ -89,6 +89,7 @@
 	rollouts       *rollouts
 	handler        *front.Handler
 	pendingUpdates *pendingUpdates
+	rejoin         chan struct{} // requests that the node's record is written again; holds one request
 
 	mu           sync.Mutex
 	retries      map[string]*retry.Window // by service
@@ -105,7 +106,7 @@
 	}
 	n := &Node{
 		settings: settings, adapter: adapter, log: log, registry: prometheus.NewRegistry(), kernel: kernel.New(), boot: uint64(time.Now().UnixMilli()), startedAt: clock.BootTime(),
-		pool: conns.NewPool(), retries: make(map[string]*retry.Window), pendingUpdates: newPendingUpdates(),
+		pool: conns.NewPool(), retries: make(map[string]*retry.Window), pendingUpdates: newPendingUpdates(), rejoin: make(chan struct{}, 1),
 	}
 	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)),
 		store.WithRestoreFunc(n.handleRestore))
@@ -237,9 +238,15 @@
 	return n.leaving && time.Since(n.leavingSince) > 3*n.settings.ttl()
 }
 
-// handleRestore is called when the store has come back from a copy.
+// handleRestore is called when the store has come back from a copy. What this node wrote
+// since the copy is lost, so it writes its records again.
 func (n *Node) handleRestore(restores uint64) {
 	n.log.Warn("store came back from a copy", "restores", restores)
+	n.loader.forgetRecorded()
+	select {
+	case n.rejoin <- struct{}{}:
+	default: // already requested
+	}
 }
 
 // watchPolicy returns how closely this node follows the objects under the prefix.
--- /dev/null
+++ b/mirror/restore_test.go
@@ -0,0 +1,45 @@
+package mirror_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/mirror"
+)
+
+// after returns the version of a revision after one restore.
+func after(revision uint64) uint64 { return vane.VersionOf(1, revision) }
+
+// peerObject returns the record of a node.
+func peerObject(name string, version uint64) vane.Object {
+	return obj(mirror.PeerKey(name), `{"name":"`+name+`","mesh":"1.2.3.4:5"}`, version)
+}
+
+// What was written shortly before a restore is missing in the store until its writers write
+// it again. It stays in force meanwhile, and goes if they don't.
+func TestLostObjectsAreWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	s := mirror.NewState(plainDecoder{})
+	s.Replace(begin, "u/", vane.Batch{Revision: 5, Objects: []vane.Object{obj("u/a", "live", 1), obj("u/b", "live", 4), obj("u/c", "live", 5)}})
+	s.Replace(begin, "r/", vane.Batch{Revision: 8, Objects: []vane.Object{obj("r/s", "v2", 8)}})
+	s.Replace(begin, mirror.NodeStatePrefix, vane.Batch{Revision: 9, Objects: []vane.Object{peerObject("n", 6), peerObject("o", 7)}})
+
+	back := begin.Add(5 * time.Second)
+	s.Replace(back, "u/", vane.Batch{Revision: after(3), Objects: []vane.Object{obj("u/a", "live", after(1))}})
+	s.Replace(back, "r/", vane.Batch{Revision: after(3)})
+	s.Replace(back, mirror.NodeStatePrefix, vane.Batch{Revision: after(3)})
+	is.Equal(len(s.View().Upstreams), 3)
+	is.Equal(len(s.View().Rollouts), 1)
+	is.Equal(len(s.View().Peers), 2)
+
+	s.Apply(back.Add(time.Second), []vane.Object{obj("u/b", "live", after(4)), obj("r/s", "v2", after(5)), peerObject("n", after(6))})
+	s.Tick(back.Add(mirror.RecoveryGrace + time.Millisecond))
+	is.Equal(len(s.View().Upstreams), 2)
+	is.Equal(len(s.View().Rollouts), 1)
+	is.Equal(len(s.View().Peers), 1)
+	s.Apply(back.Add(mirror.RecoveryGrace+time.Second), []vane.Object{removed("r/s", after(7))})
+	is.Equal(len(s.View().Rollouts), 0) // at once after the grace period
+}
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -60,17 +60,18 @@
 	decoded         map[string]decodedObject // decoded values of the objects that are not removed, by key
 	delayedRemovals map[string]vane.Object   // removals that are delayed until the end of the grace period, by key
 	graceEnd        time.Time                // end of the grace period after an outage
-	storeDown       bool                     // the store does not answer
-	ignored         []IgnoredObject          // since the last call of TakeIgnored
-	wallOffset      time.Duration            // wall time minus the time of the clock
-	completeUntil   time.Time                // time at which no change was missing; zero if none is now
-	followsWeights  bool                     // the target weights have been listed, so that further ones are new
+	restored        restored
+	storeDown       bool            // the store does not answer
+	ignored         []IgnoredObject // since the last call of TakeIgnored
+	wallOffset      time.Duration   // wall time minus the time of the clock
+	completeUntil   time.Time       // time at which no change was missing; zero if none is now
+	followsWeights  bool            // the target weights have been listed, so that further ones are new
 	view            *View
 }
 
 // NewState returns an empty state.
 func NewState(dec Decoder) *State {
-	s := &State{dec: dec, objects: make(map[string]vane.Object), decoded: make(map[string]decodedObject), delayedRemovals: make(map[string]vane.Object)}
+	s := &State{dec: dec, objects: make(map[string]vane.Object), decoded: make(map[string]decodedObject), delayedRemovals: make(map[string]vane.Object), restored: newRestored()}
 	s.view = &View{Upstreams: map[string]vane.Upstream{}, Weights: map[string]Weights{}, Peers: map[string]vane.PeerRecord{}, Rollouts: map[string]vane.Rollout{}}
 	return s
 }
@@ -112,6 +113,7 @@
 func (s *State) Replace(now time.Time, prefix string, b vane.Batch) bool {
 	present := make(map[string]bool, len(b.Objects))
 	changed := false
+	s.restored.recordList(now, prefix, b.Revision)
 	for _, o := range b.Objects {
 		present[o.Key] = true
 		changed = s.apply(now, o) || changed
@@ -147,14 +149,15 @@
 // Tick applies delayed removals once the grace period is over. It reports whether the
 // view changed.
 func (s *State) Tick(now time.Time) bool {
-	if len(s.delayedRemovals) == 0 || s.delaysRemovals(now) {
-		return false
-	}
+	changed := false
 	for k, o := range s.delayedRemovals {
-		delete(s.delayedRemovals, k)
-		s.objects[k] = o
+		if !s.delaysRemoval(now, k) {
+			delete(s.delayedRemovals, k)
+			s.objects[k] = o
+			changed = true
+		}
 	}
-	return s.rebuildView(now, true)
+	return s.rebuildView(now, changed)
 }
 
 // Versions holds the newest known version per kind of object that nodes exchange. A
@@ -204,8 +207,17 @@
 	return &v.Config
 }
 
-// delaysRemovals reports whether removals of upstreams are delayed at the moment.
-func (s *State) delaysRemovals(now time.Time) bool { return s.storeDown || now.Before(s.graceEnd) }
+// delaysRemoval reports whether the removal of an object is delayed at the moment, unless it
+// is an upstream that announced its leaving. After a restore, upstreams, nodes and the
+// operator write again what the store has lost.
+func (s *State) delaysRemoval(now time.Time, key string) bool {
+	if strings.HasPrefix(key, s.dec.UpstreamPrefix()) {
+		outage := s.storeDown || now.Before(s.graceEnd) || s.restored.inGrace(now, s.dec.UpstreamPrefix())
+		return outage && !s.isLeaving(s.objects[key])
+	}
+	return strings.HasPrefix(key, s.dec.RolloutPrefix()) && s.restored.inGrace(now, s.dec.RolloutPrefix()) ||
+		strings.HasPrefix(key, peerPrefix) && s.restored.inGrace(now, NodeStatePrefix)
+}
 
 // apply applies one object. It reports whether the stored object changed.
 func (s *State) apply(now time.Time, o vane.Object) bool {
@@ -216,7 +228,7 @@
 		}
 		// The contents are dropped, since other nodes need to know only of the removal.
 		o.Value, o.Status = nil, nil
-		if strings.HasPrefix(o.Key, s.dec.UpstreamPrefix()) && s.delaysRemovals(now) && !s.isLeaving(old) {
+		if s.delaysRemoval(now, o.Key) {
 			s.delayedRemovals[o.Key] = o
 			return false
 		}
