mirror: an entry from the copy does not bring back an upstream that left

One that has announced its leaving or is gone since stands there as ready until it is written again or lapses (three heartbeats), and got requests again.

Such an entry is held back if it shows the same start of the upstream, until it is written again or 5 s have passed. TestLeavingUpstreamComesBackWithTheCopy fails without it in three rows.

--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -1,20 +1,37 @@
 package mirror
 
 import (
+	"strings"
 	"time"
 
 	vane "mustardvane.org/vane"
 )
 
-// restored keeps track of the lists that show that the store has come back from a copy.
+// RestoredEntryHold is how long after a restore an entry that may come from the copy does
+// not count against later knowledge. The store removes the entry of an upstream that is
+// gone after three heartbeats of 1.2 s.
+const RestoredEntryHold = 5 * time.Second
+
+// restored keeps track of what follows when the store comes back from a copy.
 type restored struct {
-	restores map[string]uint64    // number of restores at the last list, by prefix
-	graceEnd map[string]time.Time // end of the grace period after the last restore, by prefix
+	restores map[string]uint64     // number of restores at the last list, by prefix
+	graceEnd map[string]time.Time  // end of the grace period after the last restore, by prefix
+	gone     map[string]uint64     // incarnation of each upstream that was removed, by key
+	held     map[string]heldObject // entries of upstreams that are held back, by key
+}
+
+// heldObject is an object that does not count before a time.
+type heldObject struct {
+	object vane.Object
+	until  time.Time
 }
 
 // newRestored returns a restored without lists.
 func newRestored() restored {
-	return restored{restores: make(map[string]uint64), graceEnd: make(map[string]time.Time)}
+	return restored{
+		restores: make(map[string]uint64), graceEnd: make(map[string]time.Time),
+		gone: make(map[string]uint64), held: make(map[string]heldObject),
+	}
 }
 
 // recordList records the version of a list of the objects under the prefix. The first one
@@ -30,3 +47,62 @@
 // inGrace reports whether objects under the prefix may be missing because the store has
 // lost them.
 func (r *restored) inGrace(now time.Time, prefix string) bool { return now.Before(r.graceEnd[prefix]) }
+
+// dropMissing drops the entries under the prefix that are held back and not present in a
+// list.
+func (r *restored) dropMissing(prefix string, present map[string]bool) {
+	for k := range r.held {
+		if strings.HasPrefix(k, prefix) && !present[k] {
+			delete(r.held, k)
+		}
+	}
+}
+
+// recordRemoval records which upstream is gone with the removal of an object.
+func (s *State) recordRemoval(old vane.Object) {
+	if u, ok := s.upstream(old); ok {
+		s.restored.gone[old.Key] = u.Incarnation
+	}
+}
+
+// holdsBack reports whether an object is held back: it shows an upstream in service that
+// was known before a restore to be leaving or gone, and may come from the copy. The object
+// counts if it is written again, or after [RestoredEntryHold].
+func (s *State) holdsBack(now time.Time, o vane.Object) bool {
+	if h, ok := s.restored.held[o.Key]; ok {
+		if o.Version > h.object.Version {
+			delete(s.restored.held, o.Key)
+			return false
+		}
+		return !o.Deleted
+	}
+	u, ok := s.upstream(o)
+	old := s.objects[o.Key]
+	if !ok || u.State == vane.UpstreamLeaving || vane.RestoresOf(o.Version) <= vane.RestoresOf(old.Version) {
+		return false
+	}
+	if left, ok := s.leftIncarnation(old); !ok || left != u.Incarnation {
+		return false
+	}
+	s.restored.held[o.Key] = heldObject{o, now.Add(RestoredEntryHold)}
+	return true
+}
+
+// leftIncarnation returns the incarnation of an upstream that is leaving or gone by its known
+// entry. It returns false for other objects.
+func (s *State) leftIncarnation(known vane.Object) (uint64, bool) {
+	if known.Deleted {
+		n, ok := s.restored.gone[known.Key]
+		return n, ok
+	}
+	u, ok := s.upstream(known)
+	return u.Incarnation, ok && u.State == vane.UpstreamLeaving
+}
+
+// upstream decodes the entry of an upstream. It returns false for other objects.
+func (s *State) upstream(o vane.Object) (vane.Upstream, bool) {
+	if o.Deleted || !strings.HasPrefix(o.Key, s.dec.UpstreamPrefix()) {
+		return vane.Upstream{}, false
+	}
+	return s.dec.Upstream(o)
+}
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -43,3 +43,55 @@
 	s.Apply(back.Add(mirror.RecoveryGrace+time.Second), []vane.Object{removed("r/s", after(7))})
 	is.Equal(len(s.View().Rollouts), 0) // at once after the grace period
 }
+
+// An entry that comes back with the copy does not bring back an upstream that is known to
+// leave or to be gone, unless it is written again or outlasts the store's own check.
+func TestLeavingUpstreamComesBackWithTheCopy(t *testing.T) {
+	back := begin.Add(5 * time.Second)
+	soon, late := back.Add(time.Second), back.Add(mirror.RestoredEntryHold+time.Millisecond)
+	list := func(value string) vane.Batch {
+		return vane.Batch{Revision: after(3), Objects: []vane.Object{obj("u/a", value, after(3))}}
+	}
+	for _, tt := range []struct {
+		name   string
+		known  []vane.Object // after the first entry
+		listed string        // entry in the first list after the restore
+		then   func(s *mirror.State)
+		live   bool
+	}{
+		{"gone", []vane.Object{removed("u/a", 4)}, "live 7", func(*mirror.State) {}, false},
+		{"leaving", []vane.Object{obj("u/a", "leaving 7", 4)}, "live 7", func(*mirror.State) {}, false},
+		{"another incarnation", []vane.Object{removed("u/a", 4)}, "live 8", func(*mirror.State) {}, true},
+		{"not known to leave", nil, "live 7", func(*mirror.State) {}, true},
+		{"written again", []vane.Object{removed("u/a", 4)}, "live 7", func(s *mirror.State) {
+			s.Apply(soon, []vane.Object{obj("u/a", "live 7", after(4))})
+		}, true},
+		{"told by another node", []vane.Object{removed("u/a", 4)}, "live 7", func(s *mirror.State) {
+			s.Apply(soon, []vane.Object{obj("u/a", "live 7", after(3))})
+		}, false},
+		{"still there later", []vane.Object{removed("u/a", 4)}, "live 7", func(s *mirror.State) { s.Tick(late) }, true},
+		{"removal told by another node", []vane.Object{removed("u/a", 4)}, "live 7", func(s *mirror.State) {
+			s.Apply(soon, []vane.Object{removed("u/a", 4)})
+			s.Tick(late)
+		}, true},
+		{"removed", []vane.Object{removed("u/a", 4)}, "live 7", func(s *mirror.State) {
+			s.Apply(soon, []vane.Object{removed("u/a", after(4))})
+			s.Tick(late)
+		}, false},
+		{"not in a later list", []vane.Object{removed("u/a", 4)}, "live 7", func(s *mirror.State) {
+			s.Replace(soon, "u/", vane.Batch{Revision: after(4)})
+			s.Tick(late)
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := mirror.NewState(plainDecoder{})
+			s.Replace(begin, "u/", vane.Batch{Revision: 3, Objects: []vane.Object{obj("u/a", "live 7", 3)}})
+			s.Apply(begin, tt.known)
+			s.Replace(back, "u/", list(tt.listed))
+			tt.then(s)
+			u, ok := s.View().Upstreams["a"]
+			is.Equal(ok && u.State == vane.UpstreamLive, tt.live)
+		})
+	}
+}
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -118,6 +118,7 @@
 		present[o.Key] = true
 		changed = s.apply(now, o) || changed
 	}
+	s.restored.dropMissing(prefix, present)
 	if prefix == s.dec.WeightsPrefix() {
 		defer func() { s.followsWeights = true }()
 	}
@@ -153,10 +154,18 @@
 	for k, o := range s.delayedRemovals {
 		if !s.delaysRemoval(now, k) {
 			delete(s.delayedRemovals, k)
+			s.recordRemoval(s.objects[k])
 			s.objects[k] = o
 			changed = true
 		}
 	}
+	for k, h := range s.restored.held {
+		if !now.Before(h.until) {
+			delete(s.restored.held, k)
+			s.objects[k] = h.object
+			changed = true
+		}
+	}
 	return s.rebuildView(now, changed)
 }
 
@@ -189,6 +198,9 @@
 		newest := s.versionFor(&v, k)
 		*newest = max(*newest, o.Version)
 	}
+	for _, h := range s.restored.held {
+		v.Upstreams = max(v.Upstreams, h.object.Version)
+	}
 	return v
 }
 
@@ -222,6 +234,9 @@
 // apply applies one object. It reports whether the stored object changed.
 func (s *State) apply(now time.Time, o vane.Object) bool {
 	old, ok := s.objects[o.Key]
+	if s.holdsBack(now, o) {
+		return false
+	}
 	if o.Deleted {
 		if !ok || old.Deleted || o.Version < old.Version {
 			return false
@@ -233,6 +248,7 @@
 			return false
 		}
 		delete(s.delayedRemovals, o.Key)
+		s.recordRemoval(old)
 		s.objects[o.Key] = o
 		return true
 	}
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,8 +15,9 @@
 
 var begin = time.Unix(9000, 0)
 
-// plainDecoder decodes plain strings. An upstream's value is its state. For other
-// kinds, the length of the value is the version or number.
+// plainDecoder decodes plain strings. An upstream's value is its state, with its
+// incarnation as a second word if that is not zero. For other kinds, the length of the
+// value is the version or number.
 type plainDecoder struct{}
 
 func (plainDecoder) ConfigPrefix() string   { return "c/" }
@@ -29,7 +31,9 @@
 
 func (plainDecoder) Upstream(o vane.Object) (vane.Upstream, bool) {
 	u := vane.Upstream{Name: strings.TrimPrefix(o.Key, "u/")}
-	if string(o.Value) == "leaving" {
+	state, incarnation, _ := strings.Cut(string(o.Value), " ")
+	u.Incarnation, _ = strconv.ParseUint(incarnation, 10, 64)
+	if state == "leaving" {
 		u.State = vane.UpstreamLeaving
 	}
 	return u, string(o.Value) != "junk"
