edge: a roll-out does not begin again before its record is seen

Found with the test of the next change: after the end of a roll-out was recorded, any change of the view before the record itself came back through the watch made the holder of the lease begin the roll-out again, with the small share, until the record arrived.

Cause: the view's older state was taken for a new order. Only one with a higher version is.

TestEndedRolloutBeginsAgain: its first row failed before.

--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -44,6 +44,12 @@
 	return r.Target + "/" + strconv.FormatInt(r.Duration.Milliseconds(), 10)
 }
 
+// orderedAgain reports whether an order that a node knows to have ended was given again,
+// by its recorded state.
+func orderedAgain(known, r vane.Rollout) bool {
+	return known.Ended() && !r.Ended() && r.Revision > known.Revision
+}
+
 // update takes the roll-outs of the view. It runs on each change of the view, so that an
 // upstream of the new release never gets more than its share.
 func (o *rollouts) update(now time.Time, v *mirror.View) {
@@ -56,7 +62,7 @@
 	}
 	for service, r := range v.Rollouts {
 		t, ok := o.trackers[service]
-		if ok && orderID(t.Rollout()) == orderID(r) && (!t.Rollout().Ended() || r.Ended()) {
+		if ok && orderID(t.Rollout()) == orderID(r) && !orderedAgain(t.Rollout(), r) {
 			t.SetRollout(now, r)
 			continue
 		}
