rollout: an end that the store has lost is recorded again

The known end now stays in force, and the holder of the lease records it again. TestEndedRolloutBeginsAgain: its rows 'lost' and 'lost with the order' fail without the change.

--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -45,9 +45,9 @@
 }
 
 // orderedAgain reports whether an order that a node knows to have ended was given again,
-// by its recorded state.
+// by its recorded state. After a restore, a state from before the end comes from the copy.
 func orderedAgain(known, r vane.Rollout) bool {
-	return known.Ended() && !r.Ended() && r.Revision > known.Revision
+	return known.Ended() && !r.Ended() && r.Revision > known.Revision && vane.RestoresOf(r.Revision) == vane.RestoresOf(known.Revision)
 }
 
 // update takes the roll-outs of the view. It runs on each change of the view, so that an
@@ -195,10 +195,10 @@
 	}
 	var due []vane.Rollout
 	for service, t := range o.trackers {
-		if !holds || t.Rollout().Ended() {
+		if !holds {
 			continue
 		}
-		if t.Decide(now, fence) {
+		if !t.Rollout().Ended() && t.Decide(now, fence) {
 			o.logStage(now, "rollout stage", t, "decided")
 			o.node.mesh.SendNow()
 		}
--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -12,8 +12,8 @@
 	"mustardvane.org/vane/sched"
 )
 
-// A roll-out whose end was recorded does not begin again while the view is older than the
-// record. One that is ordered again does.
+// A roll-out whose recorded end the store has lost does not begin again; its end is recorded
+// again. One that is ordered again does begin again.
 func TestEndedRolloutBeginsAgain(t *testing.T) {
 	order := vane.Rollout{Service: "s", Target: "v2", Duration: 10 * time.Second}
 	at := func(version uint64, s vane.RolloutState) vane.Rollout {
@@ -31,6 +31,8 @@
 		{"a view from before the record", at(19, vane.RolloutRunning), vane.RolloutCompleted, false},
 		{"recorded", at(ended, vane.RolloutCompleted), vane.RolloutCompleted, false},
 		{"ordered again", at(21, vane.RolloutRequested), vane.RolloutRequested, true},
+		{"lost", at(vane.VersionOf(1, 12), vane.RolloutRunning), vane.RolloutCompleted, true},
+		{"lost with the order", at(vane.VersionOf(1, 25), vane.RolloutRequested), vane.RolloutCompleted, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -69,6 +69,7 @@
 	comparison *canary.Comparison
 	oldResults int
 
+	endLost    bool // the store shows a state from before the recorded end
 	stage      canary.Stage
 	since      time.Time // time at which the stage began
 	goodBefore int       // good results when the stage began
@@ -93,11 +94,15 @@
 func (t *Tracker) Rollout() vane.Rollout { return t.rollout }
 
 // SetRollout takes the recorded state. An end that is recorded ends the move, whatever
-// the stage.
+// the stage. It is to be recorded again if the store has lost it.
 func (t *Tracker) SetRollout(now time.Time, r vane.Rollout) {
 	if r.Revision < t.rollout.Revision {
 		return
 	}
+	if t.endLost = t.rollout.Ended() && !r.Ended(); t.endLost {
+		t.rollout.Revision = r.Revision
+		return
+	}
 	t.rollout = r
 	switch r.State {
 	case vane.RolloutRolledBack:
@@ -218,7 +223,7 @@
 	want := vane.RolloutRunning
 	switch {
 	case t.rollout.Ended():
-		return vane.Rollout{}, false
+		return t.rollout, t.endLost
 	case t.stage == canary.StageRolledBack:
 		want = vane.RolloutRolledBack
 	case t.stage == canary.StageDone && (oldInFlight == 0 || now.Sub(t.learned).Seconds() > completeDeadline*t.rollout.Duration.Seconds()):
