soak: the store comes back from a copy

In the new fault 'store restored' the store is away for a moment and comes back from a copy of up to 2.5 s before; operator and upstreams write again what they wrote since. Each configuration has a route of its own, and after the last fault all nodes must serve the last one within 12 s.

--- a/soak/check.go
+++ b/soak/check.go
@@ -1,13 +1,18 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"mustardvane.org/vane/platform/stand"
 )
 
+// configPollInterval is the time between two requests that ask for the last configuration.
+const configPollInterval = 50 * time.Millisecond
+
 // Violation is a failed check.
 type Violation struct {
 	Check   string // name of the check
@@ -58,6 +63,43 @@
 	return out
 }
 
+// checkConfig checks that the last configuration comes into force on all nodes.
+func (b *testbed) checkConfig(ctx context.Context) {
+	b.mu.Lock()
+	version := b.configVersion
+	b.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, configLimit)
+	defer cancel()
+	for _, n := range b.nodes {
+		for !n.servesVersion(ctx, version) {
+			if ctx.Err() != nil {
+				b.addViolation("configuration", n.name, "version %d is not in force %s after the last fault", version, configLimit)
+				break
+			}
+			sleep(ctx, configPollInterval)
+		}
+	}
+}
+
+// servesVersion reports whether a node has the route that only the configuration of the
+// version has.
+func (n *node) servesVersion(ctx context.Context, version int) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.callers()+stand.RoutePath(version)+"x", nil)
+	if err != nil {
+		return false
+	}
+	req.Host = stand.Host
+	for name, v := range stand.CallerHeaders(fmt.Sprintf("config-%d", version), stand.KeyA, deadlineMS) {
+		req.Header.Set(name, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode != http.StatusNotFound && resp.StatusCode != http.StatusServiceUnavailable
+}
+
 // promisesNotRun reports whether a status promises that the request has not run.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -3,8 +3,8 @@
 //
 // Faults are injected from outside the processes: proxies on the loopback interface
 // delay, drop, reset or refuse connections to the store and to upstreams; signals stop,
-// pause and kill nodes, which are then restarted; the store refuses requests, is slow or
-// loses responses; upstreams respond without a length, break off or do not end; the
+// pause and kill nodes, which are then restarted; the store refuses requests, is slow,
+// loses responses or comes back from a copy; upstreams respond without a length, break off or do not end; the
 // configuration and the target weights change. Faults overlap.
 //
 // # Usage
@@ -22,6 +22,7 @@
 //   - A successful response is complete and belongs to its request.
 //   - A stream has each event once and in order, or ends with an error.
 //   - No upstream receives a caller's key, or a workspace other than the caller's.
+//   - The last configuration comes into force on all nodes after the last fault.
 //   - A node that is stopped as planned (SIGTERM) ends with exit code 0 within 20 s.
 //
 // That a planned stop breaks off no request is checked in package edge, where no other
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -81,6 +81,14 @@
 		sleep(ctx, d)
 		b.store.SetFaults(stand.Faults{})
 	}},
+	{"store restored", func(ctx context.Context, b *testbed, _ *sync.Mutex, _ *node, _ int, d time.Duration) {
+		c := b.store.Copy()
+		sleep(ctx, d)
+		b.store.SetFaults(stand.Faults{Unavailable: true})
+		sleep(ctx, d/4)
+		b.restoreStore(c)
+		b.store.SetFaults(stand.Faults{})
+	}},
 	{"configuration", func(_ context.Context, b *testbed, _ *sync.Mutex, _ *node, _ int, _ time.Duration) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -118,6 +126,21 @@
 	}
 }
 
+// restoreStore takes the store back to a copy. The operator and the upstreams then write
+// again what they wrote since.
+func (b *testbed) restoreStore(c stand.Copy) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	had := b.store.Restore(c)
+	for _, kind := range []string{"config", "versions", "servers"} {
+		for name, spec := range had.Specs(kind) {
+			if err := b.store.Put(kind, name, spec); err != nil {
+				b.violations = append(b.violations, Violation{Check: "soak", Request: kind + "/" + name, Detail: err.Error()})
+			}
+		}
+	}
+}
+
 // restart starts a node again after its process has ended, and waits until it listens.
 func (b *testbed) restart(n *node) {
 	err := n.start()
--- a/soak/node.go
+++ b/soak/node.go
@@ -73,6 +73,9 @@
 	return ports, nil
 }
 
+// callers returns the address at which the node serves callers.
+func (n *node) callers() string { return fmt.Sprintf("127.0.0.1:%d", n.ports[0]) }
+
 // directory returns the address at which the node serves its directory.
 func (n *node) directory() string { return fmt.Sprintf("127.0.0.1:%d", n.ports[2]) }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -21,6 +21,7 @@
 	warmUp           = 1500 * time.Millisecond // time before the first fault
 	maxFaultInterval = 500 * time.Millisecond  // maximum time between the starts of two faults
 	maxFaultDuration = 2500 * time.Millisecond
+	configLimit      = 12 * time.Second // time after the last fault within which the last configuration is in force
 )
 
 // Options are the parameters of a soak.
@@ -73,6 +74,7 @@
 	b.injectFaults(ctx)
 	stop()
 	wg.Wait()
+	b.checkConfig(ctx)
 	for _, n := range b.nodes {
 		if err := n.stop(); err != nil {
 			b.addViolation("planned stop", n.name, "process ended with %v", err)
