mirror: the return of a silent store is noticed soon

Cause: the watches that the nodes sent at 15.4 to 15.7 s, while the store was silent, were waited for until 18.0 to 18.3 s; a watch is given 2.6 s. Class of fault: a probe that waits for longer than what it probes for may take.

While calls under a prefix fail, the node now polls there (answers at once, given up after 0.6 s), and watches that were sent in an outage are sent again at its end. TestReturnOfASilentStoreIsNoticedLate fails without the polls; TestWatchFromAnOutageIsInterrupted is new with the interruption.

--- a/mirror/service.go
+++ b/mirror/service.go
@@ -22,6 +22,8 @@
 type Store interface {
 	List(ctx context.Context, prefix string) (vane.Batch, error)
 	Watch(ctx context.Context, prefix string, after uint64) (vane.Batch, error)
+	// Poll is like Watch, but does not wait for changes.
+	Poll(ctx context.Context, prefix string, after uint64) (vane.Batch, error)
 	// WatchRelaxed is like Watch, but may return changes some seconds late, at less
 	// cost.
 	WatchRelaxed(ctx context.Context, prefix string, after uint64) (vane.Batch, error)
@@ -38,7 +40,8 @@
 	state        *State
 	failingSince map[string]time.Time // time of the first of the consecutive failed calls, by prefix
 	contact      contact
-	lastAnswer   time.Time // last answer of the store; zero if there was none
+	lastAnswer   time.Time     // last answer of the store; zero if there was none
+	returned     chan struct{} // closed and replaced when the store is back after an outage
 }
 
 // Option configures a service in [NewService].
@@ -71,7 +74,7 @@
 func NewService(st Store, dec Decoder, opts ...Option) *Service {
 	s := &Service{
 		store: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, watchPolicy: func(string) WatchPolicy { return defaultWatchPolicy },
-		failingSince: make(map[string]time.Time), contact: newContact(),
+		failingSince: make(map[string]time.Time), contact: newContact(), returned: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(s)
@@ -183,7 +186,10 @@
 		if rev == 0 {
 			rev, err = s.list(ctx, prefix)
 		} else {
-			rev, err = s.watch(ctx, prefix, rev)
+			var interrupted bool
+			if rev, interrupted, err = s.watch(ctx, prefix, rev); interrupted {
+				continue
+			}
 		}
 		s.recordResult(prefix, err)
 		if err == nil {
@@ -210,14 +216,32 @@
 }
 
 // watch waits for one batch of changes. It returns the revision from which to continue.
-func (s *Service) watch(ctx context.Context, prefix string, rev uint64) (uint64, error) {
+// While calls fail it does not wait, so that the end of an outage is noticed soon. It is
+// interrupted then, since a call that was sent during the outage may never be answered.
+func (s *Service) watch(ctx context.Context, prefix string, rev uint64) (next uint64, interrupted bool, err error) {
+	s.mu.Lock()
+	returned := s.returned
+	_, failing := s.failingSince[prefix]
+	s.mu.Unlock()
 	watch, policy := s.store.Watch, s.watchPolicy(prefix)
-	if policy.Relaxed {
+	switch {
+	case policy.Relaxed:
 		watch = s.store.WatchRelaxed
+	case failing:
+		watch = s.store.Poll
 	}
-	b, err := watch(ctx, prefix, rev)
+	wctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-returned:
+			cancel()
+		case <-wctx.Done():
+		}
+	}()
+	b, err := watch(wctx, prefix, rev)
 	if err != nil {
-		return rev, err
+		return rev, wctx.Err() != nil && ctx.Err() == nil, err
 	}
 	s.updateFromStore(prefix, func(now time.Time) bool { return len(b.Objects) > 0 && s.state.Apply(now, b.Objects) })
 	if len(b.Objects) > 0 {
@@ -225,7 +249,7 @@
 			clock.Sleep(ctx, clock.Jitter(policy.BatchWindow)) // jitter spreads the load of the nodes on the store
 		}
 	}
-	return max(rev, b.Revision), nil
+	return max(rev, b.Revision), false, nil
 }
 
 // recordResult records whether a call for the prefix succeeded.
@@ -255,6 +279,10 @@
 		}
 	}
 	if down := s.state.storeDown; down != wasDown {
+		if !down {
+			close(s.returned)
+			s.returned = make(chan struct{})
+		}
 		s.log.Info("store reachable", "reachable", !down, "last_answer_age_ms", now.Sub(s.lastAnswer).Milliseconds())
 	}
 }
--- a/store/client.go
+++ b/store/client.go
@@ -23,6 +23,7 @@
 	defaultWatchWait = 2 * time.Second        // how long the platform holds a watch without a change
 	dialTimeout      = 500 * time.Millisecond // ten times the time of a slow response of the platform
 	watchSlack       = 600 * time.Millisecond // added to a watch's wait for the client's time limit; a slow platform needs half of it
+	pollWait         = 10 * time.Millisecond  // how long the platform holds a poll without a change
 	relaxedWatchWait = 15 * time.Second       // how long the platform holds a relaxed watch without a change; below the platform's limit
 	maxValueBytes    = 1 << 20                // largest value of one object
 	maxHeadBytes     = 32 << 10               // longest response head, with interim responses
@@ -307,6 +308,11 @@
 	return c.watchOnce(ctx, prefix, after, relaxedWatchWait, true)
 }
 
+// Poll is like Watch, but hardly waits. It shows soon whether the platform answers again.
+func (c *Client) Poll(ctx context.Context, prefix string, after uint64) (vane.Batch, error) {
+	return c.watchOnce(ctx, prefix, after, pollWait, false)
+}
+
 // watchOnce waits for one batch of changes.
 func (c *Client) watchOnce(ctx context.Context, prefix string, after uint64, wait time.Duration, relaxed bool) (vane.Batch, error) {
 	if c.outdated(after) {
