mesh: a restarted node is heard although its record arrived first

A node that restarts counts its messages from one again. If its new record came from the store before its first message, its boot number was taken over and the number of the last message was not, so its messages were ignored until they exceeded that: up to minutes after a long run. Who does not hear a node leaves it out of the directory and counts its requests for quotas late.

TestRestartedNodeIsNotHeardAfterItsRecord failed before.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -101,7 +101,7 @@
 			m.peers[name] = p
 		}
 		if r.Boot > p.Boot {
-			p.knownSince = m.now()
+			p.knownSince, p.seq = m.now(), 0
 		}
 		if r.Boot >= p.Boot {
 			p.PeerRecord = r
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -148,6 +148,16 @@
 	is.True(!m.recordSender(begin, &Message{Name: "stranger", Boot: 1, Seq: 1}))
 }
 
+// A node whose record arrives before the first message of its restart is heard at once.
+func TestRestartedNodeIsNotHeardAfterItsRecord(t *testing.T) {
+	is := is.New(t)
+	m := newSite(3)
+	is.True(m.recordSender(begin, &Message{Name: "n1", Boot: 1, Seq: 70}))
+	m.SetPeers(map[string]vane.PeerRecord{"n1": {Name: "n1", Mesh: "n1:1", Boot: 2}})
+	is.True(m.recordSender(begin, &Message{Name: "n1", Boot: 2, Seq: 1}))
+	is.True(!m.recordSender(begin, &Message{Name: "n1", Boot: 2, Seq: 1}))
+}
+
 func TestAlive(t *testing.T) {
 	is := is.New(t)
 	m := newSite(7)
