mesh: a node that restarts with an earlier clock is heard

A lower boot number is now taken for a new start once the last one is not alive any more (1.3 s in a small site). Its late messages can't be taken for one: they would have to arrive that late.

TestRestartWithAnEarlierBootNumberIsNotHeard failed before.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -100,12 +100,13 @@
 			p = &Peer{}
 			m.peers[name] = p
 		}
-		if r.Boot > p.Boot {
-			p.knownSince, p.seq = m.now(), 0
+		if r.Boot < p.Boot && m.alive(p, m.now()) {
+			continue
 		}
-		if r.Boot >= p.Boot {
-			p.PeerRecord = r
+		if r.Boot != p.Boot {
+			p.knownSince, p.seq = m.now(), 0
 		}
+		p.PeerRecord = r
 	}
 	for name, p := range m.peers {
 		if _, ok := records[name]; !ok && !m.alive(p, m.now()) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -158,6 +158,24 @@
 	is.True(!m.recordSender(begin, &Message{Name: "n1", Boot: 2, Seq: 1}))
 }
 
+// A node that restarts after its clock was set back is heard once its earlier start is not
+// alive any more.
+func TestRestartWithAnEarlierBootNumberIsNotHeard(t *testing.T) {
+	is := is.New(t)
+	m := newSite(3)
+	begin := time.Now()
+	m.now = func() time.Time { return begin }
+	is.True(m.recordSender(begin, &Message{Name: "n1", Boot: 10, Seq: 70}))
+	is.True(!m.recordSender(begin.Add(aliveTimeout/2), &Message{Name: "n1", Boot: 4, Seq: 1}))
+	later := begin.Add(aliveTimeout)
+	m.now = func() time.Time { return later }
+	m.SetPeers(map[string]vane.PeerRecord{"n1": {Name: "n1", Mesh: "new:1", Boot: 4}})
+	is.True(m.recordSender(later, &Message{Name: "n1", Boot: 4, Seq: 2}))
+	is.True(!m.recordSender(later, &Message{Name: "n1", Boot: 4, Seq: 2}))
+	is.Equal(m.peers["n1"].Mesh, "new:1")
+	is.True(m.alive(m.peers["n1"], later))
+}
+
 func TestAlive(t *testing.T) {
 	is := is.New(t)
 	m := newSite(7)
--- a/mesh/post.go
+++ b/mesh/post.go
@@ -195,16 +195,18 @@
 }
 
 // recordSender updates the sender's state. It returns false for a message of an unknown
-// node and for one that is not newer than the last.
+// node and for one that is not newer than the last. A lower boot number than the last is
+// that of a node whose clock was set back before it restarted, if the last start is not
+// alive any more.
 func (m *Mesh) recordSender(now time.Time, msg *Message) bool {
 	known := m.Versions() // before locking, since Versions may call back into the mesh
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, ok := m.peers[msg.Name]
-	if !ok || msg.Boot < p.Boot || msg.Boot == p.Boot && msg.Seq <= p.seq {
+	if !ok || msg.Boot < p.Boot && m.alive(p, now) || msg.Boot == p.Boot && msg.Seq <= p.seq {
 		return false
 	}
-	if msg.Boot > p.Boot {
+	if msg.Boot != p.Boot {
 		p.Boot, p.knownSince = msg.Boot, now
 	}
 	if !m.alive(p, now) {
