retry: steps of the wall clock do not move the retry window

They are counted by the time since the first call, which time.Time measures on the steady clock. There is no test that fails without it: a test can't set the wall clock of its process.

--- a/retry/window.go
+++ b/retry/window.go
@@ -19,7 +19,8 @@
 	share   float64 // retries for each request
 	slack   float64 // retries in a window without requests
 	slots   [windowSlots]counts
-	current int64 // number of the newest slot since the Unix epoch
+	origin  time.Time // time of the first call, from which slots are counted so that steps of the wall clock don't matter
+	current int64     // number of the newest slot
 }
 
 // counts are the numbers of requests and retries in one slot.
@@ -66,7 +67,10 @@
 // slot returns the slot of now and resets those that have left the window. The
 // caller holds w.mu.
 func (w *Window) slot(now time.Time) *counts {
-	n := now.UnixNano() / int64(w.slotLength)
+	if w.origin.IsZero() {
+		w.origin = now
+	}
+	n := int64(now.Sub(w.origin) / w.slotLength)
 	if n > w.current+windowSlots {
 		w.current = n - windowSlots
 	}
