--- a/soak/faults.go
+++ b/soak/faults.go
@@ -84,19 +84,15 @@
 	{"store restored", func(ctx context.Context, b *testbed, _ *sync.Mutex, _ *node, _ int, d time.Duration) {
 		c := b.store.Copy()
 		sleep(ctx, d)
+		b.configure()
+		sleep(ctx, learnTime)
 		b.store.SetFaults(stand.Faults{Unavailable: true})
 		sleep(ctx, d/4)
 		b.restoreStore(c)
 		b.store.SetFaults(stand.Faults{})
+		b.configure()
 	}},
-	{"configuration", func(_ context.Context, b *testbed, _ *sync.Mutex, _ *node, _ int, _ time.Duration) {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.configVersion += 3
-		if err := b.store.Put("config", "main", stand.Config(b.configVersion)); err != nil {
-			b.violations = append(b.violations, Violation{Check: "soak", Request: "configuration", Detail: err.Error()})
-		}
-	}},
+	{"configuration", func(_ context.Context, b *testbed, _ *sync.Mutex, _ *node, _ int, _ time.Duration) { b.configure() }},
 	{"weights", func(_ context.Context, b *testbed, _ *sync.Mutex, _ *node, _ int, _ time.Duration) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -126,6 +122,19 @@
 	}
 }
 
+// learnTime is the time within which most nodes learn of a configuration.
+const learnTime = 200 * time.Millisecond
+
+// configure writes the next configuration.
+func (b *testbed) configure() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.configVersion += 3
+	if err := b.store.Put("config", "main", stand.Config(b.configVersion)); err != nil {
+		b.violations = append(b.violations, Violation{Check: "soak", Request: "configuration", Detail: err.Error()})
+	}
+}
+
 // restoreStore takes the store back to a copy. The operator and the upstreams then write
 // again what they wrote since.
 func (b *testbed) restoreStore(c stand.Copy) {
