sched: an unproven release gets its share also without the old one

Cause: without an upstream on its side a request went to the other one, whatever was known of it. Class of fault: what is not known is treated as good.

--- a/sched/release.go
+++ b/sched/release.go
@@ -35,7 +35,8 @@
 
 // releaseFilter returns the filter for a request. The choice is made by a hash of the
 // request ID, so that all attempts at all nodes agree. If the chosen side has no upstream
-// in service, the other one is used, unless it is faulty. The caller must hold p.mu.
+// in service, the other one is used, unless it is faulty or has not yet shown that it may
+// get half of the requests. The caller must hold p.mu.
 func (p *Placer) releaseFilter(now time.Time, q Query, target mirror.Weights) releaseFilter {
 	s, ok := p.releases[q.Service]
 	if !ok {
@@ -51,9 +52,16 @@
 			return f
 		}
 	}
+	if !draw && s.Share < minProvenShare {
+		return f
+	}
 	return releaseFilter{}
 }
 
+// minProvenShare is the share from which on a release may get requests for want of other
+// upstreams.
+const minProvenShare = 0.5
+
 // InFlightElsewhere returns the number of requests that all nodes have in flight at
 // upstreams of the service with other releases.
 func (p *Placer) InFlightElsewhere(service, release string) int {
