canary: the old version's times are those of its latest results

First cause: the 0.9 quantile of the old release fell by 0.5 % with each result. After the crash it had risen to 140 ms, and needed some 300 results to come down. It is now that of the latest 100 results.

TestSlowVersionAfterADisturbanceOfTheOldOne failed before.

--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -240,3 +240,23 @@
 	_, ok := back.Next(time.Hour, 1000)
 	is.True(!ok) // a rollback is permanent
 }
+
+// After a disturbance of the old version, a slow new version is found by what the old one
+// needs now.
+func TestSlowVersionAfterADisturbanceOfTheOldOne(t *testing.T) {
+	is := is.New(t)
+	c := canary.NewComparison("v1", "v2")
+	old := func(n int, gap time.Duration) {
+		for range n {
+			c.Add(canary.Sample{Version: "v1", Route: "r", TokenGap: gap})
+		}
+	}
+	old(100, 25*time.Millisecond)
+	old(100, 130*time.Millisecond)
+	old(100, 25*time.Millisecond)
+	for range 12 {
+		c.Add(canary.Sample{Version: "v2", Route: "r", TokenGap: 80 * time.Millisecond})
+	}
+	_, found := c.Regression()
+	is.True(found)
+}
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -128,11 +128,11 @@
 		return
 	}
 	if s.FirstToken > 0 && c.firstTokenQuantile.n >= minBaselineResults {
-		t.firstToken.add(s.At, s.firstTokenPerToken() > slowFactor*c.firstTokenQuantile.value, expectedSlowFraction, faultySlowFraction)
+		t.firstToken.add(s.At, s.firstTokenPerToken() > slowFactor*c.firstTokenQuantile.value(), expectedSlowFraction, faultySlowFraction)
 		c.checkThreshold(&t.firstToken, slownessThreshold, Regression{vane.ReasonVersionSlowFirstToken, route, 0, expectedSlowFraction})
 	}
 	if s.TokenGap > 0 && c.tokenGapQuantile.n >= minBaselineResults {
-		t.tokenGap.add(s.At, s.TokenGap.Seconds() > slowFactor*c.tokenGapQuantile.value, expectedSlowFraction, faultySlowFraction)
+		t.tokenGap.add(s.At, s.TokenGap.Seconds() > slowFactor*c.tokenGapQuantile.value(), expectedSlowFraction, faultySlowFraction)
 		c.checkThreshold(&t.tokenGap, slownessThreshold, Regression{vane.ReasonVersionSlowTokens, route, 0, expectedSlowFraction})
 	}
 }
--- a/canary/test.go
+++ b/canary/test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -42,27 +43,32 @@
 	c.sum = max(0, c.blockStart+c.blockSteps/float64(c.blockN))
 }
 
-// quantile estimates a high quantile of positive values that change slowly.
+// quantileWindow is the number of latest values of which a quantile is taken. It follows the
+// end of a disturbance within as many results.
+const quantileWindow = 100
+
+// quantileLevel is the level of the quantile.
+const quantileLevel = 0.9
+
+// quantile is a high quantile of the latest positive values.
 type quantile struct {
-	value float64
-	n     int
+	latest [quantileWindow]float64
+	n      int // number of values so far
 }
 
-// Parameters of the quantile estimate.
-const (
-	quantileLevel = 0.9
-	quantileStep  = 0.05 // relative change with each value
-)
-
 // add adds one value.
 func (q *quantile) add(x float64) {
+	q.latest[q.n%quantileWindow] = x
 	q.n++
-	switch {
-	case q.n == 1:
-		q.value = x
-	case x > q.value:
-		q.value *= 1 + quantileStep*quantileLevel
-	default:
-		q.value *= 1 - quantileStep*(1-quantileLevel)
+}
+
+// value returns the quantile, or zero without values.
+func (q *quantile) value() float64 {
+	n := min(q.n, quantileWindow)
+	if n == 0 {
+		return 0
 	}
+	sorted := slices.Clone(q.latest[:n])
+	slices.Sort(sorted)
+	return sorted[min(n-1, int(quantileLevel*float64(n)))]
 }
