rollout: a late roll-out is completed only if it is proven in the half stage

It now needs the results with which the half stage is left; otherwise it is rolled back. TestSlowReleaseIsCompletedAfterACrashOfAll failed before (238 of 774 requests went to a release that fails under load, 127 are allowed). Good releases of TestGoodReleaseIsCompletedInTime: 200 of 200 completed.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -28,7 +28,7 @@
 }
 
 const (
-	rollBackDeadline = 0.88 // a roll-out with too few results by then is rolled back
+	rollBackDeadline = 0.88 // a roll-out that is not proven by then is rolled back
 	completeDeadline = 0.93 // requests that still run at the old release are not waited for any longer
 )
 
@@ -36,10 +36,6 @@
 // stage.
 var minGoodResults = map[canary.Stage]int{canary.StageSmall: 5, canary.StageTenth: 15, canary.StageHalf: 30, canary.StageWatch: 15}
 
-// minTotalGood is the number of successful results of the new release without which a
-// roll-out is rolled back at rollBackDeadline, and with which it goes on.
-const minTotalGood = 20
-
 // minOldResults is the number of results of the old release that are needed before the
 // share grows.
 const minOldResults = 40
@@ -202,10 +198,10 @@
 	passed := now.Sub(t.learned).Seconds() / max(t.rollout.Duration.Seconds(), 1)
 	good := t.comparison.Good() - t.goodBefore
 	switch {
-	case passed > rollBackDeadline && (t.oldResults < minOldResults || t.comparison.Good() < minTotalGood):
-		t.enter(now, canary.StageRolledBack)
-	case passed > rollBackDeadline:
+	case passed > rollBackDeadline && t.proven():
 		t.enter(now, canary.StageDone)
+	case passed > rollBackDeadline:
+		t.enter(now, canary.StageRolledBack)
 	case passed < stageEnds[t.stage], now.Sub(t.since) < t.rollout.Duration/minStages:
 		return false
 	case t.oldResults < minOldResults, good < minGoodResults[t.stage]:
@@ -216,6 +212,13 @@
 	return true
 }
 
+// proven reports whether the new release has had the results in the half stage that are
+// needed to leave it. Up to then times count, which show most faults under load.
+func (t *Tracker) proven() bool {
+	good := t.comparison.Good() - t.goodBefore
+	return t.oldResults >= minOldResults && (t.stage > canary.StageHalf || t.stage == canary.StageHalf && good >= minGoodResults[canary.StageHalf])
+}
+
 // Due returns the roll-out in the state that is to be recorded, and true if it differs
 // from the recorded one. A completed state is due once no requests run at the old
 // release, whose upstreams stop at once, or at the deadline.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -58,6 +58,9 @@
 	order    vane.Rollout // as the store records it
 	storeUp  bool
 	loss     float64 // share of the messages that are lost
+	// All upstreams are down between these times. They take several times as long for as long
+	// afterwards, since their caches are empty.
+	downFrom, downTo time.Time
 
 	requests, exposed, bad int
 	badAt, lastNew         time.Time // time of the bad answer that starts the time limit, and of the last request to the new release
@@ -89,12 +92,18 @@
 	if f.dead[i] {
 		return
 	}
+	if !now.Before(f.downFrom) && now.Before(f.downTo) {
+		return // no upstream accepts the request
+	}
 	f.requests++
 	route := fmt.Sprint("r", f.rnd.IntN(3))
 	uncached := 200 + f.rnd.IntN(8000)
 	s := canary.Sample{Route: route, UncachedTokens: uncached}
 	first := 0.09 + float64(uncached)/90_000 + 0.03*f.rnd.ExpFloat64()
 	gap := 0.022 * (0.6 + f.rnd.Float64() + 0.3*f.rnd.ExpFloat64())
+	if after := now.Sub(f.downTo); after >= 0 && after < f.downTo.Sub(f.downFrom) {
+		first, gap = first*(1+4*f.rnd.Float64()), gap*(1+4*f.rnd.Float64())
+	}
 	a := answer{node: i, Result: rollout.Result{Release: "v1"}}
 	if share := f.nodes[i].Share(now); f.rnd.Float64() < share {
 		f.exposed++
@@ -247,6 +256,25 @@
 	}
 }
 
+// A faulty release is not completed for want of results: after all upstreams were down for
+// some time, there are few, and those of the old release are slow, too.
+func TestSlowReleaseIsCompletedAfterACrashOfAll(t *testing.T) {
+	for _, tt := range faults {
+		for _, down := range []time.Duration{3 * time.Second, 6 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprint(tt.name, " ", down), func(t *testing.T) {
+				is := is.New(t)
+				for seed := range uint64(20) {
+					f := newFleet(seed, 8)
+					f.downFrom, f.downTo = begin.Add(800*time.Millisecond), begin.Add(800*time.Millisecond+down)
+					f.run(&tt.fault, func(time.Time) {})
+					f.check(t)
+					is.True(f.order.State != vane.RolloutCompleted)
+				}
+			})
+		}
+	}
+}
+
 // check checks the bounds that hold whatever happens to the nodes.
 func (f *fleet) check(t *testing.T) {
 	t.Helper()
