canary: slow and unanswered results are no good ones

So a slow release went from stage to stage faster than its slowness was proven.

Such results do not count as good any more; messages between nodes say which were not answered. TestSlowResultsCountAsGood: its second to fourth rows are what changed.

--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -241,6 +241,34 @@
 	is.True(!ok) // a rollback is permanent
 }
 
+// Results that do not show that the new version works as fast as the old one do not count as
+// good ones.
+func TestSlowResultsCountAsGood(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		s    canary.Sample
+		good int
+	}{
+		{"as fast", canary.Sample{FirstToken: 100 * time.Millisecond, TokenGap: 20 * time.Millisecond}, 1},
+		{"slow first token", canary.Sample{FirstToken: 400 * time.Millisecond, TokenGap: 20 * time.Millisecond}, 0},
+		{"slow tokens", canary.Sample{FirstToken: 100 * time.Millisecond, TokenGap: 80 * time.Millisecond}, 0},
+		{"unanswered", canary.Sample{FirstToken: 100 * time.Millisecond, Unanswered: true}, 0},
+		{"failed", canary.Sample{Failed: true}, 0},
+		{"without times", canary.Sample{}, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := canary.NewComparison("v1", "v2")
+			for range 50 {
+				c.Add(canary.Sample{Version: "v1", Route: "r", FirstToken: 100 * time.Millisecond, TokenGap: 20 * time.Millisecond})
+			}
+			tt.s.Version, tt.s.Route = "v2", "r"
+			c.Add(tt.s)
+			is.Equal(c.Good(), tt.good)
+		})
+	}
+}
+
 // After a disturbance of the old version, a slow new version is found by what the old one
 // needs now.
 func TestSlowVersionAfterADisturbanceOfTheOldOne(t *testing.T) {
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -27,6 +27,7 @@
 	Version        string
 	Route          string
 	Failed         bool
+	Unanswered     bool          // the request still waited at its time limit, for FirstToken
 	FirstToken     time.Duration // time to the first token; zero if there was none
 	UncachedTokens int           // prompt tokens that were not in the cache
 	TokenGap       time.Duration // mean time between tokens; zero if unknown
@@ -52,7 +53,7 @@
 	firstTokenQuantile     quantile               // of the old version, in seconds per token of work
 	tokenGapQuantile       quantile               // of the old version, in seconds
 	routes                 map[string]*routeTests // by route; the empty route has the results of all routes
-	good                   int                    // successful results of the new version
+	good                   int                    // successful results of the new version that were not slow
 	results                int                    // all results of the new version
 	regression             *Regression
 }
@@ -105,7 +106,7 @@
 // addNew adds a result of the new version to the tests of its route and of all routes.
 func (c *Comparison) addNew(s Sample) {
 	c.results++
-	if !s.Failed {
+	if !s.Failed && !s.Unanswered && !c.isSlow(s) {
 		c.good++
 	}
 	for _, route := range []string{s.Route, ""} {
@@ -127,16 +128,36 @@
 	if s.Failed {
 		return
 	}
-	if s.FirstToken > 0 && c.firstTokenQuantile.n >= minBaselineResults {
-		t.firstToken.add(s.At, s.firstTokenPerToken() > slowFactor*c.firstTokenQuantile.value(), expectedSlowFraction, faultySlowFraction)
+	if slow, ok := c.slowFirstToken(s); ok {
+		t.firstToken.add(s.At, slow, expectedSlowFraction, faultySlowFraction)
 		c.checkThreshold(&t.firstToken, slownessThreshold, Regression{vane.ReasonVersionSlowFirstToken, route, 0, expectedSlowFraction})
 	}
-	if s.TokenGap > 0 && c.tokenGapQuantile.n >= minBaselineResults {
-		t.tokenGap.add(s.At, s.TokenGap.Seconds() > slowFactor*c.tokenGapQuantile.value(), expectedSlowFraction, faultySlowFraction)
+	if slow, ok := c.slowTokens(s); ok {
+		t.tokenGap.add(s.At, slow, expectedSlowFraction, faultySlowFraction)
 		c.checkThreshold(&t.tokenGap, slownessThreshold, Regression{vane.ReasonVersionSlowTokens, route, 0, expectedSlowFraction})
 	}
 }
 
+// slowFirstToken reports whether the first token took longer than is usual for the old
+// version. It returns false if that can't be said.
+func (c *Comparison) slowFirstToken(s Sample) (slow, ok bool) {
+	ok = s.FirstToken > 0 && c.firstTokenQuantile.n >= minBaselineResults
+	return ok && s.firstTokenPerToken() > slowFactor*c.firstTokenQuantile.value(), ok
+}
+
+// slowTokens is slowFirstToken for the time between tokens.
+func (c *Comparison) slowTokens(s Sample) (slow, ok bool) {
+	ok = s.TokenGap > 0 && c.tokenGapQuantile.n >= minBaselineResults
+	return ok && s.TokenGap.Seconds() > slowFactor*c.tokenGapQuantile.value(), ok
+}
+
+// isSlow reports whether a result took longer than is usual for the old version.
+func (c *Comparison) isSlow(s Sample) bool {
+	first, _ := c.slowFirstToken(s)
+	gap, _ := c.slowTokens(s)
+	return first || gap
+}
+
 // checkThreshold records the regression if the test's sum has reached the threshold
 // and none is recorded yet.
 func (c *Comparison) checkThreshold(test *cusum, threshold float64, r Regression) {
@@ -155,7 +176,8 @@
 	return *c.regression, true
 }
 
-// Good returns the number of successful results of the new version.
+// Good returns the number of successful results of the new version that took no longer than
+// is usual for the old one.
 func (c *Comparison) Good() int { return c.good }
 
 // Results returns the number of results of the new version.
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -92,7 +92,7 @@
 	}
 	if len(o.results) < maxReleaseResults {
 		o.results = append(o.results, mesh.ReleaseResult{
-			Service: service, Release: u.Release, Route: s.Route, Failed: s.Failed, FirstUS: microseconds(s.FirstToken),
+			Service: service, Release: u.Release, Route: s.Route, Failed: s.Failed, Waited: s.Unanswered, FirstUS: microseconds(s.FirstToken),
 			Uncached: uint32(max(0, s.UncachedTokens)), GapUS: microseconds(s.TokenGap),
 		})
 	}
@@ -164,7 +164,7 @@
 	for _, x := range m.ReleaseResults {
 		if t, ok := o.trackers[x.Service]; ok && !t.Rollout().Ended() {
 			o.add(now, t, rollout.Result{Release: x.Release, Sample: canary.Sample{
-				Route: x.Route, Failed: x.Failed, FirstToken: time.Duration(x.FirstUS) * time.Microsecond,
+				Route: x.Route, Failed: x.Failed, Unanswered: x.Waited, FirstToken: time.Duration(x.FirstUS) * time.Microsecond,
 				UncachedTokens: int(x.Uncached), TokenGap: time.Duration(x.GapUS) * time.Microsecond,
 			}})
 		}
--- a/front/result.go
+++ b/front/result.go
@@ -68,7 +68,7 @@
 	case ref.Execution == vane.NotRun, ref.Reason == vane.ReasonCallerGone:
 	case ref.Reason == vane.ReasonQueueDeadline, ref.Reason == vane.ReasonUpstreamSlow:
 		if r.firstAt.IsZero() {
-			r.firstAt, r.lastAt = now, now
+			r.firstAt, r.lastAt, r.sample.Unanswered = now, now, true
 		}
 		if !r.recorded {
 			r.send(false)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -70,6 +70,7 @@
 	Release  string `msgpack:"release"`
 	Route    string `msgpack:"route"`
 	Failed   bool   `msgpack:"failed,omitempty"`
+	Waited   bool   `msgpack:"waited,omitempty"`   // no answer at the time limit; FirstUS is the time until then
 	FirstUS  uint32 `msgpack:"first_us,omitempty"` // time to the first token in microseconds; zero if there was none
 	Uncached uint32 `msgpack:"uncached,omitempty"` // prompt tokens that were not in the cache
 	GapUS    uint32 `msgpack:"gap_us,omitempty"`   // mean time between tokens in microseconds; zero if unknown
