--- a/front/crash.go
+++ b/front/crash.go
@@ -115,22 +115,22 @@
 	return out
 }
 
-// recordCut records the request as a possible cause of a crash, since the upstream broke
-// it off. A request whose answer has begun was not the cause.
+// recordCut records the request as a possible cause of a crash if the upstream, which broke
+// it off, has crashed. A request whose answer has begun was not the cause.
 func (h *Handler) recordCut(t *attempts, u vane.Upstream) {
 	if t.answering {
 		return
 	}
-	h.Crashes.RecordCrash(t.tenancy.Workspace, t.fingerprint, u)
-	if len(t.parts) == 0 {
-		return
-	}
-	id, ws, parts, ids, at := t.meta.ID, t.tenancy.Workspace, t.parts, t.partIDs(), time.Now()
+	id, ws, fp, parts, ids, at := t.meta.ID, t.tenancy.Workspace, t.fingerprint, t.parts, t.partIDs(), time.Now()
 	go func() {
 		crashed := h.crashed(u)
 		h.Log.Info("broken off before the answer", "request_id", id, "workspace", ws, "upstream", u.Name, "incarnation", u.Incarnation,
 			"parts", ids, "hashes", crash.Hashes(parts), "crashed", crashed)
-		if crashed {
+		if !crashed {
+			return
+		}
+		h.Crashes.RecordCrash(ws, fp, u)
+		if len(parts) > 0 {
 			h.Parts.RecordCrash(at, ws, parts, u)
 		}
 	}()
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -44,3 +45,31 @@
 	}
 	is.True(cut.requests.Load()+cut2.requests.Load() > 2)
 }
+
+// A request whose connections were reset by upstreams that go on running is not refused as
+// one that crashes them. One during which their processes ended is.
+func TestResetsCountAsCrashes(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		upstream func(t *testing.T, f responder) *scriptedUpstream
+		refused  bool
+	}{
+		{"reset", newScriptedUpstream, false},
+		{"crash", newCrashingUpstream, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestFront(t, 10, tt.upstream(t, stall(0)), tt.upstream(t, stall(0)))
+			_, _, _, err := b.send(t.Context(), "/safe/x") // reaches both
+			is.NoErr(err)
+			for end := time.Now().Add(5 * time.Second); tt.refused && b.crashes.RefusedCount() == 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			for range 3 {
+				status, _, _, err := b.send(t.Context(), "/safe/x")
+				is.NoErr(err)
+				is.Equal(status == http.StatusUnprocessableEntity, tt.refused)
+			}
+		})
+	}
+}
