--- a/canary/test.go
+++ b/canary/test.go
@@ -50,10 +50,15 @@
 // quantileLevel is the level of the quantile.
 const quantileLevel = 0.9
 
+// quantileRefresh is the number of values after which a quantile is computed again.
+const quantileRefresh = 10
+
 // quantile is a high quantile of the latest positive values.
 type quantile struct {
-	latest [quantileWindow]float64
-	n      int // number of values so far
+	latest   [quantileWindow]float64
+	n        int // number of values so far
+	computed float64
+	at       int // number of values at the computation
 }
 
 // add adds one value.
@@ -62,13 +67,14 @@
 	q.n++
 }
 
-// value returns the quantile, or zero without values.
+// value returns the quantile, without the last few values, or zero without values.
 func (q *quantile) value() float64 {
-	n := min(q.n, quantileWindow)
-	if n == 0 {
-		return 0
+	if q.n == 0 || q.at > 0 && q.n-q.at < quantileRefresh {
+		return q.computed
 	}
+	n := min(q.n, quantileWindow)
 	sorted := slices.Clone(q.latest[:n])
 	slices.Sort(sorted)
-	return sorted[min(n-1, int(quantileLevel*float64(n)))]
+	q.computed, q.at = sorted[int(quantileLevel*float64(n))], q.n
+	return q.computed
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -395,9 +395,8 @@
 // sets its own.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
-// copyHeader copies the headers of a response, except those for one connection. The body
-// must be written as it is if the response states no end of its own: the caller is then
-// told of none either.
+// copyHeader copies the headers of a response, except those for one connection. If the
+// response states no end of its body, dst won't either.
 func copyHeader(dst http.Header, resp *conns.Response) {
 	src := resp.Header
 	for k, v := range src {
--- a/soak/check.go
+++ b/soak/check.go
@@ -53,7 +53,7 @@
 		if promisesNotRun(r.status) && r.kind == unsafe && len(ran) > 0 {
 			add("not run", r.id, "status %d promises that it did not run, but it ran at %s", r.status, ran[0].Server)
 		}
-		if r.status == http.StatusOK && r.err == nil && !looksAsItIs(r) {
+		if r.status == http.StatusOK && r.err == nil && !endsAsStated(r) {
 			add("whole", r.id, "got %q", r.body)
 		}
 		if r.status == http.StatusUnauthorized || r.status == http.StatusNotFound {
@@ -109,10 +109,10 @@
 	return false
 }
 
-// looksAsItIs reports whether a body that was read without an error is complete, or may
+// endsAsStated reports whether a body that was read without an error is complete, or may
 // end where it does. A response that does not state its end may be incomplete if its
 // upstream's was, but a stream must not end inside an event.
-func looksAsItIs(r result) bool {
+func endsAsStated(r result) bool {
 	want, got := stand.ResponseBody(r.id), r.body
 	if r.kind == stream {
 		want, got = stand.Stream(r.id), withoutComments(r.body)
--- a/store/client.go
+++ b/store/client.go
@@ -208,10 +208,14 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Restores: restores}, nil
 }
 
-// recordRestores returns the number of restores that a response states. The error is that
-// of a response from before a restore that is already known; its contents are outdated.
+// recordRestores returns the number of restores that a response states, or the highest
+// known one if it states none. The error is that of a response from before a restore that
+// is already known; its contents are outdated.
 func (c *Client) recordRestores(r call, h http.Header) (uint64, error) {
-	n := c.proto.Restores(h)
+	n, ok := c.proto.Restores(h)
+	if !ok {
+		return uint64(max(0, c.restores.Load())), nil
+	}
 	for {
 		old := c.restores.Load()
 		switch {
--- a/store/native.go
+++ b/store/native.go
@@ -58,7 +58,7 @@
 }
 
 // Restores implements Protocol. The platform loses nothing that it has acknowledged.
-func (native) Restores(http.Header) uint64 { return 0 }
+func (native) Restores(http.Header) (uint64, bool) { return 0, false }
 
 // Watch implements Protocol.
 func (native) Watch(prefix string, after uint64, wait time.Duration, _ bool) Request {
--- a/store/protocol.go
+++ b/store/protocol.go
@@ -26,8 +26,9 @@
 }
 
 // Protocol encodes the requests to a platform's object API and decodes the
-// responses. Versions in its parameters and results are the platform's plain revisions. Connections, time limits, retries and the resolution of lost
-// responses are up to the client.
+// responses. Versions in its parameters and results are the platform's plain
+// revisions. Connections, time limits, retries and the resolution of lost responses are up
+// to the client.
 type Protocol interface {
 	// Get requests one object.
 	Get(key string) Request
@@ -47,10 +48,9 @@
 	// Hosts requests the list of upstreams.
 	Hosts() Request
 
-	// Restores returns how often the platform has come back from a copy of its objects, as
-	// the headers of a response state. Its revisions go back each time. The number may lack
-	// a constant; it is zero for a platform that does not state it.
-	Restores(h http.Header) uint64
+	// Restores returns how often the platform has come back from a copy of its objects, and
+	// false if the headers of the response do not state it. Its revisions go back each time.
+	Restores(h http.Header) (uint64, bool)
 
 	// DecodeGet decodes the response to Get.
 	DecodeGet(key string, r *Response) (vane.Object, error)
