mirror, store: a poll has time for a slow platform; lists follow a lost history at once

A poll was given up after 0.6 s: a store whose answers take longer, but which works, would not have been followed after its first failed call. It has 1.5 s now. After 410 a node lists again after 0.1 s instead of up to 0.5 s.

--- a/mirror/service.go
+++ b/mirror/service.go
@@ -197,7 +197,7 @@
 			continue
 		}
 		if vane.KindOf(err) == vane.KindCompacted {
-			rev = 0
+			rev, pause = 0, minRetryDelay // the store answers, so it is not called too often
 		}
 		clock.Sleep(ctx, clock.Jitter(pause))
 		pause = min(2*pause, maxRetryDelay)
--- a/store/client.go
+++ b/store/client.go
@@ -20,19 +20,20 @@
 // Limits of the client.
 const (
 	defaultTimeout   = time.Second
-	defaultWatchWait = 2 * time.Second        // how long the platform holds a watch without a change
-	dialTimeout      = 500 * time.Millisecond // ten times the time of a slow response of the platform
-	watchSlack       = 600 * time.Millisecond // added to a watch's wait for the client's time limit; a slow platform needs half of it
-	pollWait         = 10 * time.Millisecond  // how long the platform holds a poll without a change
-	relaxedWatchWait = 15 * time.Second       // how long the platform holds a relaxed watch without a change; below the platform's limit
-	maxValueBytes    = 1 << 20                // largest value of one object
-	maxHeadBytes     = 32 << 10               // longest response head, with interim responses
-	maxResponseBytes = 16 << 20               // longest response body, such as a page of a list
-	maxListBytes     = 64 << 20               // longest list, in all its pages
-	maxListPages     = 1000                   // pages hold some hundred objects
-	maxDiscardBytes  = 64 << 10               // longest body of an error that is read so that the connection can be reused
-	breakerFailures  = 5                      // consecutive failures that open the circuit breaker
-	breakerOpenTime  = time.Second            // time until the open breaker lets a trial call through
+	defaultWatchWait = 2 * time.Second         // how long the platform holds a watch without a change
+	dialTimeout      = 500 * time.Millisecond  // ten times the time of a slow response of the platform
+	watchSlack       = 600 * time.Millisecond  // added to a watch's wait for the client's time limit; a slow platform needs half of it
+	pollWait         = 10 * time.Millisecond   // how long the platform holds a poll without a change
+	pollTimeout      = 1500 * time.Millisecond // several times what a slow platform needs
+	relaxedWatchWait = 15 * time.Second        // how long the platform holds a relaxed watch without a change; below the platform's limit
+	maxValueBytes    = 1 << 20                 // largest value of one object
+	maxHeadBytes     = 32 << 10                // longest response head, with interim responses
+	maxResponseBytes = 16 << 20                // longest response body, such as a page of a list
+	maxListBytes     = 64 << 20                // longest list, in all its pages
+	maxListPages     = 1000                    // pages hold some hundred objects
+	maxDiscardBytes  = 64 << 10                // longest body of an error that is read so that the connection can be reused
+	breakerFailures  = 5                       // consecutive failures that open the circuit breaker
+	breakerOpenTime  = time.Second             // time until the open breaker lets a trial call through
 )
 
 // Client is a client of the platform's object API. It is safe for concurrent use.
@@ -303,27 +304,28 @@
 
 // Watch implements vane.Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (vane.Batch, error) {
-	return c.watchOnce(ctx, prefix, after, c.watchWait, false)
+	return c.watchOnce(ctx, prefix, after, c.watchWait, c.watchWait+watchSlack, false)
 }
 
 // WatchRelaxed is like Watch, but waits longer and may return changes some seconds
 // late, which costs the platform less.
 func (c *Client) WatchRelaxed(ctx context.Context, prefix string, after uint64) (vane.Batch, error) {
-	return c.watchOnce(ctx, prefix, after, relaxedWatchWait, true)
+	return c.watchOnce(ctx, prefix, after, relaxedWatchWait, relaxedWatchWait+watchSlack, true)
 }
 
 // Poll is like Watch, but hardly waits. It shows soon whether the platform answers again.
 func (c *Client) Poll(ctx context.Context, prefix string, after uint64) (vane.Batch, error) {
-	return c.watchOnce(ctx, prefix, after, pollWait, false)
+	return c.watchOnce(ctx, prefix, after, pollWait, pollTimeout, false)
 }
 
-// watchOnce waits for one batch of changes.
-func (c *Client) watchOnce(ctx context.Context, prefix string, after uint64, wait time.Duration, relaxed bool) (vane.Batch, error) {
+// watchOnce waits for one batch of changes. The platform answers after wait at the latest,
+// if it is not slow, and the call is given up after timeout.
+func (c *Client) watchOnce(ctx context.Context, prefix string, after uint64, wait, timeout time.Duration, relaxed bool) (vane.Batch, error) {
 	if c.outdated(after) {
 		return vane.Batch{}, Compacted()
 	}
 	x := c.proto.Watch(prefix, vane.RevisionOf(after), wait, relaxed)
-	resp, err := c.do(ctx, call{op: opWatch, Request: x, timeout: wait + watchSlack})
+	resp, err := c.do(ctx, call{op: opWatch, Request: x, timeout: timeout})
 	if err != nil {
 		return vane.Batch{}, err
 	}
