--- a/front/serve.go
+++ b/front/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net/http"
 	"time"
@@ -155,25 +154,6 @@
 	h.refuse(w, t.request, ref)
 }
 
-// resetConn resets the connection to the caller. After TLS, a connection that ends without
-// an alert shows the same as a reset.
-func resetConn(w http.ResponseWriter) error {
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return err
-	}
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
-	}
-	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
-		err = l.SetLinger(0)
-	}
-	if cerr := c.Close(); err == nil {
-		err = cerr
-	}
-	return err
-}
-
 // attempt sends the request to one upstream and relays the response. It returns nil
 // if a complete response was relayed.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick) *vane.Refusal {
@@ -390,26 +370,3 @@
 	h.Log.Info("answered", "request_id", t.meta.ID, "route", t.route.Name, "upstream", p.Upstream.Name, "status", resp.Status, "framing", resp.Framing.String(),
 		"attempts", t.sends, "events", events, "first_ms", first.Milliseconds(), "pause_ms", pause.Milliseconds(), "elapsed_ms", d.Milliseconds())
 }
-
-// hopByHopHeaders are the headers that apply to a single connection. The HTTP server
-// sets its own.
-var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
-// copyHeader copies the headers of a response, except those for one connection. If the
-// response states no end of its body, dst won't either.
-func copyHeader(dst http.Header, resp *conns.Response) {
-	src := resp.Header
-	for k, v := range src {
-		dst[k] = v
-	}
-	for _, name := range hopByHopHeaders {
-		if name == "Connection" && dst.Get(name) == "close" && src.Get(name) == "" {
-			continue // set by ServeHTTP because this node is draining
-		}
-		dst.Del(name)
-	}
-	if src.Get("Content-Type") == "" {
-		dst["Content-Type"] = nil // keeps the HTTP server from guessing a type
-	}
-	resp.Framing.SetHeader(dst)
-}
