mirror: an upstream that registers late after a return is used at once

A removal now keeps the number of returns at which it became known, and only entries of a later return are held back. TestUpstreamThatRegistersLateIsHeldBack failed before.

--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -16,10 +16,16 @@
 type restored struct {
 	restores map[string]uint64     // number of restores at the last list, by prefix
 	graceEnd map[string]time.Time  // end of the grace period after the last restore, by prefix
-	gone     map[string]uint64     // incarnation of each upstream that was removed, by key
+	gone     map[string]gone       // upstreams that were removed, by key
 	held     map[string]heldObject // entries of upstreams that are held back, by key
 }
 
+// gone is an upstream that was removed.
+type gone struct {
+	incarnation uint64
+	restores    uint64 // number of restores when the removal became known
+}
+
 // heldObject is an object that does not count before a time.
 type heldObject struct {
 	object vane.Object
@@ -30,7 +36,7 @@
 func newRestored() restored {
 	return restored{
 		restores: make(map[string]uint64), graceEnd: make(map[string]time.Time),
-		gone: make(map[string]uint64), held: make(map[string]heldObject),
+		gone: make(map[string]gone), held: make(map[string]heldObject),
 	}
 }
 
@@ -61,7 +67,7 @@
 // recordRemoval records which upstream is gone with the removal of an object.
 func (s *State) recordRemoval(old vane.Object) {
 	if u, ok := s.upstream(old); ok {
-		s.restored.gone[old.Key] = u.Incarnation
+		s.restored.gone[old.Key] = gone{u.Incarnation, s.restored.restores[s.dec.UpstreamPrefix()]}
 	}
 }
 
@@ -78,25 +84,25 @@
 	}
 	u, ok := s.upstream(o)
 	old := s.objects[o.Key]
-	if !ok || u.State == vane.UpstreamLeaving || vane.RestoresOf(o.Version) <= vane.RestoresOf(old.Version) {
+	if !ok || u.State == vane.UpstreamLeaving {
 		return false
 	}
-	if left, ok := s.leftIncarnation(old); !ok || left != u.Incarnation {
+	if g, ok := s.leftBefore(old); !ok || g.incarnation != u.Incarnation || vane.RestoresOf(o.Version) <= g.restores {
 		return false
 	}
 	s.restored.held[o.Key] = heldObject{o, now.Add(RestoredEntryHold)}
 	return true
 }
 
-// leftIncarnation returns the incarnation of an upstream that is leaving or gone by its known
-// entry. It returns false for other objects.
-func (s *State) leftIncarnation(known vane.Object) (uint64, bool) {
+// leftBefore returns which upstream is leaving or gone by its known entry, and since which
+// restore. It returns false for other objects.
+func (s *State) leftBefore(known vane.Object) (gone, bool) {
 	if known.Deleted {
-		n, ok := s.restored.gone[known.Key]
-		return n, ok
+		g, ok := s.restored.gone[known.Key]
+		return g, ok
 	}
 	u, ok := s.upstream(known)
-	return u.Incarnation, ok && u.State == vane.UpstreamLeaving
+	return gone{u.Incarnation, vane.RestoresOf(known.Version)}, ok && u.State == vane.UpstreamLeaving
 }
 
 // upstream decodes the entry of an upstream. It returns false for other objects.
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -95,3 +95,18 @@
 		})
 	}
 }
+
+// An upstream that registers again only after the grace period is used at once: its entry
+// is not from the copy.
+func TestUpstreamThatRegistersLateIsHeldBack(t *testing.T) {
+	is := is.New(t)
+	s := mirror.NewState(plainDecoder{})
+	s.Replace(begin, "u/", vane.Batch{Revision: 3, Objects: []vane.Object{obj("u/a", "live 7", 3)}})
+	back := begin.Add(5 * time.Second)
+	s.Replace(back, "u/", vane.Batch{Revision: after(2)})
+	later := back.Add(mirror.RecoveryGrace + time.Millisecond)
+	s.Tick(later)
+	is.Equal(len(s.View().Upstreams), 0)
+	s.Apply(later, []vane.Object{obj("u/a", "live 7", after(5))})
+	is.Equal(len(s.View().Upstreams), 1)
+}
