platform, mirror: one odd entry no longer hides all others

Cause: a list or a watch answer was decoded as a whole, so that one entry nested over 10,000 levels made all of it undecodable: a starting node got no upstreams, a running one stopped following them. Addresses are checked as addresses, counts are bounded, node records must name their own key, load times of other nodes are at most the longest one. Each malformed version is logged once and counted (vane_store_malformed_objects_total).

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -12,6 +12,7 @@
 	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/mesh"
 	"mustardvane.org/vane/mirror"
+	"mustardvane.org/vane/weight"
 )
 
 // Durations and limits of the communication with the other nodes.
@@ -154,7 +155,8 @@
 	for _, e := range m.Engines {
 		n.placer.RecordWeights(e.Upstream, e.Weights)
 		if e.LoadingMS != 0 {
-			n.placer.SetLoading(e.Upstream, at.Add(time.Duration(e.LoadingMS)*time.Millisecond))
+			left := min(e.LoadingMS, int(weight.MaxLoadTime.Milliseconds()))
+			n.placer.SetLoading(e.Upstream, at.Add(time.Duration(left)*time.Millisecond))
 		}
 	}
 	for _, a := range m.WeightsAges {
--- a/edge/node.go
+++ b/edge/node.go
@@ -113,7 +113,8 @@
 	n.cache = newCacheWatcher(adapter.Control, log, func() bool { return n.mesh.IsPromptWatcher() })
 	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit))
 	n.quota = newLimiter(settings.Node, func() { n.mesh.SendSoon() })
-	n.mirror = mirror.NewService(n.storeClient, adapter.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy))
+	n.mirror = mirror.NewService(n.storeClient, adapter.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy),
+		mirror.WithMalformedFunc(malformedCounter(n.registry).Inc))
 	n.mesh = mesh.New(n.record(), mesh.Deps{
 		Compose: n.compose, Receive: n.receive, Versions: n.mirror.Versions, Export: n.mirror.Export, Import: n.mirror.Import, Log: log,
 	})
@@ -137,6 +138,13 @@
 	return n, n.register()
 }
 
+// malformedCounter registers and returns the counter of malformed objects.
+func malformedCounter(r prometheus.Registerer) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Name: "vane_store_malformed_objects_total", Help: "Objects of the store that were found malformed and ignored, by version."})
+	r.MustRegister(c)
+	return c
+}
+
 // register adds the services to the kernel.
 func (n *Node) register() error {
 	for _, s := range []struct {
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -35,6 +35,7 @@
 	watchPolicy func(prefix string) WatchPolicy
 	log         *slog.Logger
 	onChange    func(old, v *View)
+	onMalformed func()
 
 	mu           sync.Mutex
 	state        *State
@@ -51,6 +52,10 @@
 // at a time. It is called under the service's lock and must not call its methods.
 func WithChangeFunc(f func(old, v *View)) Option { return func(s *Service) { s.onChange = f } }
 
+// WithMalformedFunc sets a function that is called for each object that is found malformed.
+// It is called under the service's lock and must not call its methods.
+func WithMalformedFunc(f func()) Option { return func(s *Service) { s.onMalformed = f } }
+
 // WatchPolicy says how closely the objects under a prefix are followed. In a large site
 // only a few nodes watch the store without delay. The other nodes learn from them that
 // something has changed.
@@ -73,7 +78,7 @@
 // NewService returns a service that follows st and decodes its objects with dec.
 func NewService(st Store, dec Decoder, opts ...Option) *Service {
 	s := &Service{
-		store: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, watchPolicy: func(string) WatchPolicy { return defaultWatchPolicy },
+		store: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, onMalformed: func() {}, watchPolicy: func(string) WatchPolicy { return defaultWatchPolicy },
 		failingSince: make(map[string]time.Time), contact: newContact(), returned: make(chan struct{}),
 	}
 	for _, o := range opts {
@@ -137,6 +142,10 @@
 	for _, o := range s.state.TakeIgnored() {
 		s.log.Info("older object ignored", "key", o.Key, "version", o.Version, "known", o.Known)
 	}
+	for _, o := range s.state.TakeMalformed() {
+		s.log.Warn("malformed object ignored", "key", o.Key, "version", o.Version)
+		s.onMalformed()
+	}
 }
 
 // updateFromStore applies an answer of the store. If calls failed or the process stood
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/addr"
 	"mustardvane.org/vane/site"
 )
 
@@ -63,6 +64,7 @@
 	restored        restored
 	storeDown       bool            // the store does not answer
 	ignored         []IgnoredObject // since the last call of TakeIgnored
+	malformed       []vane.Object   // since the last call of TakeMalformed
 	wallOffset      time.Duration   // wall time minus the time of the clock
 	completeUntil   time.Time       // time at which no change was missing; zero if none is now
 	followsWeights  bool            // the target weights have been listed, so that further ones are new
@@ -79,6 +81,14 @@
 // View returns the current view.
 func (s *State) View() *View { return s.view }
 
+// TakeMalformed returns the keys and versions of the objects that were found malformed since
+// the last call.
+func (s *State) TakeMalformed() []vane.Object {
+	out := s.malformed
+	s.malformed = nil
+	return out
+}
+
 // SetWallOffset sets the wall time minus the time of the clock. It converts the times of
 // records, which are shared between hosts. The default is zero.
 func (s *State) SetWallOffset(d time.Duration) { s.wallOffset = d }
@@ -293,6 +303,9 @@
 		if !ok || d.version != o.Version {
 			d = decodedObject{o.Version, s.decode(k, o)}
 			s.decoded[k] = d
+			if d.value == nil {
+				s.malformed = append(s.malformed, vane.Object{Key: k, Version: o.Version})
+			}
 		}
 		if n, ok := d.value.(WeightsRecord); ok {
 			records = append(records, n)
@@ -370,7 +383,7 @@
 		}
 	case strings.HasPrefix(key, peerPrefix):
 		var p vane.PeerRecord
-		if json.Unmarshal(o.Value, &p) == nil && p.Name != "" && p.Mesh != "" {
+		if json.Unmarshal(o.Value, &p) == nil && PeerKey(p.Name) == key && addr.IsReachable(p.Mesh) && (p.Callers == "" || addr.IsReachable(p.Callers)) {
 			return p
 		}
 	}
