front, conns: a refusal without an id is no proof on a kept connection

Cause: an upstream that wrote an earlier refusal (X-Not-Run, no id) once more on a kept connection ended the next request there: its caller was told 'not run, try again' for a request that ran, and a repeat could run it twice. Likewise a request without an id took any response without one as its own. Change: a refusal that names no request is believed only on a connection that has carried no other request, and skipped like the responses to other requests otherwise. Requests without an id get a connection of their own.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -37,11 +37,12 @@
 	Host     string
 	Header   http.Header // must not contain Host, Content-Length or Transfer-Encoding
 	Body     []byte
-	MaxIdle  time.Duration // a kept connection that was idle for longer is not used
+	MaxIdle  time.Duration // a kept connection that was idle for longer is not used; if negative, none is used
 	MaxBytes int64         // limit of the response's body with its framing; zero for none
-	// Match reports whether a response belongs to this request. If it is nil, every
-	// response does.
-	Match func(status int, h http.Header) bool
+	// Match reports whether a response belongs to this request. reused is set on a
+	// connection that has carried another request, whose response may come late or twice.
+	// If Match is nil, every response belongs to the request.
+	Match func(status int, h http.Header, reused bool) bool
 }
 
 // Error is the error of a failed exchange.
@@ -149,7 +150,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Match == nil || r.Match(resp.StatusCode, resp.Header) {
+		if r.Match == nil || r.Match(resp.StatusCode, resp.Header, c.reused) {
 			c.in.left = noLimit
 			if r.MaxBytes > 0 {
 				c.in.left = r.MaxBytes
@@ -211,6 +212,7 @@
 // its end and the connection can be reused; else it is closed.
 func (a *Response) Close() {
 	if a.stopCancel() && a.reusable() {
+		a.conn.reused = true
 		a.pool.put(a.conn, keepAlive(a.Header))
 		return
 	}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -72,6 +72,7 @@
 	key       upstreamKey
 	in        *limitedReader
 	br        *bufio.Reader // reads from in
+	reused    bool          // the connection has carried an earlier request
 	keepUntil time.Time     // end of the upstream's idle limit
 	idleSince time.Time
 	expiry    *time.Timer // closes the connection at keepUntil if it is still idle
@@ -119,10 +120,13 @@
 }
 
 // get returns a kept connection that is still usable and was idle for at most
-// maxIdle, or opens a new one.
+// maxIdle, or opens a new one. A negative maxIdle always opens a new one.
 func (p *Pool) get(ctx context.Context, k upstreamKey, maxIdle time.Duration) (*conn, error) {
 	for {
-		c := p.pop(k)
+		var c *conn
+		if maxIdle >= 0 {
+			c = p.pop(k)
+		}
 		if c == nil {
 			return p.dial(ctx, k)
 		}
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -60,7 +60,7 @@
 	a, err := p.Do(ctx, conns.Request{
 		Addr: addr, Upstream: "u", Method: "POST", Target: "/a%2Fb/../c?q", Host: "h", Header: http.Header{"Id": {id}},
 		Body: []byte("body " + id), MaxIdle: time.Minute,
-		Match: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Match: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") == id },
 	})
 	if err != nil {
 		return "", err
--- a/front/serve.go
+++ b/front/serve.go
@@ -176,6 +176,9 @@
 	if t.route.Idempotent() {
 		maxIdle = time.Minute // the request may be sent again if the upstream is closing the connection
 	}
+	if t.meta.ID == "" {
+		maxIdle = -1 // late responses to other requests can't be told from the one to this request
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.Placer.OnExpire(att, cancel)
@@ -186,9 +189,10 @@
 	resp, err := h.Pool.Do(ctx, conns.Request{
 		Addr: p.Upstream.Addr, Upstream: p.Upstream.Name, Method: r.Method, Target: r.RequestURI, Host: r.Host,
 		Header: h.Dialect.UpstreamHeader(r.Header, f), Body: t.body, MaxIdle: maxIdle, MaxBytes: maxBytes,
-		Match: func(status int, hd http.Header) bool {
+		Match: func(status int, hd http.Header, reused bool) bool {
+			// A refusal that names no request may be that of an earlier one.
 			m := h.Dialect.ParseResponse(status, hd)
-			return m.ID == t.meta.ID || m.ID == "" && m.NotRun
+			return m.ID == t.meta.ID || m.ID == "" && m.NotRun && !reused
 		},
 	})
 	if err != nil {
