front, sched, mesh: upstreams that are leaving, or want no requests for a time, get none

Cause: no line read Server-Leaving or Retry-After of an upstream. An upstream that was leaving got requests until the store or its end showed it; one that refused with a time to return was tried again after 150 ms. Change: a node sends nothing to an upstream once an answer said that it is leaving, until the upstream is started again; other nodes learn it with the incarnation in the messages that they get anyway. If all upstreams of a service ask for that, callers are refused at once with the earliest time. The soak's servers do both, and another writer leaves odd entries.

--- a/dialect.go
+++ b/dialect.go
@@ -60,6 +60,10 @@
 	Slots         int    // requests that the upstream batches at once; valid if HasLoad is set
 	HasLoad       bool   // the response states Load and Slots
 	Weights       uint64 // version of the weights that served the request; zero if not stated
+	Leaving       bool   // the upstream states that it is about to stop
+	// RetryAfter is the time for which an upstream that refused the request wants no
+	// further one from this node. It is zero if the upstream states none.
+	RetryAfter time.Duration
 }
 
 // Dialect translates between the headers of a platform and the values above. An
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -18,6 +18,7 @@
 // Durations and limits of the communication with the other nodes.
 const (
 	updateRepeatTime       = 1500 * time.Millisecond // updates are repeated for this long, since datagrams get lost
+	leavingRepeatTime      = 5 * time.Second         // covers two messages of a node of a large site
 	unresponsiveRepeatTime = 300 * time.Millisecond  // enough for one or two messages
 	maxCrashReports        = 64                      // pending crash reports; further ones are dropped
 	joinRetryDelay         = 500 * time.Millisecond  // before a failed write of the node's record is retried
@@ -32,7 +33,8 @@
 	mu           sync.Mutex
 	engines      map[string]repeated[mesh.EngineUpdate]
 	crashes      []repeated[mesh.CrashReport]
-	unresponsive map[string]time.Time // by upstream: time until which its failure is reported
+	unresponsive map[string]time.Time             // by upstream: time until which its failure is reported
+	leaving      map[mesh.UpstreamStart]time.Time // by upstream and incarnation: time until which its leaving is reported
 	partCrashes  []repeated[crash.PartCrash]
 	partClears   map[uint64]time.Time // by part: time until which its clearance is reported
 	convictions  map[uint64]repeated[crash.Conviction]
@@ -47,7 +49,7 @@
 // newPendingUpdates returns an empty set.
 func newPendingUpdates() *pendingUpdates {
 	return &pendingUpdates{
-		engines: make(map[string]repeated[mesh.EngineUpdate]), unresponsive: make(map[string]time.Time),
+		engines: make(map[string]repeated[mesh.EngineUpdate]), unresponsive: make(map[string]time.Time), leaving: make(map[mesh.UpstreamStart]time.Time),
 		partClears: make(map[uint64]time.Time), convictions: make(map[uint64]repeated[crash.Conviction]),
 	}
 }
@@ -67,6 +69,13 @@
 	n.unresponsive[upstream] = time.Now().Add(unresponsiveRepeatTime)
 }
 
+// addLeaving reports an upstream that said that it is leaving.
+func (n *pendingUpdates) addLeaving(u vane.Upstream) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving[mesh.UpstreamStart{Upstream: u.Name, Incarnation: u.Incarnation}] = time.Now().Add(leavingRepeatTime)
+}
+
 // addCrash adds a crash report. It is dropped if too many are pending.
 func (n *pendingUpdates) addCrash(r crash.Report) {
 	n.mu.Lock()
@@ -96,6 +105,13 @@
 		}
 		m.Unresponsive = append(m.Unresponsive, name)
 	}
+	for u, until := range n.leaving {
+		if now.After(until) {
+			delete(n.leaving, u)
+			continue
+		}
+		m.Extension.Leaving = append(m.Extension.Leaving, u)
+	}
 	remaining := n.crashes[:0]
 	for _, c := range n.crashes {
 		if now.Before(c.until) {
@@ -162,6 +178,11 @@
 	for _, a := range m.WeightsAges {
 		n.mirror.MergeAge(a.Model, a.Weights, time.Duration(a.AgeMS)*time.Millisecond, a.Seen)
 	}
+	for _, u := range m.Extension.Leaving {
+		if n.placer.MarkLeaving(u.Upstream, u.Incarnation) {
+			n.log.Info("upstream leaves, says another node", "upstream", u.Upstream, "incarnation", u.Incarnation, "peer", m.Name)
+		}
+	}
 	for _, name := range m.Unresponsive {
 		n.placer.RecordPeerFailure(at, name)
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -134,7 +134,7 @@
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash, Parts: n.parts,
-		RetryBudget: n.retryWindow, Draining: n.isLeaving, RefuseStreams: n.isClosing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
+		RetryBudget: n.retryWindow, Draining: n.isLeaving, RefuseStreams: n.isClosing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
 	})
 	return n, n.register()
 }
@@ -347,6 +347,12 @@
 	n.mesh.SendNow()
 }
 
+// reportLeaving tells the other nodes that an upstream said that it is leaving.
+func (n *Node) reportLeaving(u vane.Upstream) {
+	n.pendingUpdates.addLeaving(u)
+	n.mesh.SendSoon()
+}
+
 // forgetDeadPeers drops the requests in flight of nodes that are down.
 func (n *Node) forgetDeadPeers() {
 	n.placer.KeepPeersInFlight(n.mesh.IsAlive)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -53,7 +53,10 @@
 }
 
 func (dialect) ParseResponse(_ int, h http.Header) vane.ResponseMeta {
-	return vane.ResponseMeta{ID: h.Get("Id"), Signed: h.Get("Sig") != "", NotRun: h.Get("Not-Run") != ""}
+	ms, _ := strconv.Atoi(h.Get("Back-In-Ms"))
+	return vane.ResponseMeta{
+		ID: h.Get("Id"), Signed: h.Get("Sig") != "", NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "", RetryAfter: time.Duration(ms) * time.Millisecond,
+	}
 }
 
 func (dialect) ParseEventWeights([]byte) uint64 { return 0 }
@@ -214,7 +217,7 @@
 		RecordResult: b.recordResult,
 		View:         func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
 		Crashes: b.crashes, Parts: newParts(), RetryBudget: func(string) *retry.Window { return w },
-		Draining: b.stopping.Load, RefuseStreams: b.stopping.Load, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {},
+		Draining: b.stopping.Load, RefuseStreams: b.stopping.Load, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {}, UpstreamLeaving: func(vane.Upstream) {},
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
 	})
 	srv := httptest.NewServer(h)
--- a/front/handler.go
+++ b/front/handler.go
@@ -67,6 +67,7 @@
 	WeightsChanged   func(upstream string, weights uint64)                  // called when a response shows that an upstream's weights have changed
 	UpstreamMismatch func(u vane.Upstream)                                  // called when a response shows that another upstream has the address
 	UpstreamFailed   func(u vane.Upstream)                                  // called when an upstream can't be reached or its connection fails before a response
+	UpstreamLeaving  func(u vane.Upstream)                                  // called when a response shows that an upstream is leaving
 	RecordResult     func(u vane.Upstream, service string, s canary.Sample) // called with the result of each attempt that ran
 	Log              *slog.Logger
 	Metrics          *Metrics
--- a/front/serve.go
+++ b/front/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -51,7 +52,7 @@
 	for {
 		pick, ok := h.Placer.Pick(clock.BootTime(), c.placementQuery(t.avoid))
 		if !ok {
-			h.finishRefused(w, t, t.withExecution(vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s accepts requests now", c.service).WithRetryAfter(busyRetryAfter)))
+			h.finishRefused(w, t, t.withExecution(vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s accepts requests now", c.service).WithRetryAfter(h.retryAfter(c.service))))
 			return
 		}
 		t.result = h.newResult(t, pick)
@@ -248,6 +249,7 @@
 	if h.Placer.Observe(clock.BootTime(), p.Upstream.Name, m) {
 		h.WeightsChanged(p.Upstream.Name, m.Weights)
 	}
+	h.observeWishes(t, p, resp, m)
 	if m.NotRun {
 		h.handleNotRun(t, p, resp, m)
 		return vane.Refuse(vane.ReasonUpstreamFull, "upstream %s refused to run the request (status %d)", p.Upstream.Name, resp.Status).WithRetryAfter(busyRetryAfter)
@@ -300,6 +302,31 @@
 	return nil
 }
 
+// observeWishes records what a response says about further requests: that the upstream is
+// leaving, or that it wants none for some time.
+func (h *Handler) observeWishes(t *attempts, p sched.Pick, resp *conns.Response, m vane.ResponseMeta) {
+	u := p.Upstream
+	if m.Leaving && !m.WrongUpstream && h.Placer.MarkLeaving(u.Name, u.Incarnation) {
+		h.Log.Info("upstream says that it is leaving", "request_id", t.meta.ID, "upstream", u.Name, "incarnation", u.Incarnation)
+		h.UpstreamLeaving(u)
+	}
+	if m.RetryAfter > 0 {
+		d := h.Placer.MarkRefused(clock.BootTime(), u.Name, u.Incarnation, m.RetryAfter)
+		h.Log.Info("upstream wants no requests", "request_id", t.meta.ID, "upstream", u.Name, "status", resp.Status,
+			"asked_ms", m.RetryAfter.Milliseconds(), "honoured_ms", d.Milliseconds())
+	}
+}
+
+// retryAfter returns when a caller may return for whom no upstream of a service accepts
+// requests: when the first of them takes requests again, if all have said when.
+func (h *Handler) retryAfter(service string) time.Duration {
+	d, ok := h.Placer.RetryAfter(clock.BootTime(), service)
+	if !ok {
+		return busyRetryAfter
+	}
+	return max(busyRetryAfter, d) + rand.N(busyRetryAfter)
+}
+
 // relayRest relays the rest of a response that is too long to be held until its end.
 func (h *Handler) relayRest(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, resp *conns.Response) *vane.Refusal {
 	t.begun = true
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -46,6 +46,13 @@
 	PartCrashes    []PartCrash     `msgpack:"part_crashes,omitempty"`    // crashes of upstreams before they answered requests, by the parts of the prompts
 	PartClears     []uint64        `msgpack:"part_clears,omitempty"`     // parts of prompts that were suspected and have been answered
 	Convictions    []Conviction    `msgpack:"convictions,omitempty"`     // parts of prompts with which requests are refused
+	Leaving        []UpstreamStart `msgpack:"leaving,omitempty"`         // upstreams that said that they are leaving
+}
+
+// UpstreamStart identifies one start of an upstream.
+type UpstreamStart struct {
+	Upstream    string `msgpack:"upstream"`
+	Incarnation uint64 `msgpack:"incarnation"`
 }
 
 // WeightsAge tells how long ago weights were designated for a model.
--- a/sched/observe.go
+++ b/sched/observe.go
@@ -125,7 +125,7 @@
 	defer p.mu.Unlock()
 	var out []Engine
 	for _, u := range p.upstreams {
-		if u.Role == vane.RoleEngine && u.Model == model && u.State == vane.UpstreamLive {
+		if u.Role == vane.RoleEngine && u.Model == model && !u.saidLeaving() {
 			out = append(out, Engine{
 				Upstream: u.Upstream, InFlight: u.inFlight + p.peerInFlight(u.Name),
 				Loading: now.Before(u.loadingUntil), Ejected: now.Before(u.ejectedUntil),
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -34,6 +34,8 @@
 	ejectedUntil time.Time     // end of the last ejection
 	ejection     time.Duration // length of the last ejection; zero if there was none or the upstream has recovered
 	fullUntil    time.Time     // end of the pause after a refusal for lack of capacity
+	leaving      bool          // the upstream said that it is leaving
+	refusal      refusal       // the upstream asked for no requests
 }
 
 // update replaces the upstream's entry from the view. Entries are delayed, so that an
@@ -62,13 +64,13 @@
 
 // usable reports whether the upstream may get requests.
 func (u *upstream) usable(now time.Time) bool {
-	return u.inService(now) && !now.Before(u.fullUntil)
+	return u.inService(now) && !now.Before(u.fullUntil) && !u.refusal.blocks(now, u.inFlight)
 }
 
 // inService reports whether the upstream serves requests, even if it is full at the
 // moment.
 func (u *upstream) inService(now time.Time) bool {
-	return u.State == vane.UpstreamLive && !now.Before(u.ejectedUntil) && !now.Before(u.loadingUntil)
+	return !u.saidLeaving() && !now.Before(u.ejectedUntil) && !now.Before(u.loadingUntil)
 }
 
 // onProbation reports whether the upstream is ejected or its last ejection ended less
@@ -127,6 +129,9 @@
 // length of the next ejection.
 func (u *upstream) responded(now time.Time) {
 	u.respondedAt = now
+	if !now.Before(u.refusal.until) {
+		u.refusal.trial = false
+	}
 	if !now.Before(u.ejectedUntil.Add(probation)) {
 		u.ejection = 0
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -67,6 +69,32 @@
 		sleep(ctx, d)
 		b.servers[up].SetShedding(false)
 	}},
+	{"shedding for a time", func(ctx context.Context, b *testbed, _ *sync.Mutex, _ *node, up int, d time.Duration) {
+		s := b.servers[up]
+		s.SetRetryAfter([]string{"0.2", "1", "1e300", "soon"}[int(d/time.Millisecond)%4])
+		s.SetShedding(true)
+		sleep(ctx, d/4)
+		s.SetShedding(false)
+		s.SetRetryAfter("")
+	}},
+	{"upstream says it leaves", func(ctx context.Context, b *testbed, _ *sync.Mutex, _ *node, up int, d time.Duration) {
+		s := b.servers[up]
+		s.SetLeaving(true)
+		sleep(ctx, d)
+		s.SetLeaving(false)
+		s.Restart()
+		if err := b.store.Put("servers", s.ID(), s.Entry(b.upstreamProxies[up].addr(), "z", "ready")); err != nil {
+			b.addViolation("soak", s.ID(), "%v", err)
+		}
+	}},
+	{"odd entries", func(ctx context.Context, b *testbed, _ *sync.Mutex, _ *node, _ int, d time.Duration) {
+		for name, spec := range oddEntries {
+			if err := b.store.Put("servers", name, json.RawMessage(spec)); err != nil {
+				b.addViolation("soak", name, "%v", err)
+			}
+		}
+		sleep(ctx, d)
+	}},
 	{"upstream unframed", trouble(stand.TroubleUnframed)},
 	{"upstream short", trouble(stand.TroubleShort)},
 	{"upstream cut", trouble(stand.TroubleCut)},
@@ -112,6 +140,15 @@
 	}},
 }
 
+// oddEntries are entries of another writer among those of the servers, by name.
+var oddEntries = map[string]string{
+	"odd-port":   `{"service":"llm","address":"127.0.0.1:99999","zone":"z","slots":16,"state":"ready","born":1}`,
+	"odd-slots":  `{"service":"llm","address":"127.0.0.1:1","zone":"z","slots":4611686018427387904,"state":"ready","born":1}`,
+	"odd-number": `{"service":"llm","address":"127.0.0.1:1","zone":"z","slots":1e400,"state":"ready","born":1}`,
+	"odd-nested": strings.Repeat("[", 1000) + strings.Repeat("]", 1000),
+	"odd-type":   `"ready"`,
+}
+
 // trouble returns the injection of a fault in which an upstream writes its responses in
 // the given way.
 func trouble(t stand.Trouble) func(context.Context, *testbed, *sync.Mutex, *node, int, time.Duration) {
