mirror, mesh, store: a refused node probes the store with one call, few watch it and longer

The prompt watchers' calls ended every 2 s without a change. Prompt watchers that the store refused were not replaced. Change: while the store does not answer, one prefix is tried for all (at most every 0.5 s, 2 s on nodes that follow it loosely), and the others go on as soon as a call succeeds. In a large site a watch lasts 6 s; connections are probed, so that a silent one still shows within 2.5 s. Nodes tell that the store does not answer them, and others take their place as prompt watchers. Relaxed watches of all kinds gather changes for 4 s. Ruled out: polling in place of relaxed watches (the events of nodes that join would arrive up to 10 s late, for a gain of a hundred priced calls). TestPromptWatchersThatTheStoreRefuses.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -137,7 +137,8 @@
 		m.Fence = fence
 	}
 	m.PromptParts = n.placer.TakeCacheUpdates()
-	m.StoreOK = n.mirror.Reachable() && n.mesh.IsPromptWatcher()
+	reachable := n.mirror.Reachable()
+	m.StoreOK, m.Extension.StoreFailing = reachable && n.mesh.IsPromptWatcher(), !reachable
 	n.rollouts.fill(m)
 	n.pendingUpdates.fill(now, m)
 	n.composeConvictions(now, m)
--- a/edge/node.go
+++ b/edge/node.go
@@ -32,6 +32,7 @@
 	stopTimeout    = 150 * time.Millisecond  // limit for stopping the services
 	smallSiteBatch = 150 * time.Millisecond  // changes of upstreams within this time are applied in one batch, in a small site
 	largeSiteBatch = 800 * time.Millisecond  // the same in a large site, where many engines change at a time
+	largeSiteWait  = 6 * time.Second         // how long the store holds a watch of a large site; a lost connection shows earlier by its probes
 	relaxedBatch   = 4 * time.Second         // the same for nodes of a large site that learn of changes from other nodes first
 	tickPeriod     = 100 * time.Millisecond  // period of the checks for silent upstreams, and of the waits while draining
 	silentTimeout  = 1200 * time.Millisecond // an upstream that keeps requests waiting for this long is set aside
@@ -266,7 +267,7 @@
 	case !n.mesh.IsPromptWatcher() || prefix == mirror.NodeStatePrefix:
 		return mirror.WatchPolicy{Relaxed: true, BatchWindow: relaxedBatch}
 	}
-	return mirror.WatchPolicy{BatchWindow: largeSiteBatch}
+	return mirror.WatchPolicy{Wait: largeSiteWait, BatchWindow: largeSiteBatch}
 }
 
 // retryWindow returns the retry limit for a service, and creates it on first use.
@@ -362,7 +363,13 @@
 // withdraws requests that would begin on outdated weights.
 func (n *Node) watchSilentUpstreams(ctx context.Context, ready func()) error {
 	ready()
+	reachable := false
 	for clock.Sleep(ctx, tickPeriod) {
+		if now := n.mirror.Reachable(); now != reachable {
+			if reachable = now; n.mesh.IsPromptWatcher() {
+				n.mesh.SendNow() // another node has to take over, or need not any more
+			}
+		}
 		n.quota.tick()
 		n.forgetDeadPeers()
 		for _, name := range n.placer.EjectSilent(clock.BootTime(), silentTimeout) {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -51,6 +51,7 @@
 	Leaving             bool      // the peer is stopping
 	Fence               uint64    // fencing number of the lease on weight orders; zero if the peer does not hold it
 	StoreOK             bool      // the peer reaches the store and watches it without delay
+	StoreFailing        bool      // the store does not answer the peer
 	Alive               bool      // a message arrived recently; set by Peers
 	seq                 uint64    // sequence number of the last message
 	knownSince          time.Time // time at which this node learned of the peer's latest start
@@ -258,7 +259,8 @@
 }
 
 // IsPromptWatcher reports whether this node is one of the few that watch the store
-// without delay. All nodes of a small site are.
+// without delay. All nodes of a small site are. Nodes that the store does not answer are
+// replaced by others.
 func (m *Mesh) IsPromptWatcher() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -273,7 +275,7 @@
 	own := newMember(m.self, true, false)
 	before := 0
 	for _, p := range m.peers {
-		if m.alive(p, now) && !p.Leaving && rank(newMember(p.PeerRecord, true, false), own) < 0 {
+		if m.alive(p, now) && !p.Leaving && !p.StoreFailing && rank(newMember(p.PeerRecord, true, false), own) < 0 {
 			before++
 		}
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -286,3 +286,35 @@
 		b.ReportMetric(float64(len(d)), "bytes")
 	}
 }
+
+// Nodes that the store does not answer are replaced as prompt watchers by as many others.
+func TestPromptWatchersThatTheStoreRefuses(t *testing.T) {
+	is := is.New(t)
+	const n = 81
+	records := map[string]vane.PeerRecord{}
+	for j := range n {
+		name := fmt.Sprintf("n%d", j)
+		records[name] = vane.PeerRecord{Name: name, Mesh: "x", Boot: 1}
+	}
+	watchers := func(seq uint64, failing map[string]bool) map[string]bool {
+		out := make(map[string]bool)
+		for name, r := range records {
+			m := New(r, Deps{Versions: func() mirror.Versions { return mirror.Versions{} }, Log: slog.New(slog.DiscardHandler)})
+			m.SetPeers(records)
+			for peer := range m.peers {
+				m.recordSender(time.Now(), &Message{Name: peer, Boot: 1, Seq: seq, Extension: Extension{StoreFailing: failing[peer]}})
+			}
+			if m.IsPromptWatcher() && !failing[name] {
+				out[name] = true
+			}
+		}
+		return out
+	}
+	first := watchers(1, nil)
+	is.Equal(len(first), promptWatchers)
+	second := watchers(1, first)
+	is.Equal(len(second), promptWatchers)
+	for name := range second {
+		is.True(!first[name])
+	}
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -46,6 +46,7 @@
 	PartCrashes    []PartCrash     `msgpack:"part_crashes,omitempty"`    // crashes of upstreams before they answered requests, by the parts of the prompts
 	PartClears     []uint64        `msgpack:"part_clears,omitempty"`     // parts of prompts that were suspected and have been answered
 	Convictions    []Conviction    `msgpack:"convictions,omitempty"`     // parts of prompts with which requests are refused
+	StoreFailing   bool            `msgpack:"store_failing,omitempty"`   // the store does not answer the node
 	Leaving        []UpstreamStart `msgpack:"leaving,omitempty"`         // upstreams that said that they are leaving
 }
 
--- a/mesh/post.go
+++ b/mesh/post.go
@@ -242,7 +242,7 @@
 		m.Log.Info("node heard", "peer", msg.Name, "boot", msg.Boot, "silent_ms", silent.Milliseconds())
 	}
 	p.seq, p.LastHeard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
-	p.Fence, p.StoreOK, p.Callers = msg.Fence, msg.StoreOK, msg.Callers
+	p.Fence, p.StoreOK, p.StoreFailing, p.Callers = msg.Fence, msg.StoreOK, msg.Extension.StoreFailing, msg.Callers
 	ahead := msg.ConfigVersion > known.Config || msg.WeightsVersion > known.Weights || msg.RolloutVersion > known.Rollouts
 	trackSince(&p.aheadSince, now, ahead)
 	if ahead && !m.promptWatcherLocked(now) {
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -14,6 +14,8 @@
 const (
 	minRetryDelay        = 100 * time.Millisecond // delay of the retry after the first failed call
 	maxRetryDelay        = 500 * time.Millisecond // longest delay of a retry, so that a recovered store is noticed soon
+	relaxedRetryDelay    = 2 * time.Second        // value of maxRetryDelay for nodes that follow the store loosely
+	maxProbeWait         = 5 * time.Second        // longest time for which a prefix waits while another one shows whether the store answers
 	removalCheckInterval = 200 * time.Millisecond // time between two checks whether delayed removals have become due
 	downAfter            = 700 * time.Millisecond // time without any successful call after which the store counts as down
 )
@@ -27,6 +29,8 @@
 	// WatchRelaxed is like Watch, but may return changes some seconds late, at less
 	// cost.
 	WatchRelaxed(ctx context.Context, prefix string, after uint64) (vane.Batch, error)
+	// WatchUpTo is like Watch, but waits for the given time.
+	WatchUpTo(ctx context.Context, prefix string, after uint64, wait time.Duration) (vane.Batch, error)
 }
 
 // Service follows the store and keeps a [State]. It is safe for concurrent use.
@@ -43,6 +47,8 @@
 	contact      contact
 	lastAnswer   time.Time     // last answer of the store; zero if there was none
 	returned     chan struct{} // closed and replaced when the store is back after an outage
+	prober       string        // prefix whose calls show whether the store answers again; empty while calls succeed
+	answered     chan struct{} // closed and replaced when a call has succeeded after failures
 }
 
 // Option configures a service in [NewService].
@@ -61,7 +67,8 @@
 // something has changed.
 type WatchPolicy struct {
 	Relaxed     bool          // changes may arrive some seconds late
-	BatchWindow time.Duration // upstream changes within about this time arrive in one batch
+	Wait        time.Duration // how long a watch waits for a change; zero for the store's default
+	BatchWindow time.Duration // changes within about this time arrive in one batch
 }
 
 // defaultWatchPolicy suits a node of a small site.
@@ -79,7 +86,7 @@
 func NewService(st Store, dec Decoder, opts ...Option) *Service {
 	s := &Service{
 		store: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, onMalformed: func() {}, watchPolicy: func(string) WatchPolicy { return defaultWatchPolicy },
-		failingSince: make(map[string]time.Time), contact: newContact(), returned: make(chan struct{}),
+		failingSince: make(map[string]time.Time), contact: newContact(), returned: make(chan struct{}), answered: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(s)
@@ -208,8 +215,36 @@
 		if vane.KindOf(err) == vane.KindCompacted {
 			rev, pause = 0, minRetryDelay // the store answers, so it is not called too often
 		}
+		s.awaitRetry(ctx, prefix, pause)
+		pause = min(2*pause, s.retryLimit(prefix))
+	}
+}
+
+// retryLimit returns the longest delay of a retry.
+func (s *Service) retryLimit(prefix string) time.Duration {
+	if s.watchPolicy(prefix).Relaxed {
+		return relaxedRetryDelay
+	}
+	return maxRetryDelay
+}
+
+// awaitRetry waits until a failed call for the prefix is to be repeated. While the store
+// does not answer, only one prefix is tried again after the pause, and the others wait
+// until a call succeeds.
+func (s *Service) awaitRetry(ctx context.Context, prefix string, pause time.Duration) {
+	s.mu.Lock()
+	answered, probes := s.answered, s.prober == "" || s.prober == prefix
+	s.mu.Unlock()
+	if probes {
 		clock.Sleep(ctx, clock.Jitter(pause))
-		pause = min(2*pause, maxRetryDelay)
+		return
+	}
+	t := time.NewTimer(clock.Jitter(maxProbeWait))
+	defer t.Stop()
+	select {
+	case <-answered:
+	case <-t.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -232,12 +267,17 @@
 	returned := s.returned
 	_, failing := s.failingSince[prefix]
 	s.mu.Unlock()
-	watch, policy := s.store.Watch, s.watchPolicy(prefix)
+	policy := s.watchPolicy(prefix)
+	watch := s.store.Watch
 	switch {
-	case policy.Relaxed:
-		watch = s.store.WatchRelaxed
 	case failing:
 		watch = s.store.Poll
+	case policy.Relaxed:
+		watch = s.store.WatchRelaxed
+	case policy.Wait > 0:
+		watch = func(ctx context.Context, prefix string, after uint64) (vane.Batch, error) {
+			return s.store.WatchUpTo(ctx, prefix, after, policy.Wait)
+		}
 	}
 	wctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -253,10 +293,8 @@
 		return rev, wctx.Err() != nil && ctx.Err() == nil, err
 	}
 	s.updateFromStore(prefix, func(now time.Time) bool { return len(b.Objects) > 0 && s.state.Apply(now, b.Objects) })
-	if len(b.Objects) > 0 {
-		if prefix == s.state.dec.UpstreamPrefix() {
-			clock.Sleep(ctx, clock.Jitter(policy.BatchWindow)) // jitter spreads the load of the nodes on the store
-		}
+	if len(b.Objects) > 0 && (policy.Relaxed || prefix == s.state.dec.UpstreamPrefix()) {
+		clock.Sleep(ctx, clock.Jitter(policy.BatchWindow)) // jitter spreads the load of the nodes on the store
 	}
 	return max(rev, b.Revision), false, nil
 }
@@ -277,12 +315,20 @@
 		// may still fail after its end.
 		clear(s.failingSince)
 		s.lastAnswer = now
+		if s.prober != "" {
+			s.prober = ""
+			close(s.answered)
+			s.answered = make(chan struct{})
+		}
 		s.state.SetStoreDown(now, false)
 	} else {
 		if _, ok := s.failingSince[prefix]; !ok {
 			s.failingSince[prefix] = now
 			s.log.Warn("store call failed", "prefix", prefix, "err", err.Error())
 		}
+		if s.prober == "" {
+			s.prober = prefix
+		}
 		if now.Sub(s.failingSince[prefix]) > downAfter && now.Sub(s.lastAnswer) > downAfter {
 			s.state.SetStoreDown(now, true)
 		}
--- a/mirror/service_internal_test.go
+++ b/mirror/service_internal_test.go
@@ -76,6 +76,10 @@
 	return s.call(ctx, 15*time.Second, 15600*time.Millisecond)
 }
 
+func (s *silentStore) WatchUpTo(ctx context.Context, _ string, _ uint64, wait time.Duration) (vane.Batch, error) {
+	return s.call(ctx, wait, wait+600*time.Millisecond)
+}
+
 // Calls that were sent while the store was silent do not hide that it is back for as long
 // as a watch lasts.
 func TestReturnOfASilentStoreIsNoticedLate(t *testing.T) {
--- a/store/client.go
+++ b/store/client.go
@@ -21,6 +21,9 @@
 const (
 	defaultTimeout   = time.Second
 	defaultWatchWait = 2 * time.Second         // how long the platform holds a watch without a change
+	keepAliveIdle    = time.Second             // time without traffic after which a connection is probed
+	keepAlivePeriod  = 500 * time.Millisecond  // time between two probes
+	keepAliveProbes  = 3                       // unanswered probes after which a connection counts as lost
 	dialTimeout      = 500 * time.Millisecond  // ten times the time of a slow response of the platform
 	watchSlack       = 600 * time.Millisecond  // added to a watch's wait for the client's time limit; a slow platform needs half of it
 	pollWait         = 10 * time.Millisecond   // how long the platform holds a poll without a change
@@ -93,7 +96,9 @@
 		proto:     native{},
 		http: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext: (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+				Enable: true, Idle: keepAliveIdle, Interval: keepAlivePeriod, Count: keepAliveProbes,
+			}}).DialContext,
 		}},
 		metrics:   newMetrics(),
 		onState:   func(bool) {},
@@ -307,6 +312,12 @@
 	return c.watchOnce(ctx, prefix, after, c.watchWait, c.watchWait+watchSlack, false)
 }
 
+// WatchUpTo is like Watch, but the platform holds the watch without a change for the given
+// time.
+func (c *Client) WatchUpTo(ctx context.Context, prefix string, after uint64, wait time.Duration) (vane.Batch, error) {
+	return c.watchOnce(ctx, prefix, after, wait, wait+watchSlack, false)
+}
+
 // WatchRelaxed is like Watch, but waits longer and may return changes some seconds
 // late, which costs the platform less.
 func (c *Client) WatchRelaxed(ctx context.Context, prefix string, after uint64) (vane.Batch, error) {
