edge: a planned stop waits for requests that arrive while connections are closed; late admissions are not used

Cause: after the last request in flight had ended, a stopping node gave requests that had just arrived on open connections 150 ms and then cut them, with seconds of its grace period left. An admission of a workspace's owner that was read after this node had stood still would have been used, since the answer and the end of its time were ready together. Change: closing waits until the grace period is nearly over. The age of an owner's answer is checked on the clock that counts suspension.

--- a/edge/node.go
+++ b/edge/node.go
@@ -229,8 +229,9 @@
 	callers.stopAccepting()
 	for n.handler.InFlight() > 0 && clock.Sleep(ctx, tickPeriod/4) {
 	}
+	// A request may arrive on an open connection until that is closed.
+	callers.close(ctx)
 	n.log.Info("drained", "in_flight", n.handler.InFlight(), "took_ms", time.Since(begin).Milliseconds())
-	callers.close()
 }
 
 // isLeaving reports whether the node is stopping.
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -209,10 +209,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
 	defer cancel()
+	asked := clock.BootTime()
 	b, err := l.ask(ctx, owner, q)
 	if err != nil {
 		return 0, false, err
 	}
+	if d := clock.BootTime().Sub(asked); d > ownerTimeout {
+		// This node stood still meanwhile. The units may have been admitted again since.
+		return 0, false, vane.Errorf(vane.KindUnavailable, "edge.quota", "ask again", "the answer of node %s was read %s after the question", owner, d)
+	}
 	var a unitsAnswer
 	if err := msgpack.Unmarshal(b, &a); err != nil {
 		return 0, false, vane.Errorf(vane.KindInternal, "edge.quota", "report this as a bug", "can't decode the answer of node %s", owner).WithCause(err)
--- a/edge/quota_internal_test.go
+++ b/edge/quota_internal_test.go
@@ -159,3 +159,21 @@
 	}
 	is.True(questions <= 6)
 }
+
+// An admission that is read long after the question, because this node stood still, is not
+// used.
+func TestLateAdmissionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	ls := newLimiters(50)
+	_, _, other := ls.owners()
+	l := ls.all[other]
+	ask := l.ask
+	l.ask = func(ctx context.Context, node string, q []byte) ([]byte, error) {
+		b, err := ask(ctx, node, q)
+		time.Sleep(ownerTimeout + 50*time.Millisecond)
+		return b, err
+	}
+	_, ok, err := l.askOwner("0", "ws", 400)
+	is.True(!ok)
+	is.Equal(vane.KindOf(err), vane.KindUnavailable)
+}
--- a/edge/web.go
+++ b/edge/web.go
@@ -51,10 +51,8 @@
 // stopAccepting closes the listener. Open connections are still served.
 func (w *httpListener) stopAccepting() { _ = w.ln.Close() }
 
-// close closes idle connections, waits briefly for active ones, and then closes all.
-func (w *httpListener) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), drainMargin/3)
-	defer cancel()
+// close closes idle connections, waits for active ones until ctx ends, and then closes all.
+func (w *httpListener) close(ctx context.Context) {
 	if w.server.Shutdown(ctx) != nil {
 		_ = w.server.Close()
 	}
