mirror, edge: an answer counts when it arrives; a node that starts is not failing

Cause: follow recorded an answer after the pause in which changes are gathered (4 s), so that a store that had begun to refuse meanwhile counted as answering and all loops called it again. Each starting node sent four watches at full price before it knew that its site is large. Change: answers are recorded when they arrive; StoreFailing is said after a failed call only; a node's first watches come 0.4 s after its lists. Measured: TestPauseAfterAnAnswerIsNoAnswer fails with the late record.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -137,8 +137,7 @@
 		m.Fence = fence
 	}
 	m.PromptParts = n.placer.TakeCacheUpdates()
-	reachable := n.mirror.Reachable()
-	m.StoreOK, m.Extension.StoreFailing = reachable && n.mesh.IsPromptWatcher(), !reachable
+	m.StoreOK, m.Extension.StoreFailing = n.mirror.Reachable() && n.mesh.IsPromptWatcher(), n.mirror.Failing()
 	n.rollouts.fill(m)
 	n.pendingUpdates.fill(now, m)
 	n.composeConvictions(now, m)
--- a/edge/node.go
+++ b/edge/node.go
@@ -364,10 +364,10 @@
 // withdraws requests that would begin on outdated weights.
 func (n *Node) watchSilentUpstreams(ctx context.Context, ready func()) error {
 	ready()
-	reachable := false
+	failing := false
 	for clock.Sleep(ctx, tickPeriod) {
-		if now := n.mirror.Reachable(); now != reachable {
-			if reachable = now; n.mesh.IsPromptWatcher() {
+		if now := n.mirror.Failing(); now != failing {
+			if failing = now; n.mesh.IsPromptWatcher() {
 				n.mesh.SendNow() // another node has to take over, or need not any more
 			}
 		}
--- a/mirror/probe_internal_test.go
+++ b/mirror/probe_internal_test.go
@@ -106,3 +106,41 @@
 		})
 	}
 }
+
+// An answer counts at the time at which it arrives, not after the pause in which further
+// changes are gathered.
+func TestPauseAfterAnAnswerIsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		st := &refusingStore{refused: make(chan struct{})}
+		s := NewService(&changingStore{st}, noObjects{}, WithWatchPolicy(func(string) WatchPolicy {
+			return WatchPolicy{Relaxed: true, BatchWindow: 4 * time.Second}
+		}))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.Run(ctx, func() {}) }()
+		time.Sleep(5 * time.Second)
+		st.refuses.Store(true)
+		close(st.refused)
+		time.Sleep(time.Second)
+		is.True(s.Failing())
+		for range 800 {
+			time.Sleep(10 * time.Millisecond)
+			is.True(s.Failing())
+		}
+		cancel()
+		is.NoErr(<-done)
+	})
+}
+
+// changingStore is a refusingStore in which the objects under one prefix change all the time.
+type changingStore struct{ *refusingStore }
+
+func (s *changingStore) WatchRelaxed(ctx context.Context, prefix string, after uint64) (vane.Batch, error) {
+	if prefix != "c/" {
+		return s.refusingStore.WatchRelaxed(ctx, prefix, after)
+	}
+	b, err := s.call(ctx, time.Millisecond)
+	b.Objects = []vane.Object{{Key: "x/y", Version: after + 1}}
+	return b, err
+}
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -15,6 +15,7 @@
 	minRetryDelay        = 100 * time.Millisecond // delay of the retry after the first failed call
 	maxRetryDelay        = 500 * time.Millisecond // longest delay of a retry, so that a recovered store is noticed soon
 	relaxedRetryDelay    = 2 * time.Second        // value of maxRetryDelay for nodes that follow the store loosely
+	sizePause            = 400 * time.Millisecond // pause between the first list and the first watch, within which a node that starts learns how large its site is
 	maxProbeWait         = 5 * time.Second        // longest time for which a prefix waits while another one shows whether the store answers
 	removalCheckInterval = 200 * time.Millisecond // time between two checks whether delayed removals have become due
 	downAfter            = 700 * time.Millisecond // time without any successful call after which the store counts as down
@@ -117,6 +118,14 @@
 	return !s.lastAnswer.IsZero() && len(s.failingSince) == 0 && !s.state.storeDown
 }
 
+// Failing reports whether a call has failed since the store's last answer. Before the first
+// call has ended, the store is neither reachable nor failing.
+func (s *Service) Failing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.failingSince) > 0 || s.state.storeDown
+}
+
 // Export returns the objects that a node with the given versions lacks.
 func (s *Service) Export(have Versions) []vane.Object {
 	s.mu.Lock()
@@ -200,18 +209,20 @@
 	for ctx.Err() == nil {
 		var err error
 		if rev == 0 {
-			rev, err = s.list(ctx, prefix)
+			if rev, err = s.list(ctx, prefix); err == nil && prefix != NodeStatePrefix {
+				clock.Sleep(ctx, clock.Jitter(sizePause))
+			}
 		} else {
 			var interrupted bool
 			if rev, interrupted, err = s.watch(ctx, prefix, rev); interrupted {
 				continue
 			}
 		}
-		s.recordResult(prefix, err)
 		if err == nil {
-			pause = minRetryDelay
+			pause = minRetryDelay // the answer was recorded when it arrived
 			continue
 		}
+		s.recordResult(prefix, err)
 		if vane.KindOf(err) == vane.KindCompacted {
 			rev, pause = 0, minRetryDelay // the store answers, so it is not called too often
 		}
