edge: an owner's wait is rounded up, and the test of the owner is fair on a busy machine

Cause: a wait below 1 ms was sent as zero. Change: waits are rounded up to whole milliseconds; the test's bound counts what the rate yields during the run.

--- a/edge/quota.go
+++ b/edge/quota.go
@@ -240,7 +240,7 @@
 	}
 	var a unitsAnswer
 	wait, ok := l.buckets.TakeAsOwner(now, q.Workspace, q.Units)
-	a.Admitted, a.WaitMS = ok, wait.Milliseconds()
+	a.Admitted, a.WaitMS = ok, (wait + time.Millisecond - 1).Milliseconds()
 	b, err := msgpack.Marshal(&a)
 	if err != nil {
 		return nil
--- a/edge/quota_internal_test.go
+++ b/edge/quota_internal_test.go
@@ -86,7 +86,7 @@
 	is := is.New(t)
 	ls := newLimiters(50)
 	first, second, _ := ls.owners()
-	admitted := 0
+	admitted, begin := 0, time.Now()
 	for name, l := range ls.all {
 		if name == first {
 			continue
@@ -97,7 +97,8 @@
 			is.True(wait > 0 && wait < 2*time.Second)
 		}
 	}
-	is.True(admitted >= 2 && admitted <= 4) // the level is 1000, and the overdraft 500
+	most := 1000 + 500 + 1000*time.Since(begin).Seconds() // the level, the overdraft and what the rate yields meanwhile
+	is.True(admitted >= 2 && 400*float64(admitted) <= most)
 	is.True(ls.all[first].buckets.Admitted()["ws"] >= 400*float64(admitted))
 	is.Equal(ls.all[second].buckets.Admitted()["ws"], 0.0)
 }
