--- a/mirror/state.go
+++ b/mirror/state.go
@@ -1,14 +1,12 @@
 package mirror
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	vane "mustardvane.org/vane"
-	"mustardvane.org/vane/internal/addr"
 	"mustardvane.org/vane/site"
 )
 
@@ -332,13 +330,6 @@
 	return true
 }
 
-// decodedObject is the decoded value of an object at a version. The value is nil if the
-// object is malformed or of no use.
-type decodedObject struct {
-	version uint64
-	value   any
-}
-
 // add adds a decoded value to a view under construction. A completeUntil other than zero
 // is the earliest possible time of the change. followed is set if all weights before were
 // known.
@@ -365,37 +356,3 @@
 		v.Rollouts[x.Service] = x
 	}
 }
-
-// decode returns the decoded value of an object, or nil if it is malformed or of no
-// use.
-func (s *State) decode(key string, o vane.Object) any {
-	switch {
-	case strings.HasPrefix(key, s.dec.ConfigPrefix()):
-		if c, ok := s.dec.Config(o); ok {
-			return c
-		}
-	case strings.HasPrefix(key, s.dec.UpstreamPrefix()):
-		if u, ok := s.dec.Upstream(o); ok {
-			return u
-		}
-	case strings.HasPrefix(key, s.dec.WeightsPrefix()):
-		if w, ok := s.dec.Weights(o); ok {
-			return w
-		}
-	case strings.HasPrefix(key, s.dec.RolloutPrefix()):
-		if r, ok := s.dec.Rollout(o); ok {
-			return r
-		}
-	case strings.HasPrefix(key, weightsRecordPrefix):
-		var n WeightsRecord
-		if json.Unmarshal(o.Value, &n) == nil {
-			return n
-		}
-	case strings.HasPrefix(key, peerPrefix):
-		var p vane.PeerRecord
-		if json.Unmarshal(o.Value, &p) == nil && PeerKey(p.Name) == key && addr.IsReachable(p.Mesh) && (p.Callers == "" || addr.IsReachable(p.Callers)) {
-			return p
-		}
-	}
-	return nil
-}
--- a/quota/large_test.go
+++ b/quota/large_test.go
@@ -22,6 +22,59 @@
 	lasts         time.Duration
 }
 
+// step is the time between two steps of a simulation.
+const step = 10 * time.Millisecond
+
+// mail delivers the messages of the nodes of a fleet to each other.
+type mail struct {
+	fleet         *fleet
+	period, delay time.Duration
+	queue         []message // oldest first
+}
+
+// message is a message on its way.
+type message struct {
+	from             int
+	at               time.Time // time of its arrival
+	admitted, levels map[string]float64
+}
+
+// step delivers the messages that arrive by now, in step n, and sends those that are due.
+func (m *mail) step(now time.Time, n int) {
+	for len(m.queue) > 0 && !now.Before(m.queue[0].at) {
+		x := m.queue[0]
+		m.queue = m.queue[1:]
+		for j, o := range m.fleet.nodes {
+			if j != x.from {
+				o.Receive(now, m.fleet.names[x.from], m.fleet.boots[x.from], x.admitted, x.levels)
+			}
+		}
+	}
+	for i, b := range m.fleet.nodes {
+		if (n+i)%int(m.period/step) == 0 {
+			x := message{from: i, at: now.Add(m.delay), admitted: b.Admitted()}
+			if b.LevelsReliable(now) {
+				x.levels = b.Levels(now)
+			}
+			m.queue = append(m.queue, x)
+		}
+	}
+}
+
+// worstWindow returns the most units that were admitted within loadWindow.
+func worstWindow(got []admission) float64 {
+	sum, worst, first := 0.0, 0.0, 0
+	for _, a := range got {
+		sum += a.units
+		for a.at.Sub(got[first].at) >= loadWindow {
+			sum -= got[first].units
+			first++
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
 // admission is an admitted request.
 type admission struct {
 	at    time.Time
@@ -41,41 +94,18 @@
 // play runs the load and returns the largest number of units that were admitted within
 // loadWindow, all that were admitted and all that were asked for.
 func (l load) play(seed uint64) (worst, total, asked float64) {
-	const step = 10 * time.Millisecond
-	type message struct {
-		from             int
-		at               time.Time
-		admitted, levels map[string]float64
-	}
 	r := rand.New(rand.NewPCG(seed, 9))
 	f := newFleet(l.nodes, quota.Limit{Rate: l.rate, Burst: l.rate})
 	for _, b := range f.nodes {
 		b.SetInterval(l.interval)
 	}
-	var queue []message
+	m := mail{fleet: f, period: l.period, delay: l.delay}
 	var got []admission
 	now, count := begin, 0
 	perSecond := l.demand * l.rate / (minUnits + rangeUnits/2)
 	for n := 0; now.Sub(begin) < l.idle+l.lasts; n++ {
 		now = now.Add(step)
-		for len(queue) > 0 && !now.Before(queue[0].at) {
-			m := queue[0]
-			queue = queue[1:]
-			for j, o := range f.nodes {
-				if j != m.from {
-					o.Receive(now, f.names[m.from], f.boots[m.from], m.admitted, m.levels)
-				}
-			}
-		}
-		for i, b := range f.nodes {
-			if (n+i)%int(l.period/step) == 0 {
-				m := message{from: i, at: now.Add(l.delay), admitted: b.Admitted()}
-				if b.LevelsReliable(now) {
-					m.levels = b.Levels(now)
-				}
-				queue = append(queue, m)
-			}
-		}
+		m.step(now, n)
 		for ; now.Sub(begin) > l.idle && float64(count) < perSecond*(now.Sub(begin)-l.idle).Seconds(); count++ {
 			units := minUnits + rangeUnits*r.Float64()
 			asked += units
@@ -84,16 +114,10 @@
 			}
 		}
 	}
-	sum, first := 0.0, 0
 	for _, a := range got {
-		sum, total = sum+a.units, total+a.units
-		for a.at.Sub(got[first].at) >= loadWindow {
-			sum -= got[first].units
-			first++
-		}
-		worst = max(worst, sum)
+		total += a.units
 	}
-	return worst, total, asked
+	return worstWindow(got), total, asked
 }
 
 // Guards against too many admissions when many nodes learn late what the others admit. One
--- a/quota/owner_test.go
+++ b/quota/owner_test.go
@@ -33,12 +33,7 @@
 }
 
 func (l ownedLoad) play(seed uint64) ownedResult {
-	const step, large = 10 * time.Millisecond, 0.1
-	type message struct {
-		from             int
-		at               time.Time
-		admitted, levels map[string]float64
-	}
+	const large = 0.1 // share of the requests that are large
 	r := rand.New(rand.NewPCG(seed, 17))
 	limit := quota.Limit{Rate: l.rate, Burst: l.rate}
 	f := newFleet(l.nodes, limit)
@@ -47,7 +42,7 @@
 	}
 	oracle := quota.New(begin)
 	oracle.SetLimits(begin, f.limits)
-	var queue []message
+	m := mail{fleet: f, period: l.period, delay: l.delay}
 	var got []admission
 	var res ownedResult
 	mean := large*0.2*l.rate + (1-large)*400
@@ -55,24 +50,7 @@
 	for n := 0; time.Duration(n)*step < l.lasts; n++ {
 		at := time.Duration(n) * step
 		now := begin.Add(at)
-		for len(queue) > 0 && !now.Before(queue[0].at) {
-			m := queue[0]
-			queue = queue[1:]
-			for j, o := range f.nodes {
-				if j != m.from {
-					o.Receive(now, f.names[m.from], f.boots[m.from], m.admitted, m.levels)
-				}
-			}
-		}
-		for i, b := range f.nodes {
-			if (n+i)%int(l.period/step) == 0 {
-				m := message{from: i, at: now.Add(l.delay), admitted: b.Admitted()}
-				if b.LevelsReliable(now) {
-					m.levels = b.Levels(now)
-				}
-				queue = append(queue, m)
-			}
-		}
+		m.step(now, n)
 		owner := 0
 		if at >= l.downFrom && at < l.downTo {
 			owner = 1
@@ -107,15 +85,7 @@
 			}
 		}
 	}
-	sum, first := 0.0, 0
-	for _, a := range got {
-		sum += a.units
-		for a.at.Sub(got[first].at) >= loadWindow {
-			sum -= got[first].units
-			first++
-		}
-		res.worst = max(res.worst, sum)
-	}
+	res.worst = worstWindow(got)
 	return res
 }
 
