quota: overdrafts are bounded by the rate, not by a long burst alone

Cause: the owner's overdraft was half of the burst. Found while reading the diff; the sites known so far have bursts of one second. Change: overdrafts are multiples of the burst or of what the rate yields in a second, whichever is less.

--- a/quota/owner_test.go
+++ b/quota/owner_test.go
@@ -16,7 +16,8 @@
 // answers all nodes at once, unless it is down.
 type ownedLoad struct {
 	nodes                   int
-	rate                    float64 // of the limit, whose burst is one second of it
+	rate                    float64 // of the limit
+	burst                   float64 // of the limit, in seconds of the rate; zero for one
 	period, delay, interval time.Duration
 	demand                  float64 // average units per second that the callers ask for, as a multiple of rate
 	lasts                   time.Duration
@@ -35,7 +36,7 @@
 func (l ownedLoad) play(seed uint64) ownedResult {
 	const large = 0.1 // share of the requests that are large
 	r := rand.New(rand.NewPCG(seed, 17))
-	limit := quota.Limit{Rate: l.rate, Burst: l.rate}
+	limit := quota.Limit{Rate: l.rate, Burst: l.rate * max(1, l.burst)}
 	f := newFleet(l.nodes, limit)
 	for _, b := range f.nodes {
 		b.SetInterval(l.interval)
@@ -140,6 +141,22 @@
 	}
 }
 
+// Overdrafts are small against a burst of many seconds.
+func TestLongBurstIsNotExceeded(t *testing.T) {
+	for _, s := range sites[:2] {
+		for _, ownerless := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d nodes, without owner %t", s.nodes, ownerless), func(t *testing.T) {
+				is := is.New(t)
+				s.burst, s.demand, s.lasts, s.ownerless = 20, 7.5, 24*time.Second, ownerless
+				got := s.play(1)
+				bound := s.rate * (loadWindow.Seconds() + s.burst) * 1.1
+				t.Logf("worst window %.2f of the bound", got.worst/bound)
+				is.True(got.worst <= bound)
+			})
+		}
+	}
+}
+
 func TestOwners(t *testing.T) {
 	is := is.New(t)
 	var all []quota.Candidate
--- a/quota/share.go
+++ b/quota/share.go
@@ -9,9 +9,9 @@
 // know of each other's admissions, so that chance does not make a node refuse what the
 // limit has room for. They pay it back before they take another.
 const (
-	overdraft      = 2.0 // largest overdraft, at a full bucket, as a multiple of the burst
+	overdraft      = 2.0 // largest overdraft, at a full bucket, as a multiple of overdraftUnit
 	overdraftLevel = 0.5 // fraction of the burst up to which there is no overdraft
-	ownerOverdraft = 0.5 // overdraft of a workspace's owner, as a multiple of the burst
+	ownerOverdraft = 0.5 // overdraft of a workspace's owner, as a multiple of overdraftUnit
 )
 
 // grant is one admission that the other nodes may not know of yet.
@@ -64,18 +64,22 @@
 	own, total := b.rates(now, ws, k)
 	d := b.delay.Seconds()
 	full := (k.level/max(1, k.limit.Burst) - overdraftLevel) / (1 - overdraftLevel)
-	whole := k.level + k.unreported + (total-own)*d + max(0, full)*overdraft*k.limit.Burst
+	whole := k.level + k.unreported + (total-own)*d + max(0, full)*overdraft*k.overdraftUnit()
 	expected := min(1, max(0, whole)/max(1, total*d)) * d
 	part := shared * (own + k.limit.Rate/float64(1+len(b.peers))) / (total + k.limit.Rate)
 	return own*expected + part*(whole-total*expected) - k.unreported, part * k.limit.Rate
 }
 
+// overdraftUnit is the size of overdrafts: a burst, but not more than the rate yields in a
+// second, since the whole of a long burst may have been admitted just before.
+func (k *bucket) overdraftUnit() float64 { return min(k.limit.Burst, k.limit.Rate) }
+
 // ownerAllowance returns the units that the workspace's owner may admit now, and the rate at
 // which they grow. The level accounts for what the other nodes are expected to admit. The
 // owner knows its own admissions, so that it may go below zero by a part of the burst and
 // pay that back.
 func (k *bucket) ownerAllowance() (units, growth float64) {
-	return ownerShare*k.level + ownerOverdraft*k.limit.Burst, ownerShare * k.limit.Rate
+	return ownerShare*k.level + ownerOverdraft*k.overdraftUnit(), ownerShare * k.limit.Rate
 }
 
 // rates returns the units per second that this node and all nodes together admit, as far as
