edge: an owner that does not answer is logged

Cause: the error of a question to a workspace's owner was counted, not logged. Measured: the tests of edge pass.

--- a/edge/quota.go
+++ b/edge/quota.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,7 @@
 	nodes       func() []mesh.Peer // the other nodes
 	leaving     func() bool        // whether this node is stopping
 	asked       *prometheus.CounterVec
+	log         *slog.Logger
 
 	mu         sync.Mutex
 	buckets    *quota.Buckets
@@ -62,9 +64,9 @@
 
 // newLimiter returns the limiter of the node with the given name, without limits for any
 // workspace. It asks no owners until ask and nodes are set.
-func newLimiter(node string, linkMbps float64, onNearLimit func(), r prometheus.Registerer) *limiter {
+func newLimiter(node string, linkMbps float64, onNearLimit func(), r prometheus.Registerer, log *slog.Logger) *limiter {
 	l := &limiter{
-		node: node, linkMbps: linkMbps, buckets: quota.New(time.Now(), quota.WithSeed(xxhash.Sum64String(node))), onNearLimit: onNearLimit,
+		node: node, linkMbps: linkMbps, log: log, buckets: quota.New(time.Now(), quota.WithSeed(xxhash.Sum64String(node))), onNearLimit: onNearLimit,
 		nodes: func() []mesh.Peer { return nil }, leaving: func() bool { return false },
 		owners: make(map[string][]string), pausedTill: make(map[string]time.Time), denials: make(map[string]denial), tickedAt: clock.BootTime(),
 		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -99,9 +101,7 @@
 		switch {
 		case err != nil:
 			l.asked.WithLabelValues("unanswered").Inc()
-			l.mu.Lock()
-			l.pausedTill[owner] = time.Now().Add(ownerPause)
-			l.mu.Unlock()
+			l.pause(owner, ws, err)
 			continue
 		case ok:
 			l.asked.WithLabelValues("admitted").Inc()
@@ -116,6 +116,17 @@
 	return l.takeWithoutOwner(ws, units)
 }
 
+// pause keeps an owner that did not answer from being asked for some time.
+func (l *limiter) pause(owner, ws string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if !now.Before(l.pausedTill[owner]) {
+		l.log.Warn("owner of a workspace does not answer", "peer", owner, "workspace", ws, "paused_ms", ownerPause.Milliseconds(), "err", err.Error())
+	}
+	l.pausedTill[owner] = now.Add(ownerPause)
+}
+
 // takeLocally decides on a request if no other node has to be asked. Otherwise done is
 // false, and owners are the nodes to ask in turn.
 func (l *limiter) takeLocally(now time.Time, ws string, units float64) (owners []string, wait time.Duration, done, ok bool) {
--- a/edge/quota_internal_test.go
+++ b/edge/quota_internal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 	}
 	now := time.Now()
 	for name := range v.Peers {
-		l := newLimiter(name, 10, func() {}, prometheus.NewRegistry())
+		l := newLimiter(name, 10, func() {}, prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
 		l.ask = func(_ context.Context, node string, q []byte) ([]byte, error) {
 			if !ls.down[node] {
 				if b := ls.all[node].answer(time.Now(), q); b != nil {
