--- a/edge/quota.go
+++ b/edge/quota.go
@@ -24,6 +24,7 @@
 const (
 	ownerTimeout   = 100 * time.Millisecond // several times the round trip between data centres and the time slice of a slow host
 	ownerPause     = time.Second            // time for which an owner that did not answer is not asked
+	minOwnedSite   = 12                     // number of nodes from which on workspaces have owners; the parts of fewer nodes suffice for most requests
 	ownersAsked    = 2                      // number of owners that may be asked about a workspace
 	ownersInterval = time.Second            // between two looks for the nodes that may be owners
 	standstill     = 500 * time.Millisecond // time between two ticks from which on this node has stood still and its levels are outdated
@@ -170,6 +171,9 @@
 		l.lookedAt = now
 		l.lookForCandidates()
 	}
+	if len(l.candidates) < minOwnedSite {
+		return nil
+	}
 	names, ok := l.owners[ws]
 	if !ok {
 		names = quota.Owners(ws, l.candidates, ownersAsked)
