review: case 3, a popular read is refused for good after two servers crash

DENIED, by review/3/run.sh: 2 of 7 servers crash twice, 3.5 s apart; reads of a popular path that were in flight count as the cause, and nodes refuse the path with 422 until the end of the run. The stand-in now takes consecutive ports for a node.

--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -25,29 +25,35 @@
 	ended          bool
 }
 
-// freePorts returns ports that are free for TCP and UDP. They are below the range from which
-// the system takes the ports of outgoing connections.
+// freePorts returns consecutive ports that are free for TCP and UDP. They are below the range
+// from which the system takes the ports of outgoing connections.
 func freePorts(n int) ([]int, error) {
-	var out []int
-	for try := 0; len(out) < n; try++ {
-		if try > 100*n {
-			return nil, fmt.Errorf("no free ports")
+	for range 1000 {
+		if out := takeBlock(20000+rand.IntN(12000), n); out != nil {
+			return out, nil
 		}
-		p := 20000 + rand.IntN(12000)
+	}
+	return nil, fmt.Errorf("no free ports")
+}
+
+// takeBlock returns the n ports from first on if all of them are free, else nil.
+func takeBlock(first, n int) []int {
+	var out []int
+	for p := first; p < first+n; p++ {
 		at := fmt.Sprintf("127.0.0.1:%d", p)
 		ln, err := net.Listen("tcp", at)
 		if err != nil {
-			continue
+			return nil
 		}
 		defer ln.Close()
 		u, err := net.ListenPacket("udp", at)
 		if err != nil {
-			continue
+			return nil
 		}
 		defer u.Close()
 		out = append(out, p)
 	}
-	return out, nil
+	return out
 }
 
 func (n *node) front() string     { return fmt.Sprintf("127.0.0.1:%d", n.ports[0]) }
@@ -59,7 +65,6 @@
 	if err != nil {
 		return nil, err
 	}
-	// Two processes of a machine may use all internal ports; the second one is for metrics.
 	var out []*node
 	for i := range count {
 		n := &node{name: fmt.Sprintf("front-vik-a-%d", i+1), dir: filepath.Join(dir, fmt.Sprintf("n%d", i+1))}
