--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -3,6 +3,7 @@
 //
 //	stand CASE RECORD     play a case; exit 1: the rule was broken, 0: it held, 2: could not run
 //	stand server ...      a server as a process of its own, started by a case
+//	stand engine ...      a model server as a process of its own, started by a case
 package main
 
 import (
@@ -79,9 +80,11 @@
 }
 
 var cases = map[string]func(recordPath string) (broken bool, err error){
-	"isolated": isolated,
-	"suspect":  suspect,
-	"unframed": unframed,
+	"isolated":  isolated,
+	"lateorder": lateOrder,
+	"poison":    poison,
+	"suspect":   suspect,
+	"unframed":  unframed,
 }
 
 func main() {
@@ -89,6 +92,10 @@
 		serverMain(os.Args[2:])
 		return
 	}
+	if len(os.Args) > 1 && os.Args[1] == "engine" {
+		engineMain(os.Args[2:])
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
 		os.Exit(2)
--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -106,6 +106,24 @@
 	return out, nil
 }
 
+// setStore changes the address of the platform in the settings.
+func (n *node) setStore(addr string) error {
+	path := filepath.Join(n.dir, "settings.json")
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var set map[string]any
+	if err := json.Unmarshal(b, &set); err != nil {
+		return err
+	}
+	set["platform"].(map[string]any)["address"] = addr
+	if b, err = json.Marshal(set); err != nil {
+		return err
+	}
+	return os.WriteFile(path, b, 0o644)
+}
+
 // start starts the process with the command of the deploy file.
 func (n *node) start() error {
 	f, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
