--- a/review/stand/lateorder.go
+++ b/review/stand/lateorder.go
@@ -17,10 +17,10 @@
 
 // Times of the case.
 const (
-	cutLength  = 5500 * time.Millisecond // for_s of node_cut
-	thaw       = 300 * time.Millisecond  // thaw-ms
-	firstRTO   = 200 * time.Millisecond  // first retransmission of TCP; each further one waits twice as long
-	loadTime   = 3300 * time.Millisecond // the running requests end within 2 s, then the weights are loaded in 1.3 s
+	cutLength = 5500 * time.Millisecond // for_s of node_cut
+	thaw      = 300 * time.Millisecond  // thaw-ms
+	firstRTO  = 200 * time.Millisecond  // first retransmission of TCP; each further one waits twice as long
+	loadTime  = 3300 * time.Millisecond // the running requests end within 2 s, then the weights are loaded in 1.3 s
 )
 
 // cutLinks models the links of one machine: while they are cut, what it sends is held up,
