--- a/review/stand/suspect.go
+++ b/review/stand/suspect.go
@@ -20,14 +20,14 @@
 	suspectNodes   = 6
 	suspectServers = 7
 	crashedAtOnce  = 2
-	suspectClients = 110
-	popularShare   = 0.37 // of the requests read one path, the largest share of hot_key in the sites
+	suspectClients = 130
+	popularShare   = 0.28 // of the requests read one path, the share of hot_key in the site
 	otherPaths     = 475  // the others read one of these, as many as a class has things
 	suspectWork    = 240 * time.Millisecond
 	suspectPause   = 500 * time.Millisecond // between two requests of a requester
 	crashDown      = time.Second
 	crashGap       = 3500 * time.Millisecond
-	crashes        = 2
+	crashes        = 3
 	suspectRun     = 30 * time.Second
 )
 
@@ -91,7 +91,7 @@
 	lastDenied   time.Duration
 }
 
-// suspect crashes two of seven servers, two times, while requesters read, a part of them one popular
+// suspect crashes two of seven servers, three times, while requesters read, a part of them one popular
 // path. The reads are proper, and none of them makes a server crash.
 func suspect(recordPath string) (bool, error) {
 	w, err := newWorld(recordPath, suspectNodes)
--- a/review/stand/unframed.go
+++ b/review/stand/unframed.go
@@ -89,7 +89,7 @@
 // unframed stops and kills the process that relays an answer without a length. The answer
 // ends early, and must not look complete.
 func unframed(recordPath string) (bool, error) {
-	w, err := newWorld(recordPath, 3)
+	w, err := newWorld(recordPath, 6)
 	if err != nil {
 		return false, err
 	}
