--- a/review/stand/lateorder.go
+++ b/review/lateorder.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -54,25 +55,50 @@
 	return at
 }
 
-// forward passes bytes on from one side to the other, through the links.
+// forward passes bytes on from one side to the other, through the links. Bytes that are held
+// up are lost if their sender resets the channel meanwhile.
 func forward(dst, src net.Conn, l *cutLinks, look func(b []byte)) {
+	defer dst.Close()
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
 			look(buf[:n])
+			held := bytes.Clone(buf[:n])
 			if end, cut := l.end(); cut {
-				time.Sleep(time.Until(retransmitted(time.Now(), end)))
+				var more []byte
+				if more, err = hold(src, retransmitted(time.Now(), end)); err != nil && err != io.EOF {
+					return
+				}
+				held = append(held, more...)
 			}
-			if _, werr := dst.Write(buf[:n]); werr != nil {
-				break
+			if _, werr := dst.Write(held); werr != nil {
+				return
 			}
 		}
 		if err != nil {
-			break
+			return
+		}
+	}
+}
+
+// hold reads what else is sent until a time. The error is io.EOF if the sender has closed the
+// channel, and another one if it has reset it.
+func hold(src net.Conn, until time.Time) (more []byte, err error) {
+	src.SetReadDeadline(until)
+	defer src.SetReadDeadline(time.Time{})
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := src.Read(buf)
+		more = append(more, buf[:n]...)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return more, nil
+		case err != nil:
+			time.Sleep(time.Until(until))
+			return more, err
 		}
 	}
-	dst.Close()
 }
 
 // relay accepts channels and forwards them to target. linksOf returns the links of the
--- a/review/stand/main.go
+++ b/review/main.go
@@ -20,6 +20,15 @@
 // host is the host of all routes.
 const host = "voka93.example"
 
+// self returns the path of this program, which is also the servers that cases start.
+func self() string {
+	p, err := os.Executable()
+	if err != nil {
+		return "review/stand"
+	}
+	return p
+}
+
 // world is what each case starts from.
 type world struct {
 	*record
--- a/review/stand/poison.go
+++ b/review/poison.go
@@ -94,7 +94,7 @@
 		if err != nil {
 			return
 		}
-		c := exec.Command("review/bin/stand", "engine", "--id", id, "--addr", s.addr, "--store", w.store.addr)
+		c := exec.Command(self(), "engine", "--id", id, "--addr", s.addr, "--store", w.store.addr)
 		c.Stdout, c.Stderr = f, f
 		err = c.Start()
 		f.Close()
--- a/review/stand/suspect.go
+++ b/review/suspect.go
@@ -21,8 +21,10 @@
 	suspectServers = 7
 	crashedAtOnce  = 2
 	suspectClients = 130
-	popularShare   = 0.28 // of the requests read one path, the share of hot_key in the site
-	otherPaths     = 475  // the others read one of these, as many as a class has things
+	popularShare   = 0.28 // of the requests read one path while it is popular, the share of hot_key in the site
+	popularFrom    = 3 * time.Second
+	popularFor     = 6 * time.Second // for_s of hot_key in the site
+	otherPaths     = 475             // the others read one of these, as many as a class has things
 	suspectWork    = 240 * time.Millisecond
 	suspectPause   = 500 * time.Millisecond // between two requests of a requester
 	crashDown      = time.Second
@@ -43,7 +45,7 @@
 		return err
 	}
 	defer f.Close()
-	p.cmd = exec.Command("review/bin/stand", "server", "--id", p.id, "--service", "kafi81c", "--addr", p.addr, "--store", w.store.addr,
+	p.cmd = exec.Command(self(), "server", "--id", p.id, "--service", "kafi81c", "--addr", p.addr, "--store", w.store.addr,
 		"--slots", "6", "--work", suspectWork.String())
 	p.cmd.Stdout, p.cmd.Stderr = f, f
 	if err := p.cmd.Start(); err != nil {
@@ -186,7 +188,8 @@
 		at := w.nodes[rand.IntN(len(w.nodes))]
 		id := fmt.Sprintf("%08x%08x", i, n)
 		path := "/filo73/de11/2f"
-		if rand.Float64() >= popularShare {
+		since := time.Since(begin)
+		if since < popularFrom || since > popularFrom+popularFor || rand.Float64() >= popularShare {
 			path = fmt.Sprintf("/filo73/de11/%x", 0x1000+rand.IntN(otherPaths))
 		}
 		req, err := http.NewRequest(http.MethodGet, "http://"+at.front()+path, nil)
