linger: an unframed response that its node cuts does not look whole

Cause: such a response ends with its connection. The node reset the connection only where it knew that the response was incomplete. http.Server.Close at the end of the grace period, and the kernel after SIGKILL, close it in order.

Change: until the last byte has been handed to the kernel the connection has a linger time of zero, so that every end resets it; only the code that has seen the whole response turns that off. This needs no code to run at the end of the process. The same for callers of HTTP/1.0, who get no chunks, and for the product's own interface.

--- a/edge/web.go
+++ b/edge/web.go
@@ -9,6 +9,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/internal/reply"
+	"mustardvane.org/vane/linger"
 )
 
 // Limits of the listeners.
@@ -30,7 +31,7 @@
 func newListener(addr string, h http.Handler) *httpListener {
 	return &httpListener{addr: addr, server: &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
+		DisableGeneralOptionsHandler: true, ConnContext: linger.ConnContext,
 	}}
 }
 
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	s := entry.New(deps, entry.WithBounds(settings.Callers))
-//	srv := &http.Server{Handler: s.Handler()}
+//	srv := &http.Server{Handler: s.Handler(), ConnContext: linger.ConnContext}
 //
 // # Paths
 //
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -4,10 +4,13 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/auth"
 	"mustardvane.org/vane/claim"
 	"mustardvane.org/vane/conns"
+	"mustardvane.org/vane/linger"
 	"mustardvane.org/vane/prefix"
 	"mustardvane.org/vane/route"
 )
@@ -84,7 +87,7 @@
 // caller. cl is nil for idempotent routes.
 func (s *Server) runCall(w http.ResponseWriter, r *http.Request, c *request, call route.Call, cl *claim.Claim) {
 	if cl != nil && cl.Replayed() {
-		s.writeReplay(w, c, cl.Outcome())
+		s.writeReplay(w, r, c, cl.Outcome())
 		return
 	}
 	ctx := r.Context()
@@ -110,13 +113,29 @@
 		h[k] = v
 	}
 	h.Set(headerRequestID, c.requestID())
-	res.Framing.SetHeader(h)
-	w.WriteHeader(res.Status)
-	_, _ = w.Write(res.Body)
+	s.writeBody(w, r, res.Status, res.Framing, res.Body)
+}
+
+// writeBody writes the response whose other headers are set. If its framing is that of the
+// end of the connection, a connection that ends before the whole body is sent is reset.
+func (s *Server) writeBody(w http.ResponseWriter, r *http.Request, status int, framing conns.Framing, body []byte) {
+	framing.SetHeader(w.Header())
+	unstated := framing == conns.FramingClose
+	if unstated {
+		if err := linger.Begin(r); err != nil {
+			klog.ErrorS(err, "Part of a response may look whole if this node ends")
+		}
+	}
+	w.WriteHeader(status)
+	// If the caller has left, the write fails. Nothing remains to be done then: the server
+	// closes the connection.
+	if _, err := w.Write(body); err == nil && unstated {
+		_ = linger.End(w, r)
+	}
 }
 
 // writeReplay responds with a recorded outcome.
-func (s *Server) writeReplay(w http.ResponseWriter, c *request, out claim.Outcome) {
+func (s *Server) writeReplay(w http.ResponseWriter, r *http.Request, c *request, out claim.Outcome) {
 	if out.Truncated {
 		s.refuse(w, c, vane.Refuse(vane.ReasonClaimUnknown, "the call ran with status %d, but its response was too large to record; read the result from the service", out.Status).
 			WithExecution(vane.Ran))
@@ -128,9 +147,9 @@
 	}
 	h.Set(headerReplayed, "true")
 	h.Set(headerRequestID, c.requestID())
+	framing := conns.FramingLength
 	if out.Unframed {
-		conns.FramingClose.SetHeader(h)
+		framing = conns.FramingClose
 	}
-	w.WriteHeader(out.Status)
-	_, _ = w.Write(out.Body)
+	s.writeBody(w, r, out.Status, framing, out.Body)
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -26,6 +26,7 @@
 	"mustardvane.org/vane/crash"
 	"mustardvane.org/vane/event"
 	"mustardvane.org/vane/front"
+	"mustardvane.org/vane/linger"
 	"mustardvane.org/vane/mirror"
 	"mustardvane.org/vane/retry"
 	"mustardvane.org/vane/sched"
@@ -173,6 +174,7 @@
 // testFront is an HTTP server with a front.Handler over scripted upstreams.
 type testFront struct {
 	url      string
+	server   *httptest.Server
 	stopping atomic.Bool
 	quota    *fakeLimiter
 	placer   *sched.Placer
@@ -220,9 +222,11 @@
 		Draining: b.stopping.Load, RefuseStreams: b.stopping.Load, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {}, UpstreamLeaving: func(vane.Upstream) {},
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
 	})
-	srv := httptest.NewServer(h)
-	t.Cleanup(srv.Close)
-	b.url = srv.URL
+	b.server = httptest.NewUnstartedServer(h)
+	b.server.Config.ConnContext = linger.ConnContext
+	b.server.Start()
+	t.Cleanup(b.server.Close)
+	b.url = b.server.URL
 	return b
 }
 
--- a/front/relay.go
+++ b/front/relay.go
@@ -38,7 +38,7 @@
 // early, or can't be written to the caller. A response that ends inside an event ends
 // early, also if its body is as long as announced. If it states no end, the caller's
 // response states none either.
-func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, att *sched.Attempt, resp *conns.Response) *vane.Refusal {
+func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick, att *sched.Attempt, resp *conns.Response) *vane.Refusal {
 	if t.relay == nil && !h.Dialect.ParseResponse(resp.Status, resp.Header).Signed {
 		return vane.Refuse(vane.ReasonUpstreamWrongID, "the response of upstream %s lacks that upstream's signature", p.Upstream.Name).WithExecution(vane.MayHaveRun)
 	}
@@ -71,7 +71,8 @@
 			return h.responseBroken(ctx, t, p, resp, err)
 		}
 		if t.relay == nil {
-			t.relay, t.unstated = startRelay(w, resp), resp.Framing == conns.FramingClose
+			h.beginResponse(r, t, resp)
+			t.relay = startRelay(w, resp)
 		}
 		if inEvent {
 			h.Placer.FirstByte(clock.BootTime(), att)
@@ -83,6 +84,7 @@
 			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
 		}
 		if err == io.EOF {
+			h.endResponse(w, r, t)
 			t.result.complete(time.Now(), resp.Status)
 			h.recordServed(t, p, resp)
 			return nil
--- a/front/serve.go
+++ b/front/serve.go
@@ -199,7 +199,7 @@
 		return h.exchangeFailed(ctx, t, p, err)
 	}
 	defer resp.Close()
-	return h.handleResponse(ctx, w, t, p, att, resp)
+	return h.handleResponse(ctx, w, r, t, p, att, resp)
 }
 
 // exchangeFailed handles an exchange without a response. Unless the time limit or the
@@ -242,7 +242,7 @@
 
 // handleResponse relays a response. It returns a refusal if the response can't be
 // relayed or did not arrive completely.
-func (h *Handler) handleResponse(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, att *sched.Attempt, resp *conns.Response) *vane.Refusal {
+func (h *Handler) handleResponse(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick, att *sched.Attempt, resp *conns.Response) *vane.Refusal {
 	t.sends++
 	m := h.Dialect.ParseResponse(resp.Status, resp.Header)
 	if h.Placer.Observe(clock.BootTime(), p.Upstream.Name, m) {
@@ -254,7 +254,7 @@
 		return vane.Refuse(vane.ReasonUpstreamFull, "upstream %s refused to run the request (status %d)", p.Upstream.Name, resp.Status).WithRetryAfter(busyRetryAfter)
 	}
 	if t.route.Kind == vane.RouteStream && resp.Status < http.StatusMultipleChoices {
-		return h.relayStream(ctx, w, t, p, att, resp)
+		return h.relayStream(ctx, w, r, t, p, att, resp)
 	}
 	if t.relay != nil {
 		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s did not resume the stream (status %d)", p.Upstream.Name, resp.Status).WithExecution(vane.MayHaveRun)
@@ -287,8 +287,8 @@
 		h.recordAnswer(t)
 	}
 	copyHeader(w.Header(), resp)
+	h.beginResponse(r, t, resp)
 	w.WriteHeader(resp.Status)
-	t.unstated = resp.Framing == conns.FramingClose
 	// If the caller has left, the write fails. Nothing remains to be done then: the
 	// server closes the connection.
 	_, _ = w.Write(body)
@@ -297,6 +297,7 @@
 			return ref
 		}
 	}
+	h.endResponse(w, r, t)
 	h.recordServed(t, p, resp)
 	return nil
 }
@@ -310,7 +311,7 @@
 		if _, werr := w.Write(buf[:n]); werr != nil {
 			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(werr)
 		}
-		if err == io.EOF && resp.Complete() && !(t.unstated && h.crashed(p.Upstream)) {
+		if err == io.EOF && resp.Complete() && !(resp.Framing == conns.FramingClose && h.crashed(p.Upstream)) {
 			return nil
 		}
 		if err != nil {
--- a/front/unframed_test.go
+++ b/front/unframed_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -195,3 +196,46 @@
 	_, _, err := b.exchange(t.Context(), "/resume/x")
 	is.True(err != nil)
 }
+
+// A part of a response that only the end of the connection would end does not look whole when
+// the node closes its connections, as it does at the end of a planned stop.
+func TestClosedNodesResponseLooksComplete(t *testing.T) {
+	const some = "id: 1\ndata: a\n\n"
+	long := strings.Repeat("x", 300<<10)
+	for _, tt := range []struct {
+		name, path, proto, body string
+		head                    []string
+	}{
+		{"stream", "/once/x", "HTTP/1.1", some, nil},
+		{"stream that may be resumed", "/resume/x", "HTTP/1.1", some, nil},
+		{"long plain", "/unsafe/x", "HTTP/1.1", long, nil},
+		{"stream in chunks for HTTP/1.0", "/once/x", "HTTP/1.0", fmt.Sprintf("%x\r\n%s\r\n", len(some), some), []string{"Transfer-Encoding: chunked"}},
+		{"long plain in chunks for HTTP/1.0", "/unsafe/x", "HTTP/1.0", fmt.Sprintf("%x\r\n%s\r\n", len(long), long), []string{"Transfer-Encoding: chunked"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			sent, end := make(chan struct{}), make(chan struct{})
+			defer close(end)
+			b := newTestFront(t, 5, newScriptedUpstream(t, func(n int, w io.Writer, id string, r *http.Request) bool {
+				respondRaw(tt.body, false, tt.head...)(n, w, id, r)
+				close(sent)
+				<-end
+				return false
+			}))
+			c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+			is.NoErr(err)
+			defer c.Close()
+			_, err = fmt.Fprintf(c, "POST %s %s\r\nHost: h\r\nId: id1\r\nKey: k\r\nContent-Length: 0\r\n\r\n", tt.path, tt.proto)
+			is.NoErr(err)
+			<-sent
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			first := make([]byte, len("id: 1"))
+			_, err = io.ReadFull(resp.Body, first) // the response has begun
+			is.NoErr(err)
+			is.NoErr(b.server.Config.Close())
+			_, err = io.ReadAll(resp.Body)
+			is.True(errors.Is(err, syscall.ECONNRESET)) // else the part looks whole
+		})
+	}
+}
--- a/front/wire.go
+++ b/front/wire.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"mustardvane.org/vane/conns"
+	"mustardvane.org/vane/linger"
 )
 
 // hopByHopHeaders are the headers that apply to a single connection. The HTTP server
@@ -30,6 +31,29 @@
 	resp.Framing.SetHeader(dst)
 }
 
+// beginResponse is called before the first bytes of a response to the caller. If nothing but
+// the end of the connection will end it, a connection that ends before endResponse is reset.
+// Callers of HTTP/1.0 get no chunks.
+func (h *Handler) beginResponse(r *http.Request, t *attempts, resp *conns.Response) {
+	t.unstated = resp.Framing == conns.FramingClose || !r.ProtoAtLeast(1, 1)
+	if !t.unstated {
+		return
+	}
+	if err := linger.Begin(r); err != nil {
+		h.Log.Warn("part of a response may look whole if this node ends", "request_id", t.meta.ID, "err", err.Error())
+	}
+}
+
+// endResponse is called after the last bytes of a response to the caller.
+func (h *Handler) endResponse(w http.ResponseWriter, r *http.Request, t *attempts) {
+	if !t.unstated {
+		return
+	}
+	if err := linger.End(w, r); err != nil {
+		h.Log.Info("end of the response not sent", "request_id", t.meta.ID, "err", err.Error())
+	}
+}
+
 // resetConn resets the connection to the caller. After TLS, a connection that ends without
 // an alert shows the same as a reset.
 func resetConn(w http.ResponseWriter) error {
--- a/node/web.go
+++ b/node/web.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"mustardvane.org/vane/config"
+	"mustardvane.org/vane/linger"
 	"mustardvane.org/vane/node/certs"
 )
 
@@ -36,6 +37,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       linger.ConnContext,
 		ErrorLog:          klog.NewStandardLogger("WARNING"),
 	}}
 }
