crash, front: crashes after the first event are evidence too

Cause: front.recordCut returned at once for requests whose answer had begun, and the first event cleared the parts of their prompts. A first event is proof against crashes before it, not against later ones.

Change: crashes after the first event count under keys of their own, for the request and for the shared parts of its prompt, in the tracker of the parts. Three moments without a complete answer in between convict; only a complete answer clears, on all nodes. Evidence about requests that wait is as before, so bystanders of a part that crashes engines are judged as they were.

--- a/crash/parts.go
+++ b/crash/parts.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"encoding/binary"
 	"log/slog"
 	"slices"
 	"sync"
@@ -34,12 +35,13 @@
 	crashedAt   time.Time
 }
 
-// PartCrash says that an upstream crashed before it wrote any of the answer to a request.
+// PartCrash says that an upstream crashed while it had a request: before it wrote any of the
+// answer, by the shared parts of the prompt, or later, by the [LateKeys].
 type PartCrash struct {
 	Upstream    string
 	Incarnation uint64
 	Workspace   uint64   // hash of the request's workspace
-	Parts       []uint64 // hashes of the shared parts of the request's prompt, in order
+	Parts       []uint64 // hashes of the shared parts of the request's prompt, in order, or late keys
 	At          time.Time
 }
 
@@ -98,6 +100,22 @@
 	return out
 }
 
+// LateKeys returns the keys under which a [Parts] keeps the evidence about crashes that came
+// after an answer had begun: those of the shared parts of the prompt, and last that of the
+// request itself, which is convicted first. Such a crash is no sign against requests that
+// are still waiting, and only a complete answer speaks for one that had begun, so that both
+// kinds of evidence are kept apart.
+func LateKeys(workspace string, fingerprint uint64, parts []uint64) []uint64 {
+	key := func(kind string, hash uint64) uint64 {
+		return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(kind), hash))
+	}
+	out := make([]uint64, 0, len(parts)+1)
+	for _, k := range parts {
+		out = append(out, key("part\x00", k))
+	}
+	return append(out, key("request\x00"+workspace+"\x00", fingerprint))
+}
+
 // Check returns a [*vane.Refusal] if a part of the request is convicted, else nil.
 func (p *Parts) Check(now time.Time, workspace string, parts []uint64) error {
 	p.mu.Lock()
@@ -109,7 +127,7 @@
 		}
 		if len(e.workspaces) >= maxPartWorkspaces || slices.Contains(e.workspaces, xxhash.Sum64String(workspace)) {
 			return vane.Refuse(vane.ReasonSuspectRequest,
-				"upstreams crash on part %x of this prompt; requests with it are not run, so change it", k)
+				"upstreams crash on this request or on part %x of its prompt; it is not run, so change it", k)
 		}
 	}
 	return nil
@@ -137,8 +155,8 @@
 	return true
 }
 
-// RecordCrash records that the upstream crashed before this node got any of the answer to
-// a request with the parts, and tells the other nodes.
+// RecordCrash records that the upstream crashed while it had a request with the parts, or
+// with the late keys, and tells the other nodes.
 func (p *Parts) RecordCrash(now time.Time, workspace string, parts []uint64, u vane.Upstream) {
 	c := PartCrash{Upstream: u.Name, Incarnation: u.Incarnation, Workspace: xxhash.Sum64String(workspace), Parts: parts, At: now}
 	if p.Add(now, c) {
@@ -268,9 +286,25 @@
 func (p *Parts) RecordSuccess(now time.Time, parts []uint64) {
 	for _, k := range parts {
 		p.mu.Lock()
-		e := p.entry(k)
-		e.answeredAt = now
-		cleared := p.clear(now, k, e)
+		cleared := p.answered(now, k, p.entry(k))
+		p.mu.Unlock()
+		if cleared {
+			p.cfg.BroadcastClear(k)
+		}
+	}
+}
+
+// RecordComplete records that a request with the late keys was answered completely, which
+// clears them, and tells the other nodes. Keys without evidence are not remembered, since
+// most requests come only once.
+func (p *Parts) RecordComplete(now time.Time, keys []uint64) {
+	for _, k := range keys {
+		p.mu.Lock()
+		e, ok := p.parts.Peek(k)
+		if !ok {
+			e, ok = p.convicted[k]
+		}
+		cleared := ok && p.answered(now, k, e)
 		p.mu.Unlock()
 		if cleared {
 			p.cfg.BroadcastClear(k)
@@ -278,6 +312,13 @@
 	}
 }
 
+// answered records an answer. It returns false if there was no evidence to clear. The caller
+// must hold p.mu.
+func (p *Parts) answered(now time.Time, k uint64, e *part) bool {
+	e.answeredAt = now
+	return p.clear(now, k, e)
+}
+
 // Clear drops the evidence about a part that another node saw answered.
 func (p *Parts) Clear(now time.Time, k uint64) {
 	p.mu.Lock()
--- a/crash/parts_test.go
+++ b/crash/parts_test.go
@@ -216,3 +216,52 @@
 	is.Equal(messages, 1)
 	is.True(p.Add(start.Add(3*time.Second), crash.PartCrash{Upstream: "u", Parts: []uint64{3}, At: start.Add(1500 * time.Millisecond)}))
 }
+
+// Crashes after the beginning of an answer count against the request before they count
+// against the parts that it shares, and a complete answer elsewhere clears both.
+func TestLateCrashes(t *testing.T) {
+	const request, shared = 7, 8
+	const gap = 500 * time.Millisecond
+	for _, tt := range []struct {
+		name     string
+		events   string // a crash of the request on the next upstream (c), of another with the same part (o), a complete answer to the request (a) or to another (b)
+		gap      time.Duration
+		request  bool // the request is refused
+		sharedBy bool // others with the part are refused
+	}{
+		{"two crashes", "cc", gap, false, false},
+		{"three crashes", "ccc", gap, true, false},
+		{"others with its part are answered", "cbcbc", gap, true, false},
+		{"answered in between", "ccac", gap, false, false},
+		{"answered after the conviction", "ccca", gap, false, false},
+		{"many upstreams at once", "cccccc", 50 * time.Millisecond, false, false},
+		{"different requests with one part", "coo", gap, true, true},
+		{"different requests with one part that is answered", "cobo", gap, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			messages := 0
+			p := newParts(&messages)
+			now := time.Unix(0, 0)
+			other := uint64(100)
+			keys := func(fp uint64) []uint64 { return crash.LateKeys("ws", fp, []uint64{shared}) }
+			for i, e := range tt.events {
+				u := vane.Upstream{Name: fmt.Sprint("u", i), Incarnation: 1}
+				switch other++; e {
+				case 'c':
+					p.RecordCrash(now, "ws", keys(request), u)
+				case 'o':
+					p.RecordCrash(now, "ws", keys(other), u)
+				case 'a':
+					p.RecordComplete(now, keys(request))
+				case 'b':
+					p.RecordComplete(now, keys(other))
+				}
+				now = now.Add(tt.gap)
+			}
+			is.Equal(p.Check(now, "ws", keys(request)) != nil, tt.request)
+			is.Equal(p.Check(now, "ws", keys(1000)) != nil, tt.sharedBy)
+			is.NoErr(p.Check(now, "ws", []uint64{shared})) // requests that wait are judged by other evidence
+		})
+	}
+}
--- a/front/crash.go
+++ b/front/crash.go
@@ -26,10 +26,13 @@
 	Check(now time.Time, workspace string, parts []uint64) error
 	// Suspect reports whether a request with the parts should not be retried.
 	Suspect(parts []uint64) bool
-	// RecordCrash records that u crashed before any of the answer arrived.
+	// RecordCrash records that u crashed before any of the answer arrived, or later if the
+	// request's late keys are given for parts.
 	RecordCrash(now time.Time, workspace string, parts []uint64, u vane.Upstream)
 	// RecordSuccess records that the answer to a request with the parts has begun.
 	RecordSuccess(now time.Time, parts []uint64)
+	// RecordComplete records that a request with the late keys was answered completely.
+	RecordComplete(now time.Time, keys []uint64)
 }
 
 // crashCheck is one check whether an upstream has crashed.
@@ -96,14 +99,15 @@
 // crashed reports whether an upstream that has closed a connection has crashed.
 func (h *Handler) crashed(u vane.Upstream) bool { return h.crashChecks.crashed(h.Pool, u) }
 
-// checkParts returns a refusal if a part of the request's prompt crashes upstreams.
+// checkParts returns a refusal if the request, or a part of its prompt, crashes upstreams.
 func (h *Handler) checkParts(c *request, now time.Time) *vane.Refusal {
-	err := h.Parts.Check(now, c.tenancy.Workspace, c.parts)
-	if err == nil {
-		return nil
+	for _, keys := range [][]uint64{c.parts, c.lateKeys} {
+		if err := h.Parts.Check(now, c.tenancy.Workspace, keys); err != nil {
+			h.Log.Info("request or a part of its prompt is convicted", "request_id", c.meta.ID, "workspace", c.tenancy.Workspace, "parts", c.partIDs(), "hashes", crash.Hashes(keys))
+			return asRefusal(err)
+		}
 	}
-	h.Log.Info("prompt has a convicted part", "request_id", c.meta.ID, "workspace", c.tenancy.Workspace, "parts", c.partIDs(), "hashes", crash.Hashes(c.parts))
-	return asRefusal(err)
+	return nil
 }
 
 // partIDs returns the ids of the shared parts of the request's prompt.
@@ -116,22 +120,25 @@
 }
 
 // recordCut records the request as a possible cause of a crash if the upstream, which broke
-// it off, has crashed. A request whose answer has begun was not the cause.
+// it off, has crashed. Evidence against a request whose answer has begun is kept apart: many
+// such requests run on an upstream, and one that had no answer yet is the likelier cause.
 func (h *Handler) recordCut(t *attempts, u vane.Upstream) {
-	if t.answering {
-		return
+	id, ws, fp, keys, ids, at, answering := t.meta.ID, t.tenancy.Workspace, t.fingerprint, t.parts, t.partIDs(), time.Now(), t.answering
+	if answering {
+		keys = t.lateKeys
 	}
-	id, ws, fp, parts, ids, at := t.meta.ID, t.tenancy.Workspace, t.fingerprint, t.parts, t.partIDs(), time.Now()
 	go func() {
 		crashed := h.crashed(u)
-		h.Log.Info("broken off before the answer", "request_id", id, "workspace", ws, "upstream", u.Name, "incarnation", u.Incarnation,
-			"parts", ids, "hashes", crash.Hashes(parts), "crashed", crashed)
+		h.Log.Info("broken off", "request_id", id, "workspace", ws, "upstream", u.Name, "incarnation", u.Incarnation, "answering", answering,
+			"parts", ids, "hashes", crash.Hashes(keys), "crashed", crashed)
 		if !crashed {
 			return
 		}
-		h.Crashes.RecordCrash(ws, fp, u)
-		if len(parts) > 0 {
-			h.Parts.RecordCrash(at, ws, parts, u)
+		if !answering {
+			h.Crashes.RecordCrash(ws, fp, u)
+		}
+		if len(keys) > 0 {
+			h.Parts.RecordCrash(at, ws, keys, u)
 		}
 	}()
 }
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -73,3 +73,55 @@
 		})
 	}
 }
+
+// A request that crashes its upstreams after the first event of its answer is refused before
+// it reaches a fourth one. Other requests are not, nor is one that was answered in between.
+func TestRequestThatCrashesAfterItsFirstEvent(t *testing.T) {
+	const crashes = 3 // after these the request is refused
+	for _, tt := range []struct {
+		name     string
+		answered bool // a complete answer comes before the last crash
+	}{
+		{"deadly", false},
+		{"cut by the crashes of others", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			answer := respondEvents(streamText, len("id: 1\ndata: a\n\n"))
+			var ups []*scriptedUpstream
+			for range crashes {
+				ups = append(ups, newCrashingUpstream(t, answer))
+			}
+			sound := newScriptedUpstream(t, respondEvents(streamText, -1))
+			b := newTestFront(t, 10, ups...)
+			send := func(path string) int {
+				status, _, _, _ := b.send(t.Context(), path) // the response of a crashing upstream is broken off
+				return status
+			}
+			crashed := func() (n int64) {
+				for _, u := range ups {
+					n += u.requests.Load()
+				}
+				return n
+			}
+			for i := range crashes {
+				if i == crashes-1 && tt.answered {
+					b.setUpstreams(sound)
+					is.Equal(send("/once/x"), http.StatusOK)
+					b.setUpstreams(ups...)
+				}
+				is.Equal(send("/once/x"), http.StatusOK)
+				time.Sleep(450 * time.Millisecond) // crashes that are closer together count as one
+			}
+			is.Equal(crashed(), int64(crashes))
+			b.setUpstreams(sound)
+			if tt.answered {
+				is.Equal(send("/once/x"), http.StatusOK)
+				return
+			}
+			is.Equal(send("/once/x"), http.StatusUnprocessableEntity)
+			is.Equal(send("/once/other"), http.StatusOK)
+			is.Equal(sound.requests.Load(), int64(1))
+		})
+	}
+}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -192,16 +192,31 @@
 	b.results = append(b.results, s)
 }
 
+// upstreamsOf returns the upstreams as a view lists them.
+func upstreamsOf(ups []*scriptedUpstream) map[string]vane.Upstream {
+	out := make(map[string]vane.Upstream)
+	for i, u := range ups {
+		name := fmt.Sprintf("u%d", i)
+		out[name] = vane.Upstream{Name: name, Addr: u.addr, Service: "s", Slots: 4, DataCentre: "dc", Role: vane.RoleService}
+	}
+	return out
+}
+
+// setUpstreams replaces the upstreams that the placer picks from, in place of those that
+// were set aside too.
+func (b *testFront) setUpstreams(ups ...*scriptedUpstream) {
+	v := *b.view
+	v.Upstreams = upstreamsOf(ups)
+	b.placer.Update(&mirror.View{Config: v.Config, Upstreams: map[string]vane.Upstream{}})
+	b.placer.Update(&v)
+}
+
 // newTestFront starts a front for the given upstreams. slack is the number of retries
 // that its retry budget allows.
 func newTestFront(t *testing.T, slack float64, ups ...*scriptedUpstream) *testFront {
 	t.Helper()
 	b := &testFront{quota: &fakeLimiter{}, events: event.NewRing("n", 16)}
-	v := &mirror.View{Upstreams: map[string]vane.Upstream{}}
-	for i, u := range ups {
-		name := fmt.Sprintf("u%d", i)
-		v.Upstreams[name] = vane.Upstream{Name: name, Addr: u.addr, Service: "s", Slots: 4, DataCentre: "dc", Role: vane.RoleService}
-	}
+	v := &mirror.View{Upstreams: upstreamsOf(ups)}
 	s := []vane.WeightedService{{Service: "s", Weight: 1}}
 	v.Config = site.New(1, site.WithRoutes(
 		vane.Route{Name: "unsafe", Host: "h", PathPrefix: "/unsafe/", Kind: vane.RouteUnsafe, MaxAttempts: 1, Services: s, Timeout: 10 * time.Second},
--- a/front/handler.go
+++ b/front/handler.go
@@ -101,6 +101,7 @@
 	quotaCost     float64  // quota units that the request costs; zero if its workspace has no quota
 	fingerprint   uint64   // identifies the request's content in the CrashTracker
 	parts         []uint64 // identifies the shared parts of the prompt in the PartTracker
+	lateKeys      []uint64 // identifies the request, and these parts, once its answer has begun
 }
 
 // ServeHTTP implements http.Handler.
@@ -159,6 +160,7 @@
 		return asRefusal(err)
 	}
 	c.parts = crash.SharedParts(c.service, c.meta.Parts)
+	c.lateKeys = crash.LateKeys(c.tenancy.Workspace, c.fingerprint, c.parts)
 	if ref := h.checkParts(c, c.start); ref != nil {
 		return ref
 	}
--- a/front/serve.go
+++ b/front/serve.go
@@ -59,6 +59,7 @@
 		t.result.end(time.Now(), ref)
 		if ref == nil {
 			h.Crashes.RecordSuccess(c.tenancy.Workspace, c.fingerprint)
+			h.Parts.RecordComplete(time.Now(), c.lateKeys)
 			return
 		}
 		t.lastRefusal = ref
