front, edge: a planned stop answers late requests, or refuses them

What callers saw (LOST): no whole answer around SIGTERM, also for requests that may not be repeated.

Cause: a closing node refused streams only and took all other requests until the last moment; what was in flight then was cut without an answer.

Change: once callers have had time to learn of the stop, a request is admitted only if its time limit ends before the node's, else it is refused as not run. Before connections close, requests in flight are refused: 503 if none was sent, else 502. Responses say that the connection closes if the node stops by the time they begin.

TestClosingRefusesStreams has the same checks; it states until when the node serves, since that decides now.

--- a/edge/node.go
+++ b/edge/node.go
@@ -37,6 +37,7 @@
 	tickPeriod     = 100 * time.Millisecond  // period of the checks for silent upstreams, and of the waits while draining
 	silentTimeout  = 1200 * time.Millisecond // an upstream that keeps requests waiting for this long is set aside
 	drainMargin    = 450 * time.Millisecond  // part of the grace period reserved for ending the process
+	answerMargin   = 200 * time.Millisecond  // part of the grace period before that in which the requests in flight are refused
 	leasePrefix    = "vane-leases"           // key prefix of the leases in the store
 )
 
@@ -135,7 +136,7 @@
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash, Parts: n.parts,
-		RetryBudget: n.retryWindow, Draining: n.isLeaving, RefuseStreams: n.isClosing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
+		RetryBudget: n.retryWindow, Draining: n.isLeaving, Closing: n.closing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
 	})
 	return n, n.register()
 }
@@ -213,7 +214,8 @@
 
 // drain directs callers to other nodes. It keeps serving until cached directory answers
 // have expired and the requests in flight have ended, or the grace period is nearly
-// over.
+// over. Requests that are still in flight then are refused, or broken off if their
+// responses have begun.
 func (n *Node) drain(callers *httpListener) {
 	begin := time.Now()
 	n.mu.Lock()
@@ -227,8 +229,11 @@
 	go n.removeOwnRecord(ctx)
 	clock.Sleep(ctx, 3*n.settings.ttl()+tickPeriod)
 	callers.stopAccepting()
-	for n.handler.InFlight() > 0 && clock.Sleep(ctx, tickPeriod/4) {
+	serving, end := context.WithDeadline(ctx, n.servesUntil())
+	defer end()
+	for n.handler.InFlight() > 0 && clock.Sleep(serving, tickPeriod/4) {
 	}
+	defer context.AfterFunc(serving, n.handler.Stop)()
 	// A request may arrive on an open connection until that is closed.
 	callers.close(ctx)
 	n.log.Info("drained", "in_flight", n.handler.InFlight(), "took_ms", time.Since(begin).Milliseconds())
@@ -241,12 +246,21 @@
 	return n.leaving
 }
 
-// isClosing reports whether the node is stopping and callers have had time to learn it.
-// Streams that still run have the rest of the grace period to end.
-func (n *Node) isClosing() bool {
+// closing reports whether the node is stopping and callers have had time to learn it, and
+// until when it serves requests. Those in flight have the time in between to end.
+func (n *Node) closing() (until time.Time, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.leaving && time.Since(n.leavingSince) > 3*n.settings.ttl()
+	if !n.leaving || time.Since(n.leavingSince) <= 3*n.settings.ttl() {
+		return time.Time{}, false
+	}
+	return n.servesUntil(), true
+}
+
+// servesUntil returns when a stopping node ends its requests. It may be called once leavingSince
+// is set, which does not change then.
+func (n *Node) servesUntil() time.Time {
+	return n.leavingSince.Add(n.settings.Grace - drainMargin - answerMargin)
 }
 
 // handleRestore is called when the store has come back from a copy. What this node wrote
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -363,6 +364,50 @@
 	is.Equal(string(rest), "\nid: 2\n\n")
 }
 
+// Requests that come during a planned stop over connections that were open before it get a
+// response each, also if they may not be repeated and come late or outlast the grace period.
+func TestPlannedStopAnswersLateRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 1, echoHandler(time.Second))
+	f.put("config/main", map[string]any{"version": 1, "routes": []vane.Route{{
+		Name: "r", Host: "h", PathPrefix: "/r/", Kind: vane.RouteUnsafe, MaxAttempts: 1, Timeout: 10 * time.Second, Services: []vane.WeightedService{{Service: "llm", Weight: 1}},
+	}}})
+	f.waitFor("the node serves", func() bool { r, err := f.request(0, "/r/x"); return err == nil && r.StatusCode == http.StatusOK })
+	// The grace period is 2 s; the node closes its listener after about 0.9 s.
+	late := []time.Duration{100 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond, 1300 * time.Millisecond}
+	statuses := make([]int, len(late))
+	conns := make([]net.Conn, len(late))
+	for i := range conns {
+		c, err := net.Dial("tcp", f.settings[0].CallerAddr)
+		is.NoErr(err)
+		defer c.Close()
+		conns[i] = c
+	}
+	f.stop[0]()
+	var wg sync.WaitGroup
+	for i, c := range conns {
+		wg.Go(func() {
+			time.Sleep(late[i])
+			if _, err := fmt.Fprintf(c, "POST /r/x HTTP/1.1\r\nHost: h\r\nId: id%d\r\nContent-Length: 0\r\n\r\n", i); err != nil {
+				t.Error(err)
+				return
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Errorf("the request after %v was lost: %v", late[i], err)
+				return
+			}
+			if _, err := io.ReadAll(resp.Body); err != nil {
+				t.Errorf("the response after %v is incomplete: %v", late[i], err)
+			}
+			statuses[i] = resp.StatusCode
+		})
+	}
+	wg.Wait()
+	is.Equal(statuses, []int{http.StatusOK, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusServiceUnavailable})
+}
+
 // During a store outage the nodes keep serving with the known configuration. After it,
 // a new configuration takes effect on the other node too.
 func TestStoreAway(t *testing.T) {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -175,7 +175,9 @@
 type testFront struct {
 	url      string
 	server   *httptest.Server
+	handler  *front.Handler
 	stopping atomic.Bool
+	until    time.Time // time until which the front serves requests while it is stopping
 	quota    *fakeLimiter
 	placer   *sched.Placer
 	view     *mirror.View
@@ -234,10 +236,10 @@
 		RecordResult: b.recordResult,
 		View:         func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
 		Crashes: b.crashes, Parts: newParts(), RetryBudget: func(string) *retry.Window { return w },
-		Draining: b.stopping.Load, RefuseStreams: b.stopping.Load, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {}, UpstreamLeaving: func(vane.Upstream) {},
+		Draining: b.stopping.Load, Closing: func() (time.Time, bool) { return b.until, b.stopping.Load() }, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {}, UpstreamLeaving: func(vane.Upstream) {},
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
 	})
-	b.server = httptest.NewUnstartedServer(h)
+	b.handler, b.server = h, httptest.NewUnstartedServer(h)
 	b.server.Config.ConnContext = linger.ConnContext
 	b.server.Start()
 	t.Cleanup(b.server.Close)
@@ -377,6 +379,7 @@
 	is := is.New(t)
 	u := newScriptedUpstream(t, respondSigned(200, "ok"))
 	b := newTestFront(t, 5, u)
+	b.until = time.Now().Add(time.Minute)
 	b.stopping.Store(true)
 	status, hdr, _, err := b.send(t.Context(), "/resume/x")
 	is.NoErr(err)
--- a/front/handler.go
+++ b/front/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/canary"
@@ -63,7 +64,7 @@
 	Parts            PartTracker
 	RetryBudget      func(service string) *retry.Window                     // returns the retry budget of a service
 	Draining         func() bool                                            // reports whether the node is shutting down; callers are then asked to close their connections
-	RefuseStreams    func() bool                                            // reports whether the node stops so soon that a new stream might be cut off
+	Closing          func() (until time.Time, ok bool)                      // reports whether callers know that the node stops, and until when it serves requests
 	WeightsChanged   func(upstream string, weights uint64)                  // called when a response shows that an upstream's weights have changed
 	UpstreamMismatch func(u vane.Upstream)                                  // called when a response shows that another upstream has the address
 	UpstreamFailed   func(u vane.Upstream)                                  // called when an upstream can't be reached or its connection fails before a response
@@ -78,14 +79,27 @@
 	Deps
 	inFlight    atomic.Int64
 	crashChecks crashChecks
+	stopped     context.Context // ends when Stop is called
+	stop        context.CancelFunc
 }
 
 // New returns a handler with the given dependencies.
-func New(d Deps) *Handler { return &Handler{Deps: d} }
+func New(d Deps) *Handler {
+	h := &Handler{Deps: d}
+	h.stopped, h.stop = context.WithCancel(context.Background())
+	return h
+}
 
 // InFlight returns the number of requests being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
+// Stop ends all requests in flight: those whose response has not begun get a refusal, the
+// others are broken off. It does not wait for them. The node must be closing.
+func (h *Handler) Stop() { h.stop() }
+
+// errStopped is the cause of the end of a request's context if the handler was stopped.
+var errStopped = errors.New("the node has stopped")
+
 // request is the state of one request of a caller.
 type request struct {
 	meta          vane.RequestMeta
@@ -109,15 +123,15 @@
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	c := &request{meta: h.Dialect.ParseRequest(r.Header), start: time.Now(), view: h.View()}
-	if h.Draining() {
-		w.Header().Set("Connection", "close")
-	}
 	if ref := h.admit(w, r, c); ref != nil {
 		h.refuse(w, c, ref)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(h.stopped, func() { cancel(errStopped) })()
+	ctx, end := context.WithDeadline(ctx, c.deadline)
+	defer end()
 	h.serve(ctx, w, r, c)
 }
 
@@ -134,9 +148,6 @@
 		return vane.Refuse(vane.ReasonModelUnknown, "no route for this host and path; check both")
 	}
 	c.route = route
-	if route.Kind == vane.RouteStream && h.RefuseStreams() {
-		return vane.Refuse(vane.ReasonNodeLeaving, "this node is stopping; use another node").WithRetryAfter(minRetryAfter)
-	}
 	if cfg.RequiresKeys() && !route.Public {
 		c.tenancy, c.authenticated = cfg.WorkspaceByKey(c.meta.Key)
 		if !c.authenticated {
@@ -151,6 +162,9 @@
 		limit = min(limit, c.meta.TimeLimit)
 	}
 	c.deadline = c.start.Add(limit)
+	if until, ok := h.Closing(); ok && (route.Kind == vane.RouteStream || c.deadline.After(until)) {
+		return vane.Refuse(vane.ReasonNodeLeaving, "this node is stopping; use another node").WithRetryAfter(minRetryAfter)
+	}
 	c.service = chooseService(route.Services, c.meta.ID)
 	if ref := readBody(w, r, c, cfg.Limits.BodyBytes); ref != nil {
 		return ref
@@ -251,6 +265,7 @@
 	if ref.RetryAfter > 0 && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) {
 		w.Header().Set("Retry-After", strconv.FormatFloat(ref.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	h.closeIfDraining(w)
 	http.Error(w, ref.Message, status)
 }
 
--- a/front/relay.go
+++ b/front/relay.go
@@ -71,8 +71,8 @@
 			return h.responseBroken(ctx, t, p, resp, err)
 		}
 		if t.relay == nil {
-			h.beginResponse(r, t, resp)
-			t.relay = startRelay(w, resp)
+			h.beginResponse(w, r, t, resp)
+			t.relay = startRelay(w, resp.Status)
 		}
 		if inEvent {
 			h.Placer.FirstByte(clock.BootTime(), att)
@@ -110,10 +110,9 @@
 }
 
 // startRelay sends the status and the headers of the first upstream's response.
-func startRelay(w http.ResponseWriter, resp *conns.Response) *relay {
-	copyHeader(w.Header(), resp)
+func startRelay(w http.ResponseWriter, status int) *relay {
 	w.Header().Del("Content-Length")
-	w.WriteHeader(resp.Status)
+	w.WriteHeader(status)
 	rc := http.NewResponseController(w)
 	return &relay{w: w, flush: rc.Flush}
 }
--- a/front/result.go
+++ b/front/result.go
@@ -65,7 +65,7 @@
 		} else if !r.recorded {
 			r.send(false)
 		}
-	case ref.Execution == vane.NotRun, ref.Reason == vane.ReasonCallerGone:
+	case ref.Execution == vane.NotRun, ref.Reason == vane.ReasonCallerGone, ref.Reason == vane.ReasonNodeLeaving:
 	case ref.Reason == vane.ReasonQueueDeadline, ref.Reason == vane.ReasonUpstreamSlow:
 		if r.firstAt.IsZero() {
 			r.firstAt, r.lastAt, r.sample.Unanswered = now, now, true
--- a/front/serve.go
+++ b/front/serve.go
@@ -97,6 +97,8 @@
 	}
 	now := time.Now()
 	switch {
+	case context.Cause(ctx) == errStopped:
+		return t.withExecution(vane.Refuse(vane.ReasonNodeLeaving, "this node has stopped before there was a response").WithRetryAfter(minRetryAfter))
 	case ctx.Err() == context.Canceled:
 		return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun)
 	case !now.Before(t.deadline.Add(-minTimeLeft)):
@@ -211,6 +213,9 @@
 	var ce *conns.Error
 	if !errors.As(err, &ce) || ce.ContextDone {
 		t.sends++
+		if context.Cause(ctx) == errStopped {
+			return vane.Refuse(vane.ReasonNodeLeaving, "upstream %s did not respond before this node stopped", p.Upstream.Name).WithExecution(executionOf(ce)).WithCause(err)
+		}
 		return vane.Refuse(vane.ReasonUpstreamSlow, "upstream %s did not respond within the time limit", p.Upstream.Name).WithExecution(executionOf(ce)).WithCause(err)
 	}
 	h.setAside(t, p, ce)
@@ -287,8 +292,7 @@
 	if resp.Status < http.StatusMultipleChoices {
 		h.recordAnswer(t)
 	}
-	copyHeader(w.Header(), resp)
-	h.beginResponse(r, t, resp)
+	h.beginResponse(w, r, t, resp)
 	w.WriteHeader(resp.Status)
 	// If the caller has left, the write fails. Nothing remains to be done then: the
 	// server closes the connection.
@@ -354,6 +358,8 @@
 	reason := vane.ReasonUpstreamFailed
 	h.Log.Info("response broken off", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "framing", resp.Framing.String(), "ended", resp.Ended(), "err", err.Error())
 	switch {
+	case context.Cause(ctx) == errStopped:
+		reason = vane.ReasonNodeLeaving
 	case ctx.Err() != nil:
 		reason = vane.ReasonQueueDeadline
 	case resp.Ended():
--- a/front/wire.go
+++ b/front/wire.go
@@ -20,9 +20,6 @@
 		dst[k] = v
 	}
 	for _, name := range hopByHopHeaders {
-		if name == "Connection" && dst.Get(name) == "close" && src.Get(name) == "" {
-			continue // set by ServeHTTP because this node is draining
-		}
 		dst.Del(name)
 	}
 	if src.Get("Content-Type") == "" {
@@ -31,10 +28,12 @@
 	resp.Framing.SetHeader(dst)
 }
 
-// beginResponse is called before the first bytes of a response to the caller. If nothing but
-// the end of the connection will end it, a connection that ends before endResponse is reset.
-// Callers of HTTP/1.0 get no chunks.
-func (h *Handler) beginResponse(r *http.Request, t *attempts, resp *conns.Response) {
+// beginResponse sets the headers of the caller's response before its first bytes. If nothing
+// but the end of the connection will end it, a connection that ends before endResponse is
+// reset. Callers of HTTP/1.0 get no chunks.
+func (h *Handler) beginResponse(w http.ResponseWriter, r *http.Request, t *attempts, resp *conns.Response) {
+	copyHeader(w.Header(), resp)
+	h.closeIfDraining(w)
 	t.unstated = resp.Framing == conns.FramingClose || !r.ProtoAtLeast(1, 1)
 	if !t.unstated {
 		return
@@ -44,6 +43,14 @@
 	}
 }
 
+// closeIfDraining makes the connection to the caller end with this response if the node is
+// shutting down, so that the caller sends no further request over it.
+func (h *Handler) closeIfDraining(w http.ResponseWriter) {
+	if h.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // endResponse is called after the last bytes of a response to the caller.
 func (h *Handler) endResponse(w http.ResponseWriter, r *http.Request, t *attempts) {
 	if !t.unstated {
