port: a port that is being checked is not inherited by a child

A child holds all sockets of its parent until it executes its program, so a check that overlaps a fork leaves the port in use for some time. The check now keeps forks out (syscall.ForkLock).

--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -15,6 +15,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 
 	vane "mustardvane.org/vane"
 )
@@ -69,8 +70,11 @@
 	return vane.Errorf(vane.KindUnavailable, "port.take", "stop some of the tests or experiments that start nodes", "other processes have reserved all port ranges from %d on", firstPort)
 }
 
-// isFree reports whether nothing listens on the port by TCP or UDP.
+// isFree reports whether nothing listens on the port by TCP or UDP. No process is started
+// meanwhile, since a new one holds all sockets of this one until it executes its program.
 func isFree(p int) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	ln, err := net.Listen("tcp", address(p))
 	if err != nil {
 		return false
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -1,6 +1,10 @@
 package port_test
 
 import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -19,3 +23,14 @@
 		seen[p] = true
 	}
 }
+
+func TestUsers(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	if _, err := os.Stat("/proc/net/tcp"); err != nil {
+		t.Skip("no /proc/net/tcp")
+	}
+	is.True(strings.Contains(port.Users(ln.Addr().(*net.TCPAddr).Port), fmt.Sprintf("held by %d ", os.Getpid())))
+}
