soak: planned stops under kept connections, ends of responses that state none

Why the soak was blind. To LOST around a stop: its requests took 5 to 60 ms and its callers left a stopping node at once, so that nothing was in flight or came late at the end of the grace period; the check was left to package edge.

RunStops stops real processes in series that overlap, while callers go on using their connections and some requests take up to 12 s, and checks the rule. A response that states no end may stop early only if its upstream's did; the events of unframed streams come one by one, some requests take up to 1.5 s, and a new fault kills a node while all upstreams are unframed. A proxy that has dropped bytes of a connection delivers nothing after them, as TCP does: before, it could deliver an orderly end.

TestCheckResults: the row of a short stream that states no end now needs an upstream that ended short, so the check is stricter.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	callTimeout    = 5 * time.Second // must exceed deadlineMS
 	connectTimeout = time.Second     // limit for connecting to a node, and for a directory query
 	maxPause       = 30 * time.Millisecond
+	maxLongWork    = 1500 // longest time in milliseconds that a long request takes at its upstream
 )
 
 // kind is the kind of the route of a request.
@@ -73,7 +75,11 @@
 			}
 		}
 		if len(addrs) > 0 {
-			c.send(client, addrs[r.IntN(len(addrs))], fmt.Sprintf("c%d-%d", n, i), kind(r.IntN(int(kindCount))), r.IntN(2) == 0)
+			work := 0
+			if r.IntN(8) == 0 {
+				work = r.IntN(maxLongWork)
+			}
+			c.send(client, addrs[r.IntN(len(addrs))], fmt.Sprintf("c%d-%d", n, i), kind(r.IntN(int(kindCount))), r.IntN(2) == 0, work)
 		}
 		time.Sleep(time.Duration(r.Int64N(int64(maxPause))))
 	}
@@ -101,8 +107,9 @@
 }
 
 // send sends one request to addr and records its result. The request has the key of
-// workspace A if workspaceA is set, else that of workspace B.
-func (c *callers) send(client *http.Client, addr, id string, k kind, workspaceA bool) {
+// workspace A if workspaceA is set, else that of workspace B. It takes workMS milliseconds at
+// its upstream, or the usual time if that is zero.
+func (c *callers) send(client *http.Client, addr, id string, k kind, workspaceA bool, workMS int) {
 	res := result{id: id, kind: k, nodeAddr: addr, workspace: stand.WorkspaceB, sent: time.Now()}
 	key := stand.KeyB
 	if workspaceA {
@@ -118,6 +125,9 @@
 	for name, v := range stand.CallerHeaders(id, key, deadlineMS) {
 		req.Header.Set(name, v)
 	}
+	if workMS > 0 {
+		req.Header.Set(stand.HeaderWork, strconv.Itoa(workMS))
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		res.err = err
--- a/soak/check.go
+++ b/soak/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -53,7 +54,7 @@
 		if promisesNotRun(r.status) && r.kind == unsafe && len(ran) > 0 {
 			add("not run", r.id, "status %d promises that it did not run, but it ran at %s", r.status, ran[0].Server)
 		}
-		if r.status == http.StatusOK && r.err == nil && !endsAsStated(r) {
+		if r.status == http.StatusOK && r.err == nil && !endsAsStated(r, ran) {
 			add("whole", r.id, "got %q", r.body)
 		}
 		if r.status == http.StatusUnauthorized || r.status == http.StatusNotFound {
@@ -110,9 +111,9 @@
 }
 
 // endsAsStated reports whether a body that was read without an error is complete, or may
-// end where it does. A response that does not state its end may be incomplete if its
-// upstream's was, but a stream must not end inside an event.
-func endsAsStated(r result) bool {
+// end where it does. A response that does not state its end may be incomplete if an upstream
+// ended its own in order before it was, but a stream must not end inside an event.
+func endsAsStated(r result, ran []stand.Run) bool {
 	want, got := stand.ResponseBody(r.id), r.body
 	if r.kind == stream {
 		want, got = stand.Stream(r.id), withoutComments(r.body)
@@ -120,6 +121,9 @@
 	if r.stated || got == want {
 		return got == want
 	}
+	if !slices.ContainsFunc(ran, func(x stand.Run) bool { return x.EndedShort }) {
+		return false
+	}
 	return strings.HasPrefix(want, got) && (r.kind != stream || strings.HasSuffix(got, "\n\n"))
 }
 
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -19,12 +19,13 @@
 //
 //   - A request on an unsafe route runs at most once, and not at all if the status of its
 //     response promises so.
-//   - A successful response is complete and belongs to its request.
+//   - A successful response is complete and belongs to its request. One that states no end
+//     may stop early only if its upstream's did.
 //   - A stream has each event once and in order, or ends with an error.
 //   - No upstream receives a caller's key, or a workspace other than the caller's.
 //   - The last configuration comes into force on all nodes after the last fault.
 //   - A node that is stopped as planned (SIGTERM) ends with exit code 0 within 20 s.
 //
-// That a planned stop breaks off no request is checked in package edge, where no other
-// fault can be the cause.
+// RunStops injects planned stops only, in series that overlap, while callers keep their
+// connections, and checks that none of their requests is lost.
 package soak
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -28,6 +28,19 @@
 		sleep(ctx, d/2)
 		b.restart(n)
 	}},
+	{"kill while responses state no end", func(ctx context.Context, b *testbed, lifecycle *sync.Mutex, n *node, _ int, d time.Duration) {
+		lifecycle.Lock()
+		defer lifecycle.Unlock()
+		for _, s := range b.servers {
+			s.SetTrouble(stand.TroubleUnframed)
+		}
+		sleep(ctx, learnTime+d/4)
+		n.kill()
+		for _, s := range b.servers {
+			s.SetTrouble(stand.TroubleNone)
+		}
+		b.restart(n)
+	}},
 	{"planned stop", func(ctx context.Context, b *testbed, lifecycle *sync.Mutex, n *node, _ int, d time.Duration) {
 		lifecycle.Lock()
 		defer lifecycle.Unlock()
--- a/soak/node.go
+++ b/soak/node.go
@@ -42,7 +42,7 @@
 // newNode returns node number i, whose settings and log are in a subfolder of dir. store is
 // the address of the store. It starts the proxy to the store, but not the process.
 func newNode(i int, binary, dir, store string) (*node, error) {
-	n := &node{name: fmt.Sprintf("n%d", i), binary: binary, dir: filepath.Join(dir, fmt.Sprintf("n%d", i))}
+	n := &node{name: nodeName(i), binary: binary, dir: filepath.Join(dir, nodeName(i))}
 	if err := os.MkdirAll(n.dir, 0o755); err != nil {
 		return nil, err
 	}
@@ -60,6 +60,9 @@
 	return n, os.WriteFile(n.settings(), b, 0o644)
 }
 
+// nodeName returns the name of node number i.
+func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
+
 // settings returns the path of the settings file.
 func (n *node) settings() string { return filepath.Join(n.dir, "settings.json") }
 
@@ -112,7 +115,11 @@
 			if rerr != nil {
 				return rerr
 			}
-			return fmt.Errorf("node %s did not listen within the time to start: %w; the end of its log: %s", n.name, err, b[max(0, len(b)-logTailBytes):])
+			users := ""
+			for _, p := range n.ports {
+				users += port.Users(p)
+			}
+			return fmt.Errorf("node %s did not listen within the time to start: %w; sockets on its ports: %s; the end of its log: %s", n.name, err, users, b[max(0, len(b)-logTailBytes):])
 		}
 	}
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -113,16 +113,23 @@
 }
 
 // copy copies bytes from src to dst as the current fault demands. back is set for the
-// direction from the target to the client.
+// direction from the target to the client. Once bytes were dropped, nothing that follows
+// them arrives, as with TCP.
 func (p *proxy) copy(dst, src net.Conn, back bool) {
 	buf := make([]byte, 16<<10)
+	dropped := false
 	for {
 		n, err := src.Read(buf)
+		f := proxyFault(p.fault.Load())
+		dropped = dropped || f == dropAll || f == dropResponses && back
+		if dropped && err == nil {
+			continue
+		}
+		if dropped && err == io.EOF {
+			return
+		}
 		if n > 0 {
-			switch f := proxyFault(p.fault.Load()); {
-			case f == dropAll, f == dropResponses && back:
-				continue
-			case f == delay:
+			if f == delay {
 				time.Sleep(proxyDelay)
 			}
 			if _, werr := dst.Write(buf[:n]); werr != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -36,6 +36,7 @@
 type Result struct {
 	Requests, Answered int      // requests sent, and those with status 200 whose body was read without an error
 	Faults             []string // descriptions of the injected faults
+	Stops              int      // planned stops of [RunStops]
 	Violations         []Violation
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,9 @@
 // permitted outcomes.
 func TestCheckResults(t *testing.T) {
 	run := func(id string) stand.Run { return stand.Run{ID: id, Tenant: "a", Server: "i", Path: kindPaths[unsafe]} }
+	whole := stand.Run{ID: "1", Tenant: "a", Path: kindPaths[stream]}
+	short := whole
+	short.EndedShort = true
 	good := result{id: "1", workspace: "a", kind: unsafe, status: 200, body: stand.ResponseBody("1"), stated: true}
 	unstated := good
 	unstated.stated = false
@@ -35,9 +38,10 @@
 		{"may have run", result{id: "1", workspace: "a", kind: unsafe, status: 502}, []stand.Run{run("1")}, ""},
 		{"response to another request", result{id: "1", workspace: "a", kind: unsafe, status: 200, body: stand.ResponseBody("2"), stated: true}, []stand.Run{run("1")}, "whole"},
 		{"short stream", events(stand.Event("1", 1), true), nil, "whole"},
-		{"short stream that states no end", events(stand.Event("1", 1), false), nil, ""},
-		{"stream that states no end and ends inside an event", events(stand.Event("1", 1)+"id: 2\n", false), nil, "whole"},
-		{"stream with a gap that states no end", events(stand.Event("1", 1)+stand.Event("1", 3), false), nil, "whole"},
+		{"short stream that states no end", events(stand.Event("1", 1), false), []stand.Run{short}, ""},
+		{"short stream that states no end, though its upstream's was whole", events(stand.Event("1", 1), false), []stand.Run{whole}, "whole"},
+		{"stream that states no end and ends inside an event", events(stand.Event("1", 1)+"id: 2\n", false), []stand.Run{short}, "whole"},
+		{"stream with a gap that states no end", events(stand.Event("1", 1)+stand.Event("1", 3), false), []stand.Run{short}, "whole"},
 		{"complete stream that states no end", events(stand.Stream("1"), false), nil, ""},
 		{"stream with an event too many", events(stand.Stream("1")+stand.Event("1", 12), true), nil, "whole"},
 		{"stream with comments", events(": a\n\n"+stand.Stream("1")+": b\n\n: c\n", true), nil, ""},
@@ -62,12 +66,19 @@
 	}
 }
 
-// TestSeeds runs short soaks. A seed whose soak has failed once is added to the list.
-func TestSeeds(t *testing.T) {
+// buildNode builds the program of the nodes and returns its path.
+func buildNode(t *testing.T) string {
+	t.Helper()
 	bin := filepath.Join(t.TempDir(), "vaned")
 	if out, err := exec.Command("go", "build", "-o", bin, "mustardvane.org/vane/cmd/vaned").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
+	return bin
+}
+
+// TestSeeds runs short soaks. A seed whose soak has failed once is added to the list.
+func TestSeeds(t *testing.T) {
+	bin := buildNode(t)
 	for _, seed := range []uint64{1, 2, 12} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
@@ -81,3 +92,21 @@
 		})
 	}
 }
+
+// TestPlannedStops stops nodes in series while callers go on using their connections.
+func TestPlannedStops(t *testing.T) {
+	bin := buildNode(t)
+	for _, seed := range []uint64{1, 2} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			res, err := RunStops(t.Context(), Options{Binary: bin, Dir: t.TempDir(), Seed: seed, Length: 12 * time.Second})
+			is.NoErr(err)
+			for _, v := range res.Violations {
+				t.Error(v)
+			}
+			t.Logf("%d requests, %d answered, %d stops", res.Requests, res.Answered, res.Stops)
+			is.True(res.Answered > 0)
+		})
+	}
+}
--- /dev/null
+++ b/soak/stops.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"mustardvane.org/vane/platform/stand"
+)
+
+// Times of the rule on planned stops, as in stand.Settings.
+const (
+	gracePeriod  = 8 * time.Second
+	lossSlack    = 200 * time.Millisecond // a connection that ends later than this after a request was read in vain
+	earlyRequest = 3 * time.Second        // requests sent up to this long after the signal may be cut in the last sixth of the grace period
+	maxStopPause = 2 * time.Second        // longest time between the starts of two stops
+)
+
+// plannedStop is one stop of a node.
+type plannedStop struct {
+	node        int
+	term, ended time.Time
+}
+
+// RunStops stops and restarts the nodes with SIGTERM, in series that overlap, while callers
+// go on using their connections, and checks that no request is lost. No other fault is
+// injected.
+func RunStops(ctx context.Context, opt Options) (Result, error) {
+	b := &testbed{opt: opt, store: stand.NewStore(), runLog: &stand.RunLog{}, configVersion: 1, weightsVersion: 1}
+	defer b.shutDown()
+	if err := b.startAll(); err != nil {
+		return Result{}, err
+	}
+	sleep(ctx, warmUp)
+	cctx, stop := context.WithCancel(ctx)
+	var mu sync.Mutex
+	var results []keptResult
+	var wg sync.WaitGroup
+	for i := range nodeCount {
+		for n := range keptPerNode {
+			wg.Go(func() {
+				b.keepConn(cctx, i, n, rand.New(rand.NewPCG(opt.Seed, uint64(i*keptPerNode+n))), func(r keptResult) {
+					mu.Lock()
+					defer mu.Unlock()
+					results = append(results, r)
+				})
+			})
+		}
+	}
+	stops := b.stopNodes(ctx)
+	stop()
+	wg.Wait()
+	res := Result{Requests: len(results), Stops: len(stops)}
+	plain := make([]result, len(results))
+	for i, r := range results {
+		plain[i] = r.result
+		if r.status == 200 && r.whole {
+			res.Answered++
+		}
+	}
+	runs := b.runLog.Runs()
+	res.Violations = append(b.violations, checkResults(plain, runs)...)
+	res.Violations = append(res.Violations, checkStops(results, runs, stops)...)
+	return res, nil
+}
+
+// stopNodes stops nodes one after the other until the length of the soak is over. A stop
+// begins while earlier ones go on; at least one node is left.
+func (b *testbed) stopNodes(ctx context.Context) []plannedStop {
+	r := rand.New(rand.NewPCG(b.opt.Seed, 1<<32))
+	begin := time.Now()
+	var mu sync.Mutex
+	var stops []plannedStop
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, nodeCount-1) // stops at a time
+	lifecycle := make([]sync.Mutex, nodeCount)
+	for time.Since(begin) < b.opt.Length && ctx.Err() == nil {
+		i := r.IntN(nodeCount)
+		pause := time.Duration(r.Int64N(int64(maxStopPause)))
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			lifecycle[i].Lock()
+			defer lifecycle[i].Unlock()
+			s := plannedStop{node: i, term: time.Now()}
+			if err := b.nodes[i].stopWithin(gracePeriod); err != nil {
+				b.addViolation("planned stop", b.nodes[i].name, "process ended with %v", err)
+			}
+			s.ended = time.Now()
+			mu.Lock()
+			stops = append(stops, s)
+			mu.Unlock()
+			sleep(ctx, pause/4)
+			b.restart(b.nodes[i])
+			sleep(ctx, warmUp)
+		})
+		sleep(ctx, pause)
+	}
+	wg.Wait()
+	return stops
+}
+
+// stopWithin ends the process with SIGTERM, and with SIGKILL after the grace period.
+func (n *node) stopWithin(grace time.Duration) error {
+	n.signal(syscall.SIGTERM)
+	select {
+	case err := <-n.done:
+		return err
+	case <-time.After(grace):
+		n.kill()
+		return context.DeadlineExceeded
+	}
+}
+
+// checkStops finds the requests that a planned stop lost: a node had read the whole request,
+// and the connection ended without a complete response.
+func checkStops(results []keptResult, runs []stand.Run, stops []plannedStop) []Violation {
+	byID := make(map[string][]stand.Run, len(results))
+	for _, r := range runs {
+		byID[r.ID] = append(byID[r.ID], r)
+	}
+	var out []Violation
+	for _, r := range results {
+		took := r.ended.Sub(r.sent)
+		if r.whole || took >= r.limit {
+			continue
+		}
+		ran := byID[r.id]
+		if len(ran) == 0 && took <= lossSlack {
+			continue // the node closed the connection before it read the request
+		}
+		for _, s := range stops {
+			if s.node != r.node || r.ended.Before(s.term) || r.sent.After(s.ended) {
+				continue
+			}
+			lastSixth := s.term.Add(gracePeriod * 5 / 6)
+			if len(ran) > 0 && r.sent.Before(s.term.Add(earlyRequest)) && r.ended.After(lastSixth) && !ran[len(ran)-1].Ended.Before(lastSixth) {
+				continue // the upstream still worked on it near the end of the grace period
+			}
+			out = append(out, Violation{Check: "lost", Request: r.id, Detail: "stop of node " + nodeName(r.node) + " at " + s.term.Format("05.000") + ": " + r.String() + ", " + describeRuns(ran)})
+			break
+		}
+	}
+	return out
+}
+
+// describeRuns says where a request ran.
+func describeRuns(runs []stand.Run) string {
+	if len(runs) == 0 {
+		return "did not reach an upstream"
+	}
+	x := runs[len(runs)-1]
+	ended := "still running"
+	if !x.Ended.IsZero() {
+		ended = "ended " + x.Ended.Format("05.000")
+	}
+	return "ran at " + x.Server + ", began " + x.Began.Format("05.000") + ", " + ended
+}
