front: only the rest of a begun stream goes on with it

Reported by other operators (ORDER, MIXED): a stream had begun and broke off, and the next server's error stood inside it, or made it look complete.

Cause: the first response of a stream was checked, later ones were trusted.

Change: each must be signed; one that goes on must have the status and type of the first, and begin after its last event. Lines that can't be fields of events break the stream. A stream whose last event has no id is not resumed.

TestStreamEndsInsideAnEvent: its second upstream sent all events again to a request that named the last one, and the test did not look at the body. It now goes on after that event, and the test counts the events, so it checks more.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -394,21 +394,11 @@
 // Wherever a resumable stream breaks, another upstream continues it after its last
 // complete event, and no event is lost or repeated.
 func TestStreamGoesOn(t *testing.T) {
-	second := func(u *scriptedUpstream) responder {
-		return func(n int, w io.Writer, id string, r *http.Request) bool {
-			rest := streamText
-			if last := r.Header.Get("Last"); last != "" {
-				_, rest, _ = strings.Cut(streamText, "id: "+last+"\n")
-				_, rest, _ = strings.Cut(rest, "\n\n")
-			}
-			return respondEvents(rest, -1)(n, w, id, r)
-		}
-	}
 	for cut := 1; cut < len(streamText); cut++ {
 		t.Run(strconv.Itoa(cut), func(t *testing.T) {
 			is := is.New(t)
 			broken := newScriptedUpstream(t, respondEvents(streamText, cut))
-			next := newScriptedUpstream(t, second(nil))
+			next := newScriptedUpstream(t, respondRest)
 			b := newTestFront(t, 5, broken, next)
 			status, _, body, err := b.send(t.Context(), "/resume/x")
 			is.NoErr(err)
--- a/front/relay.go
+++ b/front/relay.go
@@ -6,8 +6,11 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/internal/clock"
@@ -24,29 +27,35 @@
 // relay writes one stream to the caller. If upstreams fail, it takes the events of
 // several of them in turn.
 type relay struct {
-	w          http.ResponseWriter
-	flush      func() error
-	lastID     string // id of the last complete event, after which another upstream resumes; empty if no event had one
-	eventCount int
-	firstAt    time.Time     // time at which the first event was written
-	lastAt     time.Time     // time at which the latest event was written
-	maxGap     time.Duration // longest time between two consecutive events
+	w           http.ResponseWriter
+	flush       func() error
+	status      int    // of the first upstream's response
+	contentType string // of the first upstream's response
+	lastID      string // id of the last complete event, after which another upstream resumes; empty if it had none
+	eventCount  int
+	firstAt     time.Time     // time at which the first event was written
+	lastAt      time.Time     // time at which the latest event was written
+	maxGap      time.Duration // longest time between two consecutive events
 }
 
 // relayStream relays the complete events of a response. It returns nil at the end
-// of the stream, or a refusal if the response is not signed by the upstream, ends
-// early, or can't be written to the caller. A response that ends inside an event ends
-// early, also if its body is as long as announced. If it states no end, the caller's
-// response states none either.
+// of the stream, or a refusal if the response is not signed by the upstream, does not
+// go on where it was asked to, ends early, or can't be written to the caller. A response that
+// ends inside an event ends early, also if its body is as long as announced. If it states no
+// end, the caller's response states none either.
 func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick, att *sched.Attempt, resp *conns.Response) *vane.Refusal {
-	if t.relay == nil && !h.Dialect.ParseResponse(resp.Status, resp.Header).Signed {
+	if !h.Dialect.ParseResponse(resp.Status, resp.Header).Signed {
 		return vane.Refuse(vane.ReasonUpstreamWrongID, "the response of upstream %s lacks that upstream's signature", p.Upstream.Name).WithExecution(vane.MayHaveRun)
 	}
+	if t.relay != nil && !t.relay.goesOnWith(resp) {
+		return notResumed(p, resp)
+	}
 	br := bufio.NewReaderSize(resp.Body, readBufferBytes)
 	var block []byte  // lines that have not been relayed
 	size := 0         // bytes since the last event
 	lineStart := true // the next bytes begin a line
 	inEvent := false  // block has a line that is neither empty nor a comment
+	resumed := t.resumedAfter != ""
 	for {
 		line, err := br.ReadSlice('\n')
 		block = append(block, line...)
@@ -57,6 +66,9 @@
 			h.WeightsChanged(p.Upstream.Name, n)
 		}
 		blank := lineStart && len(bytes.TrimRight(line, "\r\n")) == 0
+		if lineStart && !blank && !isField(line) {
+			return h.responseBroken(ctx, t, p, resp, errNotEvent)
+		}
 		inEvent = inEvent || lineStart && !blank && line[0] != ':'
 		switch {
 		case err == bufio.ErrBufferFull:
@@ -70,9 +82,14 @@
 		case err != io.EOF || !resp.Complete() || inEvent || len(line) > 0 || !h.mayEnd(t, p, resp):
 			return h.responseBroken(ctx, t, p, resp, err)
 		}
+		if inEvent && resumed {
+			if resumed = false; !follows(block, t.resumedAfter) {
+				return h.responseBroken(ctx, t, p, resp, errNotEvent)
+			}
+		}
 		if t.relay == nil {
 			h.beginResponse(w, r, t, resp)
-			t.relay = startRelay(w, resp.Status)
+			t.relay = startRelay(w, resp)
 		}
 		if inEvent {
 			h.Placer.FirstByte(clock.BootTime(), att)
@@ -110,18 +127,53 @@
 }
 
 // startRelay sends the status and the headers of the first upstream's response.
-func startRelay(w http.ResponseWriter, status int) *relay {
+func startRelay(w http.ResponseWriter, resp *conns.Response) *relay {
 	w.Header().Del("Content-Length")
-	w.WriteHeader(status)
+	w.WriteHeader(resp.Status)
 	rc := http.NewResponseController(w)
-	return &relay{w: w, flush: rc.Flush}
+	return &relay{w: w, flush: rc.Flush, status: resp.Status, contentType: resp.Header.Get("Content-Type")}
+}
+
+// goesOnWith reports whether a response can hold the rest of the stream. One of another
+// status or type is an error, or another answer to the request.
+func (r *relay) goesOnWith(resp *conns.Response) bool {
+	return resp.Status == r.status && resp.Header.Get("Content-Type") == r.contentType
+}
+
+// canResume reports whether another upstream can be asked for what follows the last event.
+func (r *relay) canResume() bool { return r.eventCount == 0 || r.lastID != "" }
+
+// notResumed returns the refusal for a response that is not the rest of a begun stream.
+func notResumed(p sched.Pick, resp *conns.Response) *vane.Refusal {
+	return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s did not resume the stream (status %d)", p.Upstream.Name, resp.Status).WithExecution(vane.MayHaveRun)
+}
+
+// errNotEvent is the cause if the upstream sends something else among the events of a
+// stream, such as the head of another response, or events that it was not asked for.
+var errNotEvent = errors.New("a line that is no field of an event, or an event out of order")
+
+// isField reports whether a line that is not empty can be a comment or a field of an event:
+// a name, and a value after a colon.
+func isField(line []byte) bool {
+	name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+	return !bytes.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c == '/' || c == 0x7f })
+}
+
+// follows reports whether an event comes after the one with the id last. Ids that are not
+// numbers are not compared.
+func follows(event []byte, last string) bool {
+	id, ok := eventID(event)
+	if !ok {
+		return true
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	l, lerr := strconv.ParseUint(last, 10, 64)
+	return err != nil || lerr != nil || n > l
 }
 
 // count records a complete event that is about to be sent.
 func (r *relay) count(event []byte) {
-	if id, ok := eventID(event); ok {
-		r.lastID = id
-	}
+	r.lastID, _ = eventID(event)
 	now := time.Now()
 	if r.eventCount++; r.eventCount == 1 {
 		r.firstAt = now
--- a/front/serve.go
+++ b/front/serve.go
@@ -31,16 +31,17 @@
 // attempts is the state of a request over all its attempts.
 type attempts struct {
 	*request
-	sends       int      // number of upstreams that the request was sent to
-	mayHaveRun  int      // number of upstreams on which the request ran or may have run
-	retryPaid   bool     // the next attempt has already been charged to the retry budget
-	begun       bool     // part of a response that can't be resumed has been sent to the caller
-	unstated    bool     // the caller's response has begun and states no end
-	avoid       []string // names of the upstreams that were tried
-	answering   bool     // the upstream of the current attempt has begun to answer
-	relay       *relay   // nil until the headers of a stream have been sent to the caller
-	lastRefusal *vane.Refusal
-	result      *result // of the present attempt
+	resumedAfter string   // id of the event after which the current attempt goes on; empty if it begins anew
+	sends        int      // number of upstreams that the request was sent to
+	mayHaveRun   int      // number of upstreams on which the request ran or may have run
+	retryPaid    bool     // the next attempt has already been charged to the retry budget
+	begun        bool     // part of a response that can't be resumed has been sent to the caller
+	unstated     bool     // the caller's response has begun and states no end
+	avoid        []string // names of the upstreams that were tried
+	answering    bool     // the upstream of the current attempt has begun to answer
+	relay        *relay   // nil until the headers of a stream have been sent to the caller
+	lastRefusal  *vane.Refusal
+	result       *result // of the present attempt
 }
 
 // serve sends the request to one upstream after another until a response is relayed
@@ -104,7 +105,7 @@
 	case !now.Before(t.deadline.Add(-minTimeLeft)):
 		final := vane.Refuse(vane.ReasonQueueDeadline, "no response within the time limit").WithRetryAfter(busyRetryAfter)
 		return t.withExecution(final)
-	case t.begun, ref.Execution != vane.NotRun && (!t.route.Idempotent() || t.mayHaveRun >= t.route.MaxAttempts):
+	case t.begun, t.relay != nil && !t.relay.canResume(), ref.Execution != vane.NotRun && (!t.route.Idempotent() || t.mayHaveRun >= t.route.MaxAttempts):
 		return ref
 	case t.sends >= maxSends:
 		return t.withExecution(ref)
@@ -171,6 +172,7 @@
 	if t.relay != nil && t.relay.lastID != "" {
 		f.LastEventID = t.relay.lastID
 	}
+	t.resumedAfter = f.LastEventID
 	h.Log.Info("sent", "request_id", t.meta.ID, "route", t.route.Name, "workspace", t.tenancy.Workspace, "upstream", p.Upstream.Name,
 		"weights", p.Weights, "config", t.view.Config.Version, "price", p.Cost, "estimate_ms", p.Estimate.Milliseconds(),
 		"load_age_ms", min(p.LoadAge, time.Hour).Milliseconds(), "fetch", p.FetchFrom, "save", p.SaveTo != "", "missing", p.UncachedTokens,
@@ -263,7 +265,7 @@
 		return h.relayStream(ctx, w, r, t, p, att, resp)
 	}
 	if t.relay != nil {
-		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s did not resume the stream (status %d)", p.Upstream.Name, resp.Status).WithExecution(vane.MayHaveRun)
+		return notResumed(p, resp)
 	}
 	if resp.Length > maxResponseBytes {
 		return h.responseBroken(ctx, t, p, resp, errTooLong)
@@ -353,7 +355,8 @@
 // responseBroken handles a response that is incomplete, malformed or too long. Unless
 // the time limit or the caller ended it, the request is recorded as a possible cause
 // of a crash if the connection ended, and otherwise the upstream is set aside. A
-// stream that ends inside an event (io.EOF) is no reason for either.
+// stream that ends inside an event (io.EOF), or has something else among its events, is no
+// reason for either.
 func (h *Handler) responseBroken(ctx context.Context, t *attempts, p sched.Pick, resp *conns.Response, err error) *vane.Refusal {
 	reason := vane.ReasonUpstreamFailed
 	h.Log.Info("response broken off", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "framing", resp.Framing.String(), "ended", resp.Ended(), "err", err.Error())
@@ -362,6 +365,7 @@
 		reason = vane.ReasonNodeLeaving
 	case ctx.Err() != nil:
 		reason = vane.ReasonQueueDeadline
+	case err == errNotEvent:
 	case resp.Ended():
 		h.recordCut(t, p.Upstream)
 	case err != io.EOF:
--- a/front/unframed_test.go
+++ b/front/unframed_test.go
@@ -100,7 +100,7 @@
 			t.Run(tt.name+" "+f.name, func(t *testing.T) {
 				is := is.New(t)
 				first := respondRaw(f.body(tt.text), false, f.head(len(tt.text))...)
-				next := newScriptedUpstream(t, respondEvents(streamText, -1))
+				next := newScriptedUpstream(t, respondRest)
 				b := newTestFront(t, 5, newScriptedUpstream(t, first), next)
 				status, _, body, err := b.send(t.Context(), "/once/x")
 				if tt.complete {
@@ -112,14 +112,28 @@
 				is.Equal(next.requests.Load(), int64(0))
 
 				b = newTestFront(t, 5, newScriptedUpstream(t, first), next)
-				_, _, _, err = b.send(t.Context(), "/resume/x")
+				_, _, body, err = b.send(t.Context(), "/resume/x")
 				is.NoErr(err)
 				is.Equal(next.requests.Load() == 0, tt.complete)
+				if !tt.complete {
+					is.Equal(strings.Count(body, "data:"), 3) // each event once
+				}
 			})
 		}
 	}
 }
 
+// respondRest responds with the events of streamText that follow the one that the request
+// names, or all.
+func respondRest(n int, w io.Writer, id string, r *http.Request) bool {
+	rest := streamText
+	if last := r.Header.Get("Last"); last != "" {
+		_, rest, _ = strings.Cut(streamText, "id: "+last+"\n")
+		_, rest, _ = strings.Cut(rest, "\n\n")
+	}
+	return respondEvents(rest, -1)(n, w, id, r)
+}
+
 // newCrashingUpstream returns an upstream that writes its response with f and is gone
 // then: its host refuses connections.
 func newCrashingUpstream(t *testing.T, f responder) *scriptedUpstream {
