route: responses that are read whole share a bounded memory

Reported by other operators (LOST): a server sent bytes without end, the node kept them all and ran out of memory, and other requests ended with it.

On routed sites this is ruled out by earlier tests (limits of each phase, long responses are relayed). In the product's own interface each response was read whole with a limit of its own, 64 MB or 16 MB, and no limit for all: sixteen endless ones needed 1,920 MB of heap.

Now the responses that are being read hold 128 MB together; one that would exceed that is refused as one that may have run.

--- a/route/plain.go
+++ b/route/plain.go
@@ -97,8 +97,8 @@
 			WithExecution(conn.execution()).WithCause(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallResponseBytes+1))
-	if err != nil || len(body) > maxCallResponseBytes {
+	body, err := rt.held.readAll(resp.Body, maxCallResponseBytes)
+	if err != nil {
 		return Result{}, vane.Refuse(vane.ReasonUpstreamFailed, "the response of instance %s is incomplete or too long", u.Name).
 			WithExecution(vane.MayHaveRun).WithCause(err)
 	}
--- a/route/router.go
+++ b/route/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -44,6 +43,7 @@
 	reused    *http.Client // reuses connections
 	singleUse *http.Client // uses a new connection for each request
 	policy    VersionPolicy
+	held      heldBytes // of responses that are read whole
 }
 
 // VersionPolicy decides which version of a model's weights serves a request, and is
@@ -311,12 +311,3 @@
 	}
 	return r.WithExecution(vane.MayHaveRun).WithCause(err)
 }
-
-// readAll reads the body of a response up to the size limit.
-func readAll(body io.Reader) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
-	if err == nil && len(b) > maxResponseBytes {
-		return nil, vane.Refuse(vane.ReasonUpstreamFailed, "the response is larger than %d bytes; ask for fewer tokens", maxResponseBytes).WithExecution(vane.MayHaveRun)
-	}
-	return b, err
-}
