--- a/soak/stops.go
+++ b/soak/stops.go
@@ -24,9 +24,9 @@
 	term, ended time.Time
 }
 
-// RunStops stops and restarts the nodes with SIGTERM, in series that overlap, while callers
-// go on using their connections, and checks that no request is lost. No other fault is
-// injected.
+// RunStops stops and restarts the nodes with SIGTERM, in series that overlap, sends SIGHUP
+// and changes the configuration, while callers go on using their connections. It checks that
+// no request is lost. Nothing but this planned work is injected.
 func RunStops(ctx context.Context, opt Options) (Result, error) {
 	b := &testbed{opt: opt, store: stand.NewStore(), runLog: &stand.RunLog{}, configVersion: 1, weightsVersion: 1}
 	defer b.shutDown()
@@ -79,6 +79,9 @@
 	for time.Since(begin) < b.opt.Length && ctx.Err() == nil {
 		i := r.IntN(nodeCount)
 		pause := time.Duration(r.Int64N(int64(maxStopPause)))
+		b.configure()
+		j := r.IntN(nodeCount)
+		b.reload(&lifecycle[j], j)
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
@@ -102,6 +105,14 @@
 	return stops
 }
 
+// reload sends SIGHUP to node i unless it is stopped or being started, which lifecycle tells.
+func (b *testbed) reload(lifecycle *sync.Mutex, i int) {
+	if lifecycle.TryLock() {
+		defer lifecycle.Unlock()
+		b.nodes[i].signal(syscall.SIGHUP)
+	}
+}
+
 // stopWithin ends the process with SIGTERM, and with SIGKILL after the grace period.
 func (n *node) stopWithin(grace time.Duration) error {
 	n.signal(syscall.SIGTERM)
@@ -114,8 +125,8 @@
 	}
 }
 
-// checkStops finds the requests that a planned stop lost: a node had read the whole request,
-// and the connection ended without a complete response.
+// checkStops finds the requests that planned work lost: a node had read the whole request,
+// and the connection ended without a complete response, during a stop of the node or not.
 func checkStops(results []keptResult, runs []stand.Run, stops []plannedStop) []Violation {
 	byID := make(map[string][]stand.Run, len(results))
 	for _, r := range runs {
@@ -131,16 +142,20 @@
 		if len(ran) == 0 && took <= lossSlack {
 			continue // the node closed the connection before it read the request
 		}
+		during := "no stop"
+		excused := false
 		for _, s := range stops {
 			if s.node != r.node || r.ended.Before(s.term) || r.sent.After(s.ended) {
 				continue
 			}
+			during = "stop of node " + nodeName(r.node) + " at " + s.term.Format("05.000")
 			lastSixth := s.term.Add(gracePeriod * 5 / 6)
 			if len(ran) > 0 && r.sent.Before(s.term.Add(earlyRequest)) && r.ended.After(lastSixth) && !ran[len(ran)-1].Ended.Before(lastSixth) {
-				continue // the upstream still worked on it near the end of the grace period
+				excused = true // the upstream still worked on it near the end of the grace period
 			}
-			out = append(out, Violation{Check: "lost", Request: r.id, Detail: "stop of node " + nodeName(r.node) + " at " + s.term.Format("05.000") + ": " + r.String() + ", " + describeRuns(ran)})
-			break
+		}
+		if !excused {
+			out = append(out, Violation{Check: "lost", Request: r.id, Detail: during + ": " + r.String() + ", " + describeRuns(ran)})
 		}
 	}
 	return out
