quota: the first message of a peer does not bring up its whole past

Cause: the first message of a peer's run counted everything that the run had admitted as new. The exception for a starting node ended when it had adopted the levels of the first peer. A peer whose record was removed and came back was counted in the same way at all nodes.

Change: adopted levels account for all peers of that moment; other first messages are bounded by the burst and the rate over the time since the node became a peer or was last heard.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -44,7 +44,8 @@
 // peer is the state of another node.
 type peer struct {
 	boot    uint64          // identifies the run of the node's process; zero until the first message
-	heardAt time.Time       // time of the last message
+	heardAt time.Time       // time of the last message, or at which the node became a peer
+	counted bool            // the levels of this node account for what the other admitted before its first message
 	use     map[string]*use // by workspace
 	entry   *list.Element   // entry in Buckets.byHeard
 }
@@ -353,11 +354,8 @@
 		u := p.of(ws)
 		delta := total - u.admitted
 		if p.boot != boot {
-			// In the first message of a run, everything that the node admitted since its
-			// start is new. The exception is the first message of any run at a node that has
-			// just started: the levels that it is about to adopt account for that.
-			delta = total
-			if p.boot == 0 && !b.LevelsReliable(now) {
+			delta = p.unheard(now, k.limit, total)
+			if p.boot == 0 && (p.counted || !b.LevelsReliable(now)) {
 				delta = 0
 			}
 		}
@@ -380,5 +378,15 @@
 			}
 		}
 		b.joined = true
+		for _, p := range b.peers {
+			p.counted = true
+		}
 	}
 }
+
+// unheard returns how many of the units that a run of the node admitted in total are new to
+// this node, which gets the first message of the run. The run may be old, if the node was
+// not a peer or not heard meanwhile, so that the time since then bounds the units.
+func (p *peer) unheard(now time.Time, limit Limit, total float64) float64 {
+	return min(total, limit.Burst+limit.Rate*(now.Sub(p.heardAt)+joinTime).Seconds())
+}
