edge: the directory names ready nodes once, and no others beside them

Cause: a node that heard one ready node added all that it knew, also if the one was a peer and the node itself was not ready; the peer was then named twice.

Change: all known nodes are added only if no other ready node is heard, which is the case at a start and in a cut. A node that hears a ready one names only ready ones, each once.

--- a/edge/web.go
+++ b/edge/web.go
@@ -10,6 +10,7 @@
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/internal/reply"
 	"mustardvane.org/vane/linger"
+	"mustardvane.org/vane/mesh"
 )
 
 // Limits of the listeners.
@@ -91,24 +92,34 @@
 	reply.JSON(w, n.adapter.Directory.Answer(addrs, n.settings.ttl()))
 }
 
-// addresses returns the addresses of the ready nodes. A node that hears no other ready
-// node may itself be cut off, and then returns all nodes that it knows.
+// addresses returns the addresses to which callers are directed.
 func (n *Node) addresses() []string {
-	var ready, known []string
+	self := ""
 	if n.isReady() {
-		ready = append(ready, n.settings.CallerAddr)
+		self = n.settings.CallerAddr
 	}
-	for _, p := range n.mesh.Peers() {
-		if p.Callers == "" || p.Leaving {
-			continue
-		}
-		known = append(known, p.Callers)
-		if p.Ready && p.Alive {
+	return directoryAddresses(self, n.isLeaving(), n.mesh.Peers())
+}
+
+// directoryAddresses returns the addresses of the ready nodes. self is the address of this
+// node, or "" if it is not ready. A node that hears no other ready one, since it has just
+// started or is cut off, also returns all others that it knows, if there are several.
+func directoryAddresses(self string, leaving bool, peers []mesh.Peer) []string {
+	var ready, unheard []string
+	for _, p := range peers {
+		switch {
+		case p.Callers == "" || p.Leaving:
+		case p.Ready && p.Alive:
 			ready = append(ready, p.Callers)
+		default:
+			unheard = append(unheard, p.Callers)
 		}
 	}
-	if len(known) > 1 && len(ready) <= 1 && !n.isLeaving() {
-		ready = append(ready, known...)
+	if len(ready) == 0 && len(unheard) > 1 && !leaving {
+		ready = unheard
+	}
+	if self != "" {
+		ready = append([]string{self}, ready...)
 	}
 	return ready[:min(len(ready), maxAddresses)]
 }
