--- a/cmd/vanebench/soak.go
+++ b/cmd/vanebench/soak.go
@@ -22,6 +22,7 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "first seed; 0 derives one from the time"},
 			&cli.Uint64Flag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.DurationFlag{Name: "length", Usage: "duration of the faults for each seed", Value: 10 * time.Second},
+			&cli.BoolFlag{Name: "stops", Usage: "inject planned stops, reloads and configurations only, under callers that keep their connections"},
 		},
 		Action: runSoak,
 	}
@@ -37,11 +38,15 @@
 	failedSeeds := 0
 	for seed := first; seed < first+cmd.Uint64("seeds") && ctx.Err() == nil; seed++ {
 		dir := filepath.Join(cmd.String("dir"), fmt.Sprint(seed))
-		res, err := soak.Run(ctx, soak.Options{Binary: cmd.String("binary"), Dir: dir, Seed: seed, Length: cmd.Duration("length")})
+		run := soak.Run
+		if cmd.Bool("stops") {
+			run = soak.RunStops
+		}
+		res, err := run(ctx, soak.Options{Binary: cmd.String("binary"), Dir: dir, Seed: seed, Length: cmd.Duration("length")})
 		if err != nil {
 			return cli.Exit(err.Error(), 1)
 		}
-		fmt.Fprintf(cmd.Root().Writer, "seed %d: %d requests, %d answered, %d faults, %d violations\n", seed, res.Requests, res.Answered, len(res.Faults), len(res.Violations))
+		fmt.Fprintf(cmd.Root().Writer, "seed %d: %d requests, %d answered, %d faults, %d stops, %d violations\n", seed, res.Requests, res.Answered, len(res.Faults), res.Stops, len(res.Violations))
 		for _, v := range res.Violations {
 			fmt.Fprintln(cmd.Root().Writer, "  ", v)
 		}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -26,6 +26,7 @@
 //   - The last configuration comes into force on all nodes after the last fault.
 //   - A node that is stopped as planned (SIGTERM) ends with exit code 0 within 20 s.
 //
-// RunStops injects planned stops only, in series that overlap, while callers keep their
-// connections, and checks that none of their requests is lost.
+// RunStops injects planned work only: stops in series that overlap, reloads and
+// configurations. Its callers go on using their connections, and none of their requests may
+// be lost.
 package soak
