crash, front: a popular part is not convicted in place of the request

And one crash counted as one before the answer, since the engine was gone before its first event had been read.

Change: late evidence convicts a part one moment later than a request; parts are cleared by streams that have gone on for a second; crashes before the first event count for the request too. Reports say which kind they are.

--- a/crash/parts.go
+++ b/crash/parts.go
@@ -42,6 +42,7 @@
 	Incarnation uint64
 	Workspace   uint64   // hash of the request's workspace
 	Parts       []uint64 // hashes of the shared parts of the request's prompt, in order, or late keys
+	Late        bool     // Parts are late keys
 	At          time.Time
 }
 
@@ -155,10 +156,20 @@
 	return true
 }
 
-// RecordCrash records that the upstream crashed while it had a request with the parts, or
-// with the late keys, and tells the other nodes.
+// RecordCrash records that the upstream crashed before this node got any of the answer to
+// a request with the parts, and tells the other nodes.
 func (p *Parts) RecordCrash(now time.Time, workspace string, parts []uint64, u vane.Upstream) {
-	c := PartCrash{Upstream: u.Name, Incarnation: u.Incarnation, Workspace: xxhash.Sum64String(workspace), Parts: parts, At: now}
+	p.record(now, PartCrash{Upstream: u.Name, Incarnation: u.Incarnation, Workspace: xxhash.Sum64String(workspace), Parts: parts, At: now})
+}
+
+// RecordLateCrash records that the upstream crashed after this node had got a part of the
+// answer to a request with the late keys, and tells the other nodes.
+func (p *Parts) RecordLateCrash(now time.Time, workspace string, keys []uint64, u vane.Upstream) {
+	p.record(now, PartCrash{Upstream: u.Name, Incarnation: u.Incarnation, Workspace: xxhash.Sum64String(workspace), Parts: keys, Late: true, At: now})
+}
+
+// record adds a crash that this node saw.
+func (p *Parts) record(now time.Time, c PartCrash) {
 	if p.Add(now, c) {
 		p.cfg.BroadcastCrash(c)
 	}
@@ -193,12 +204,31 @@
 		p.cfg.Log.Info("part suspected", "upstream", c.Upstream, "incarnation", c.Incarnation, "parts", Hashes(c.Parts),
 			"age_ms", now.Sub(c.At).Milliseconds(), "worst", Hashes([]uint64{worst}), "moments", most, "limit", convictCrashes, "convicted", most >= convictCrashes)
 	}
-	if most >= convictCrashes {
+	switch {
+	case c.Late:
+		p.convictLate(now, c.Parts)
+	case most >= convictCrashes:
 		p.convict(now, worst, c.Parts)
 	}
 	return added
 }
 
+// convictLate convicts the request whose late keys are given, or else one of its parts. Many
+// requests with a popular part run on every upstream that crashes, so that a part needs one
+// moment more than the request that causes the crashes. The caller must hold p.mu.
+func (p *Parts) convictLate(now time.Time, keys []uint64) {
+	for i, k := range slices.Backward(keys) {
+		limit := convictCrashes
+		if i < len(keys)-1 {
+			limit++
+		}
+		if p.entry(k).moments >= limit {
+			p.convict(now, k, keys)
+			return
+		}
+	}
+}
+
 // entry returns the evidence about a part. The caller must hold p.mu.
 func (p *Parts) entry(k uint64) *part {
 	e, ok := p.parts.Get(k)
@@ -294,9 +324,9 @@
 	}
 }
 
-// RecordComplete records that a request with the late keys was answered completely, which
-// clears them, and tells the other nodes. Keys without evidence are not remembered, since
-// most requests come only once.
+// RecordComplete records that a request with the late keys was answered completely, or has
+// been answered for so long that the keys cause no crash, which clears them, and tells the
+// other nodes. Keys without evidence are not remembered, since most requests come only once.
 func (p *Parts) RecordComplete(now time.Time, keys []uint64) {
 	for _, k := range keys {
 		p.mu.Lock()
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -57,7 +57,7 @@
 	n.partCrashes = slices.DeleteFunc(n.partCrashes, func(c repeated[crash.PartCrash]) bool { return !now.Before(c.until) })
 	for _, c := range n.partCrashes {
 		m.Extension.PartCrashes = append(m.Extension.PartCrashes, mesh.PartCrash{
-			Upstream: c.value.Upstream, Incarnation: c.value.Incarnation, Workspace: c.value.Workspace, Parts: c.value.Parts, AgeMS: ageMS(now, c.value.At),
+			Upstream: c.value.Upstream, Incarnation: c.value.Incarnation, Workspace: c.value.Workspace, Parts: c.value.Parts, Late: c.value.Late, AgeMS: ageMS(now, c.value.At),
 		})
 	}
 	for part, until := range n.partClears {
@@ -95,7 +95,7 @@
 	}
 	for _, c := range m.Extension.PartCrashes {
 		n.parts.Add(now, crash.PartCrash{
-			Upstream: c.Upstream, Incarnation: c.Incarnation, Workspace: c.Workspace, Parts: c.Parts, At: now.Add(-time.Duration(c.AgeMS) * time.Millisecond),
+			Upstream: c.Upstream, Incarnation: c.Incarnation, Workspace: c.Workspace, Parts: c.Parts, Late: c.Late, At: now.Add(-time.Duration(c.AgeMS) * time.Millisecond),
 		})
 	}
 	for _, c := range m.Extension.Convictions {
--- a/front/crash.go
+++ b/front/crash.go
@@ -17,6 +17,7 @@
 const (
 	crashCheckTimeout = 300 * time.Millisecond // a host whose process is gone refuses a connection well within this time
 	crashCheckTTL     = time.Second            // time for which the result of a check is used
+	lateProof         = time.Second            // an upstream that crashes on a part of a prompt does so soon after it has begun to answer
 )
 
 // PartTracker finds the parts of prompts that crash upstreams. Parts are identified by
@@ -26,12 +27,15 @@
 	Check(now time.Time, workspace string, parts []uint64) error
 	// Suspect reports whether a request with the parts should not be retried.
 	Suspect(parts []uint64) bool
-	// RecordCrash records that u crashed before any of the answer arrived, or later if the
-	// request's late keys are given for parts.
+	// RecordCrash records that u crashed before any of the answer arrived.
 	RecordCrash(now time.Time, workspace string, parts []uint64, u vane.Upstream)
+	// RecordLateCrash records that u crashed after the answer to a request with the late
+	// keys had begun.
+	RecordLateCrash(now time.Time, workspace string, keys []uint64, u vane.Upstream)
 	// RecordSuccess records that the answer to a request with the parts has begun.
 	RecordSuccess(now time.Time, parts []uint64)
-	// RecordComplete records that a request with the late keys was answered completely.
+	// RecordComplete records that a request with the late keys was answered completely, or
+	// for so long that the keys cause no crash.
 	RecordComplete(now time.Time, keys []uint64)
 }
 
@@ -123,26 +127,37 @@
 // it off, has crashed. Evidence against a request whose answer has begun is kept apart: many
 // such requests run on an upstream, and one that had no answer yet is the likelier cause.
 func (h *Handler) recordCut(t *attempts, u vane.Upstream) {
-	id, ws, fp, keys, ids, at, answering := t.meta.ID, t.tenancy.Workspace, t.fingerprint, t.parts, t.partIDs(), time.Now(), t.answering
-	if answering {
-		keys = t.lateKeys
-	}
+	id, ws, fp, parts, late, ids, at, answering := t.meta.ID, t.tenancy.Workspace, t.fingerprint, t.parts, t.lateKeys, t.partIDs(), time.Now(), t.answering
 	go func() {
 		crashed := h.crashed(u)
 		h.Log.Info("broken off", "request_id", id, "workspace", ws, "upstream", u.Name, "incarnation", u.Incarnation, "answering", answering,
-			"parts", ids, "hashes", crash.Hashes(keys), "crashed", crashed)
+			"parts", ids, "hashes", crash.Hashes(parts), "late_hashes", crash.Hashes(late), "crashed", crashed)
 		if !crashed {
 			return
 		}
-		if !answering {
-			h.Crashes.RecordCrash(ws, fp, u)
+		if answering {
+			h.Parts.RecordLateCrash(at, ws, late, u)
+			return
 		}
-		if len(keys) > 0 {
-			h.Parts.RecordCrash(at, ws, keys, u)
+		// An upstream that crashes with its first event may be gone before that arrives, so that
+		// the request collects evidence of both kinds.
+		h.Parts.RecordLateCrash(at, ws, late[len(parts):], u)
+		h.Crashes.RecordCrash(ws, fp, u)
+		if len(parts) > 0 {
+			h.Parts.RecordCrash(at, ws, parts, u)
 		}
 	}()
 }
 
+// recordEvent records an event of the answer. Parts of the prompt that have been answered for
+// lateProof are not what crashes upstreams.
+func (h *Handler) recordEvent(t *attempts) {
+	h.recordAnswer(t)
+	if now := time.Now(); now.Sub(t.result.firstAt) >= lateProof {
+		h.Parts.RecordComplete(now, t.lateKeys[:len(t.parts)])
+	}
+}
+
 // recordAnswer records that the answer to the request has begun.
 func (h *Handler) recordAnswer(t *attempts) {
 	if !t.answering {
--- a/front/relay.go
+++ b/front/relay.go
@@ -95,7 +95,7 @@
 			h.Placer.FirstByte(clock.BootTime(), att)
 			t.result.event(time.Now())
 			t.relay.count(block)
-			h.recordAnswer(t)
+			h.recordEvent(t)
 		}
 		if err := t.relay.send(block, !eventBuffered(br)); len(block) > 0 && err != nil {
 			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(err)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -99,12 +99,14 @@
 	Incarnation uint64
 }
 
-// PartCrash tells about a crash before the answer to a request had begun.
+// PartCrash tells about a crash before the answer to a request had begun, or after that if
+// Late is set.
 type PartCrash struct {
 	Upstream    string   `msgpack:"upstream"`
 	Incarnation uint64   `msgpack:"incarnation"`
 	Workspace   uint64   `msgpack:"workspace"` // hash of the request's workspace
-	Parts       []uint64 `msgpack:"parts"`     // hashes of the shared parts of the prompt, in order
+	Parts       []uint64 `msgpack:"parts"`     // hashes of the shared parts of the prompt, in order, or late keys
+	Late        bool     `msgpack:"late,omitempty"`
 	AgeMS       int      `msgpack:"age_ms"`
 }
 
