front: a check whether an upstream has crashed is repeated

The kernel closes the connections of a process that has ended before its listening socket, so that a check in between is accepted.

Change: a check that passes is repeated after 20 and 120 ms. Where a caller waits for it, at the end of a response that states none, once after 20 ms: the same race let a crash there look like an orderly end.

--- a/front/crash.go
+++ b/front/crash.go
@@ -17,6 +17,7 @@
 const (
 	crashCheckTimeout = 300 * time.Millisecond // a host whose process is gone refuses a connection well within this time
 	crashCheckTTL     = time.Second            // time for which the result of a check is used
+	endDelay          = 20 * time.Millisecond  // a process that has ended has no sockets after this time, on a host that is not overloaded
 	lateProof         = time.Second            // an upstream that crashes on a part of a prompt does so soon after it has begun to answer
 )
 
@@ -100,8 +101,18 @@
 	return errors.Is(pool.Probe(ctx, u.Addr, u.Name), syscall.ECONNREFUSED)
 }
 
-// crashed reports whether an upstream that has closed a connection has crashed.
-func (h *Handler) crashed(u vane.Upstream) bool { return h.crashChecks.crashed(h.Pool, u) }
+// crashed reports whether an upstream that has closed a connection has crashed. The kernel
+// closes the connections of a process that has ended before the socket on which it listened,
+// so that a check that passes is repeated after the delays.
+func (h *Handler) crashed(u vane.Upstream, delays ...time.Duration) bool {
+	for _, d := range delays {
+		if h.crashChecks.crashed(h.Pool, u) {
+			return true
+		}
+		time.Sleep(d)
+	}
+	return h.crashChecks.crashed(h.Pool, u)
+}
 
 // checkParts returns a refusal if the request, or a part of its prompt, crashes upstreams.
 func (h *Handler) checkParts(c *request, now time.Time) *vane.Refusal {
@@ -129,7 +140,7 @@
 func (h *Handler) recordCut(t *attempts, u vane.Upstream) {
 	id, ws, fp, parts, late, ids, at, answering := t.meta.ID, t.tenancy.Workspace, t.fingerprint, t.parts, t.lateKeys, t.partIDs(), time.Now(), t.answering
 	go func() {
-		crashed := h.crashed(u)
+		crashed := h.crashed(u, endDelay, 5*endDelay)
 		h.Log.Info("broken off", "request_id", id, "workspace", ws, "upstream", u.Name, "incarnation", u.Incarnation, "answering", answering,
 			"parts", ids, "hashes", crash.Hashes(parts), "late_hashes", crash.Hashes(late), "crashed", crashed)
 		if !crashed {
--- a/front/crash_test.go
+++ b/front/crash_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,10 +14,11 @@
 	"mustardvane.org/vane/crash"
 )
 
-// newParts returns a tracker of prompt parts that tells no other node.
-func newParts() *crash.Parts {
+// newParts returns a tracker of prompt parts that counts the crashes that it would tell
+// other nodes of.
+func newParts(crashes *atomic.Int64) *crash.Parts {
 	return crash.NewParts(crash.PartsConfig{
-		BroadcastCrash: func(crash.PartCrash) {}, BroadcastClear: func(uint64) {}, BroadcastConviction: func(crash.Conviction) {},
+		BroadcastCrash: func(crash.PartCrash) { crashes.Add(1) }, BroadcastClear: func(uint64) {}, BroadcastConviction: func(crash.Conviction) {},
 		Log: slog.New(slog.DiscardHandler),
 	})
 }
@@ -131,3 +133,33 @@
 		})
 	}
 }
+
+// A crash counts although the upstream's listening socket is closed a little after its
+// connections, as by the kernel at the end of a process.
+func TestCrashWhoseListenerClosesLater(t *testing.T) {
+	for _, tt := range []struct {
+		name, path string
+		answer     responder
+	}{
+		{"before an answer", "/safe/x", stall(0)},
+		{"inside a stream", "/once/x", respondEvents(streamText, len("id: 1\ndata: a\n\n"))},
+		{"stream that states no end", "/once/x", respondRaw("id: 1\ndata: a\n\n", false)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var u *scriptedUpstream
+			u = newScriptedUpstream(t, func(n int, w io.Writer, id string, r *http.Request) bool {
+				tt.answer(n, w, id, r)
+				time.AfterFunc(10*time.Millisecond, func() { _ = u.listener.Close() })
+				return false
+			})
+			b := newTestFront(t, 0, u)
+			_, _, _, err := b.send(t.Context(), tt.path)
+			is.True(err != nil || tt.path == "/safe/x")
+			for end := time.Now().Add(5 * time.Second); b.partCrashes.Load() == 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			is.True(b.partCrashes.Load() > 0)
+		})
+	}
+}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -184,6 +184,8 @@
 	crashes  *crash.Registry
 	events   *event.Ring
 
+	partCrashes atomic.Int64 // crashes that the tracker of prompt parts counted
+
 	mu      sync.Mutex
 	results []canary.Sample
 }
@@ -235,7 +237,7 @@
 	h := front.New(front.Deps{
 		RecordResult: b.recordResult,
 		View:         func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
-		Crashes: b.crashes, Parts: newParts(), RetryBudget: func(string) *retry.Window { return w },
+		Crashes: b.crashes, Parts: newParts(&b.partCrashes), RetryBudget: func(string) *retry.Window { return w },
 		Draining: b.stopping.Load, Closing: func() (time.Time, bool) { return b.until, b.stopping.Load() }, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {}, UpstreamLeaving: func(vane.Upstream) {},
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
 	})
--- a/front/relay.go
+++ b/front/relay.go
@@ -116,7 +116,7 @@
 // has ended after complete events. A stream that states no end must have had events, and
 // must not be known to be incomplete, nor end a response that states its end.
 func (h *Handler) mayEnd(t *attempts, p sched.Pick, resp *conns.Response) bool {
-	return resp.Framing != conns.FramingClose || t.unstated && !h.crashed(p.Upstream)
+	return resp.Framing != conns.FramingClose || t.unstated && !h.crashed(p.Upstream, endDelay)
 }
 
 // eventBuffered reports whether br already holds another complete event.
--- a/front/serve.go
+++ b/front/serve.go
@@ -274,7 +274,7 @@
 	if err != nil {
 		return h.responseBroken(ctx, t, p, resp, err)
 	}
-	if resp.Framing == conns.FramingClose && resp.Complete() && h.crashed(p.Upstream) {
+	if resp.Framing == conns.FramingClose && resp.Complete() && h.crashed(p.Upstream, endDelay) {
 		return h.responseBroken(ctx, t, p, resp, io.ErrUnexpectedEOF)
 	}
 	h.Placer.FirstByte(clock.BootTime(), att)
@@ -318,7 +318,7 @@
 		if _, werr := w.Write(buf[:n]); werr != nil {
 			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(werr)
 		}
-		if err == io.EOF && resp.Complete() && !(resp.Framing == conns.FramingClose && h.crashed(p.Upstream)) {
+		if err == io.EOF && resp.Complete() && !(resp.Framing == conns.FramingClose && h.crashed(p.Upstream, endDelay)) {
 			return nil
 		}
 		if err != nil {
