--- a/soak/node.go
+++ b/soak/node.go
@@ -142,12 +142,18 @@
 // It returns an error if the exit code is not 0 or the process does not end in time.
 func (n *node) stop() error {
 	n.signal(syscall.SIGCONT)
+	return n.stopWithin(stopTimeout)
+}
+
+// stopWithin ends the process with SIGTERM, and with SIGKILL if it has not ended after d. It
+// returns an error in that case, or if the exit code is not 0.
+func (n *node) stopWithin(d time.Duration) error {
 	n.signal(syscall.SIGTERM)
 	select {
 	case err := <-n.done:
 		return err
-	case <-time.After(stopTimeout):
+	case <-time.After(d):
 		n.kill()
-		return fmt.Errorf("node %s did not end within %v of SIGTERM; see %s", n.name, stopTimeout, n.dir)
+		return fmt.Errorf("node %s did not end within %v of SIGTERM; see %s", n.name, d, n.dir)
 	}
 }
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -113,18 +113,6 @@
 	}
 }
 
-// stopWithin ends the process with SIGTERM, and with SIGKILL after the grace period.
-func (n *node) stopWithin(grace time.Duration) error {
-	n.signal(syscall.SIGTERM)
-	select {
-	case err := <-n.done:
-		return err
-	case <-time.After(grace):
-		n.kill()
-		return context.DeadlineExceeded
-	}
-}
-
 // checkStops finds the requests that planned work lost: a node had read the whole request,
 // and the connection ended without a complete response, during a stop of the node or not.
 func checkStops(results []keptResult, runs []stand.Run, stops []plannedStop) []Violation {
