--- a/entry/plain.go
+++ b/entry/plain.go
@@ -129,8 +129,11 @@
 	w.WriteHeader(status)
 	// If the caller has left, the write fails. Nothing remains to be done then: the server
 	// closes the connection.
-	if _, err := w.Write(body); err == nil && unstated {
-		_ = linger.End(w, r)
+	if _, err := w.Write(body); err != nil || !unstated {
+		return
+	}
+	if err := linger.End(w, r); err != nil {
+		klog.V(2).InfoS("end of the response not sent", "err", err)
 	}
 }
 
