soak: a node has both of its internal ports

Cause, from the ports: the settings name the internal ports as a range, of which a node takes the first and the next one, but the soak allocated two single ones.

Change: port.FreeRun allocates ports in a row, and the soak takes two of them.

Evidence: TestPortsOfNodes fails with the allocation before; TestFreeRunIsNotShared.

--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -40,7 +40,10 @@
 // It returns each port of the process's range once before it returns one again. The
 // error is of KindUnavailable if no port or no range is free. It is safe for concurrent
 // use.
-func Free() (int, error) {
+func Free() (int, error) { return FreeRun(1) }
+
+// FreeRun is like Free for n consecutive ports, of which it returns the first.
+func FreeRun(n int) (int, error) {
 	reserved.mu.Lock()
 	defer reserved.mu.Unlock()
 	if reserved.lock == nil {
@@ -48,13 +51,19 @@
 			return 0, err
 		}
 	}
-	for range rangeSize - 1 {
+	run := 0 // free ports in a row up to the current one
+	for range rangeSize - 1 + n {
 		reserved.next = reserved.next%(rangeSize-1) + 1
-		if p := reserved.base + reserved.next; isFree(p) {
-			return p, nil
+		if reserved.next == 1 {
+			run = 0
+		}
+		if p := reserved.base + reserved.next; !isFree(p) {
+			run = 0
+		} else if run++; run == n {
+			return p - n + 1, nil
 		}
 	}
-	return 0, vane.Errorf(vane.KindUnavailable, "port.free", "stop the processes that listen on these ports", "no free port from %d to %d", reserved.base, reserved.base+rangeSize)
+	return 0, vane.Errorf(vane.KindUnavailable, "port.free", "stop the processes that listen on these ports", "no %d free ports in a row from %d to %d", n, reserved.base, reserved.base+rangeSize)
 }
 
 // reserveRange reserves a range that no other process has reserved. reserved.mu must be
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -24,6 +24,25 @@
 	}
 }
 
+// Ports in a row belong to one caller, also if others ask for single ones in between.
+func TestFreeRunIsNotShared(t *testing.T) {
+	is := is.New(t)
+	seen := map[int]bool{}
+	take := func(n int) {
+		p, err := port.FreeRun(n)
+		is.NoErr(err)
+		for i := range n {
+			is.True(!seen[p+i])
+			seen[p+i] = true
+		}
+	}
+	for range 60 {
+		take(2)
+		take(1)
+		take(3)
+	}
+}
+
 func TestUsers(t *testing.T) {
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/soak/node.go
+++ b/soak/node.go
@@ -66,13 +66,18 @@
 // settings returns the path of the settings file.
 func (n *node) settings() string { return filepath.Join(n.dir, "settings.json") }
 
-// freePorts returns ports on which nothing listens.
+// freePorts returns ports on which nothing listens. The last two are consecutive, since the
+// settings name the internal ports as a range.
 func freePorts() (ports [5]int, err error) {
-	for i := range ports {
+	for i := range 3 {
 		if ports[i], err = port.Free(); err != nil {
 			return ports, err
 		}
 	}
+	if ports[3], err = port.FreeRun(2); err != nil {
+		return ports, err
+	}
+	ports[4] = ports[3] + 1
 	return ports, nil
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,11 +4,13 @@
 	"errors"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"mustardvane.org/vane/internal/port"
 	"mustardvane.org/vane/platform/stand"
 )
 
@@ -66,6 +68,36 @@
 	}
 }
 
+// TestPortsOfNodes checks that a node has both of its internal ports, which its settings name
+// as a range, also if another soak takes ports at the same time.
+func TestPortsOfNodes(t *testing.T) {
+	is := is.New(t)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if _, err := port.Free(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	for range 200 {
+		ports, err := freePorts()
+		is.NoErr(err)
+		is.Equal(ports[4], ports[3]+1)
+	}
+	close(stop)
+	wg.Wait()
+}
+
 // buildNode builds the program of the nodes and returns its path.
 func buildNode(t *testing.T) string {
 	t.Helper()
