--- a/front/front_test.go
+++ b/front/front_test.go
@@ -87,6 +87,9 @@
 	mu           sync.Mutex
 	lastEventIDs []string      // Last header of each request received
 	disconnected chan struct{} // gets a value when a connection ends
+	incarnation  atomic.Uint64 // of the process at the address
+	replaced     atomic.Bool   // another upstream has taken over the address
+	silent       atomic.Bool   // the process at the address answers nothing
 }
 
 // responder writes the response to the n-th request, counted from 1, that an
@@ -201,7 +204,7 @@
 	out := make(map[string]vane.Upstream)
 	for i, u := range ups {
 		name := fmt.Sprintf("u%d", i)
-		out[name] = vane.Upstream{Name: name, Addr: u.addr, Service: "s", Slots: 4, DataCentre: "dc", Role: vane.RoleService}
+		out[name] = vane.Upstream{Name: name, Addr: u.addr, Service: "s", Slots: 4, DataCentre: "dc", Role: vane.RoleService, Incarnation: u.incarnation.Load()}
 	}
 	return out
 }
