--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -79,6 +80,18 @@
 	complete   bool
 }
 
+// WriteState says how far a request has been written.
+type WriteState int
+
+//go:generate stringer -type=WriteState -linecomment -output=write_string.go
+
+// The states of a request's write.
+const (
+	WriteDone    WriteState = iota // done
+	WriteBlocked                   // blocked
+	WriteFailed                    // failed
+)
+
 // requestWrite is the state of writing a request. err may be read once done is
 // closed.
 type requestWrite struct {
@@ -184,6 +197,24 @@
 	return n, err
 }
 
+// Written returns how far the request has been written, and ends a write that is still
+// blocked. A response may begin before its request was written.
+func (a *Response) Written() WriteState {
+	// The past deadline ends a write that is still blocked. It does not affect a write that
+	// has succeeded, even if its goroutine has not returned yet.
+	if a.conn.SetWriteDeadline(time.Unix(1, 0)) != nil {
+		return WriteFailed
+	}
+	<-a.write.done
+	switch {
+	case a.write.err == nil:
+		return WriteDone
+	case errors.Is(a.write.err, os.ErrDeadlineExceeded):
+		return WriteBlocked
+	}
+	return WriteFailed
+}
+
 // Complete reports whether the body was read to its end.
 func (a *Response) Complete() bool { return a.complete }
 
@@ -223,17 +254,10 @@
 // was written, its response was read to an explicit end, and no further bytes
 // have arrived.
 func (a *Response) reusable() bool {
-	// An upstream may respond before it has read the request. The past deadline ends a
-	// write that is still blocked. It does not affect a write that has succeeded, even
-	// if its goroutine has not returned yet.
-	if a.conn.SetWriteDeadline(time.Unix(1, 0)) != nil {
-		return false
-	}
-	<-a.write.done
-	if a.conn.SetWriteDeadline(time.Time{}) != nil {
+	if a.Written() != WriteDone || a.conn.SetWriteDeadline(time.Time{}) != nil {
 		return false
 	}
-	return a.write.err == nil && a.complete && a.Framing != FramingClose && !a.resp.Close && a.conn.br.Buffered() == 0
+	return a.complete && a.Framing != FramingClose && !a.resp.Close && a.conn.br.Buffered() == 0
 }
 
 // readerFunc is a function that implements io.Reader.
--- a/front/serve.go
+++ b/front/serve.go
@@ -359,7 +359,8 @@
 // reason for either.
 func (h *Handler) responseBroken(ctx context.Context, t *attempts, p sched.Pick, resp *conns.Response, err error) *vane.Refusal {
 	reason := vane.ReasonUpstreamFailed
-	h.Log.Info("response broken off", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "framing", resp.Framing.String(), "ended", resp.Ended(), "err", err.Error())
+	h.Log.Info("response broken off", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "incarnation", p.Upstream.Incarnation,
+		"framing", resp.Framing.String(), "request_write", resp.Written().String(), "ended", resp.Ended(), "err", err.Error())
 	switch {
 	case context.Cause(ctx) == errStopped:
 		reason = vane.ReasonNodeLeaving
@@ -384,6 +385,6 @@
 	}
 	h.Metrics.observeServed(t.route.Name, d, first)
 	h.Metrics.countAnswer(t.route.Name, resp.Framing)
-	h.Log.Info("answered", "request_id", t.meta.ID, "route", t.route.Name, "upstream", p.Upstream.Name, "status", resp.Status, "framing", resp.Framing.String(),
+	h.Log.Info("answered", "request_id", t.meta.ID, "route", t.route.Name, "upstream", p.Upstream.Name, "incarnation", p.Upstream.Incarnation, "status", resp.Status, "framing", resp.Framing.String(), "request_write", resp.Written().String(),
 		"attempts", t.sends, "events", events, "first_ms", first.Milliseconds(), "pause_ms", pause.Milliseconds(), "elapsed_ms", d.Milliseconds())
 }
