conns: a connection that failed for the writer of the request does not complete a response

What callers saw: a part of a response that states no end, as its whole. An upstream answered before it had read the request, and reset the connection. Cause: an exchange reads and writes one socket from two goroutines. The kernel hands the pending error to one call; if the write takes ECONNRESET, the read returns 0, an orderly end. The error of the write was looked at for the reuse of the connection only. Change: a response that ends with its connection is complete only if the request's write did not fail. A write that is still blocked is ended first, so that its result is known.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -191,10 +191,16 @@
 // read reads from the body and records its end.
 func (a *Response) read(b []byte) (int, error) {
 	n, err := a.resp.Body.Read(b)
-	if err == io.EOF {
-		a.complete = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if a.Framing == FramingClose && a.Written() == WriteFailed {
+		// The connection's failure may have been reported to the write, and an orderly end
+		// to the read.
+		return n, errors.Wrap(io.ErrUnexpectedEOF, "the connection failed while the request was written")
+	}
+	a.complete = true
+	return n, io.EOF
 }
 
 // Written returns how far the request has been written, and ends a write that is still
@@ -215,7 +221,9 @@
 	return WriteFailed
 }
 
-// Complete reports whether the body was read to its end.
+// Complete reports whether the body was read to its end. A body without a stated end ends with
+// its connection, which must not have failed, neither for its reader nor for the writer of the
+// request. Whether such a body is whole can't be known from the connection alone.
 func (a *Response) Complete() bool { return a.complete }
 
 // Ended reports whether the connection ended or failed while the body was read. If a
