front, edge, platform: a response that states no end is whole only if its process still runs

Not the node's end: another process, or none, was at the upstream's address when the node looked. Cause: such a response was taken for whole unless its upstream's host refused a connection, now and 20 ms later. An upstream that had started again, another one at its address, a listening socket that outlived its process, a host that drops packets, and a node that stood still meanwhile all looked alive. Class: what is not known is treated as good. Change: the upstream is asked which process it is (an engine's report with its start, the health check of a plain service, both for the expected instance), and the entry in the store is compared. An answer of the same process is the proof; anything else breaks the response off, resumes or repeats it. A process that is known to have ended counts as a crash without a further check.

--- a/edge/node.go
+++ b/edge/node.go
@@ -134,7 +134,7 @@
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash, Parts: n.parts,
-		RetryBudget: n.retryWindow, Draining: n.isLeaving, Closing: n.closing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
+		RetryBudget: n.retryWindow, Draining: n.isLeaving, Closing: n.closing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, Process: n.processOf, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
 	})
 	return n, n.register()
 }
@@ -316,6 +316,21 @@
 	n.mesh.SendSoon()
 }
 
+// processOf checks whether an upstream still is the process that u describes, as far as its
+// answer and its latest entry in the store show.
+func (n *Node) processOf(ctx context.Context, u vane.Upstream) vane.ProcessState {
+	path := ""
+	if cfg := n.mirror.View().Config; cfg != nil {
+		s, _ := cfg.Service(u.Service)
+		path = s.HealthPath
+	}
+	state := n.adapter.Control.Process(ctx, u, path)
+	if now, ok := n.mirror.View().Upstreams[u.Name]; ok && now.Incarnation != u.Incarnation {
+		return vane.ProcessReplaced
+	}
+	return state
+}
+
 // forgetDeadPeers drops the requests in flight of nodes that are down.
 func (n *Node) forgetDeadPeers() {
 	n.placer.KeepPeersInFlight(n.mesh.IsAlive)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -187,6 +187,7 @@
 	crashes  *crash.Registry
 	events   *event.Ring
 
+	upstreams   []*scriptedUpstream
 	partCrashes atomic.Int64 // crashes that the tracker of prompt parts counted
 
 	mu      sync.Mutex
@@ -209,9 +210,32 @@
 	return out
 }
 
+// processOf returns a function that checks the processes of the upstreams.
+func processOf(ups *[]*scriptedUpstream) func(context.Context, vane.Upstream) vane.ProcessState {
+	return func(ctx context.Context, u vane.Upstream) vane.ProcessState {
+		for _, s := range *ups {
+			if s.addr != u.Addr {
+				continue
+			}
+			c, err := net.Dial("tcp", s.addr)
+			switch {
+			case err != nil:
+				return vane.ProcessGone
+			case c.Close() != nil || s.silent.Load():
+				return vane.ProcessUnknown
+			case s.replaced.Load() || s.incarnation.Load() != u.Incarnation:
+				return vane.ProcessReplaced
+			}
+			return vane.ProcessRuns
+		}
+		return vane.ProcessUnknown
+	}
+}
+
 // setUpstreams replaces the upstreams that the placer picks from, in place of those that
 // were set aside too.
 func (b *testFront) setUpstreams(ups ...*scriptedUpstream) {
+	b.upstreams = ups
 	v := *b.view
 	v.Upstreams = upstreamsOf(ups)
 	b.placer.Update(&mirror.View{Config: v.Config, Upstreams: map[string]vane.Upstream{}})
@@ -222,7 +246,7 @@
 // that its retry budget allows.
 func newTestFront(t *testing.T, slack float64, ups ...*scriptedUpstream) *testFront {
 	t.Helper()
-	b := &testFront{quota: &fakeLimiter{}, events: event.NewRing("n", 16)}
+	b := &testFront{quota: &fakeLimiter{}, events: event.NewRing("n", 16), upstreams: ups}
 	v := &mirror.View{Upstreams: upstreamsOf(ups)}
 	s := []vane.WeightedService{{Service: "s", Weight: 1}}
 	v.Config = site.New(1, site.WithRoutes(
@@ -241,7 +265,7 @@
 		RecordResult: b.recordResult,
 		View:         func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
 		Crashes: b.crashes, Parts: newParts(&b.partCrashes), RetryBudget: func(string) *retry.Window { return w },
-		Draining: b.stopping.Load, Closing: func() (time.Time, bool) { return b.until, b.stopping.Load() }, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {}, UpstreamLeaving: func(vane.Upstream) {},
+		Draining: b.stopping.Load, Closing: func() (time.Time, bool) { return b.until, b.stopping.Load() }, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {}, UpstreamLeaving: func(vane.Upstream) {}, Process: processOf(&b.upstreams),
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
 	})
 	b.handler, b.server = h, httptest.NewUnstartedServer(h)
--- a/front/relay.go
+++ b/front/relay.go
@@ -79,8 +79,12 @@
 			if !blank || t.relay == nil && !inEvent {
 				continue // comments before the first event are relayed together with it
 			}
-		case err != io.EOF || !resp.Complete() || inEvent || len(line) > 0 || !h.mayEnd(t, p, resp):
+		case err != io.EOF || !resp.Complete() || inEvent || len(line) > 0:
 			return h.responseBroken(ctx, t, p, resp, err)
+		default:
+			if cerr := h.checkStreamEnd(ctx, t, p, resp); cerr != nil {
+				return h.responseBroken(ctx, t, p, resp, cerr)
+			}
 		}
 		if inEvent && resumed {
 			if resumed = false; !follows(block, t.resumedAfter) {
@@ -112,11 +116,14 @@
 	}
 }
 
-// mayEnd reports whether the caller's response may end with the stream of an upstream that
-// has ended after complete events. A stream that states no end must have had events, and
-// must not be known to be incomplete, nor end a response that states its end.
-func (h *Handler) mayEnd(t *attempts, p sched.Pick, resp *conns.Response) bool {
-	return resp.Framing != conns.FramingClose || t.unstated && !h.crashed(p.Upstream, endDelay)
+// checkStreamEnd returns an error unless the caller's response may end with the stream of an
+// upstream that has ended after complete events. A stream that states no end must have had
+// events, and must not end a response that states its end.
+func (h *Handler) checkStreamEnd(ctx context.Context, t *attempts, p sched.Pick, resp *conns.Response) error {
+	if resp.Framing == conns.FramingClose && !t.unstated {
+		return errUnstated
+	}
+	return h.checkEnd(ctx, t, p, resp)
 }
 
 // eventBuffered reports whether br already holds another complete event.
--- a/front/serve.go
+++ b/front/serve.go
@@ -226,7 +226,7 @@
 	}
 	t.sends++
 	if ce.Sent && !ce.Malformed && ctx.Err() == nil {
-		h.recordCut(t, p.Upstream)
+		h.recordCut(t, p.Upstream, false)
 	}
 	return vane.Refuse(vane.ReasonUpstreamFailed, "the connection to upstream %s failed before a response", p.Upstream.Name).WithExecution(executionOf(ce)).WithCause(err)
 }
@@ -274,8 +274,10 @@
 	if err != nil {
 		return h.responseBroken(ctx, t, p, resp, err)
 	}
-	if resp.Framing == conns.FramingClose && resp.Complete() && h.crashed(p.Upstream, endDelay) {
-		return h.responseBroken(ctx, t, p, resp, io.ErrUnexpectedEOF)
+	if resp.Complete() {
+		if err := h.checkEnd(ctx, t, p, resp); err != nil {
+			return h.responseBroken(ctx, t, p, resp, err)
+		}
 	}
 	h.Placer.FirstByte(clock.BootTime(), att)
 	if resp.Status >= http.StatusInternalServerError && t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && h.RetryBudget(t.service).Take(time.Now()) {
@@ -318,8 +320,10 @@
 		if _, werr := w.Write(buf[:n]); werr != nil {
 			return vane.Refuse(vane.ReasonCallerGone, "the caller left").WithExecution(vane.MayHaveRun).WithCause(werr)
 		}
-		if err == io.EOF && resp.Complete() && !(resp.Framing == conns.FramingClose && h.crashed(p.Upstream, endDelay)) {
-			return nil
+		if err == io.EOF && resp.Complete() {
+			if err = h.checkEnd(ctx, t, p, resp); err == nil {
+				return nil
+			}
 		}
 		if err != nil {
 			return h.responseBroken(ctx, t, p, resp, err)
@@ -367,8 +371,10 @@
 	case ctx.Err() != nil:
 		reason = vane.ReasonQueueDeadline
 	case err == errNotEvent:
+	case err == errProcessEnded:
+		h.recordCut(t, p.Upstream, true)
 	case resp.Ended():
-		h.recordCut(t, p.Upstream)
+		h.recordCut(t, p.Upstream, false)
 	case err != io.EOF:
 		h.setAside(t, p, &conns.Error{Malformed: true, Cause: err})
 	}
--- a/reason.go
+++ b/reason.go
@@ -1,6 +1,6 @@
 package vane
 
-//go:generate stringer -type=Reason,Execution,Kind,UpstreamState,UpstreamRole,OrderResult,RouteKind,RolloutState -linecomment -output=enums_string.go
+//go:generate stringer -type=Reason,Execution,Kind,UpstreamState,UpstreamRole,OrderResult,RouteKind,RolloutState,ProcessState -linecomment -output=enums_string.go
 
 // Reason states why a request was refused, delayed or sent elsewhere. Its
 // String method gives the snake-case name that callers and operators see.
--- a/site.go
+++ b/site.go
@@ -44,6 +44,7 @@
 // Service is a set of upstreams that serve the same requests.
 type Service struct {
 	Name            string
+	HealthPath      string   // path of the health check of an upstream
 	MaxConns        int      // connections that one upstream accepts from all nodes together
 	Models          []string // served models; empty for a plain service
 	Slots           int      // requests that an engine batches at once; zero for a plain service
--- a/upstream.go
+++ b/upstream.go
@@ -18,6 +18,22 @@
 	RoleService                     // service
 )
 
+// ProcessState is what a check found out about the process of an upstream that sent an earlier
+// response.
+type ProcessState int
+
+// The states of a process.
+const (
+	ProcessUnknown  ProcessState = iota // unknown
+	ProcessRuns                         // runs
+	ProcessReplaced                     // replaced
+	ProcessGone                         // gone
+)
+
+// Ended reports whether the process is known to have ended: another one has its address, or
+// its host refuses connections.
+func (s ProcessState) Ended() bool { return s == ProcessReplaced || s == ProcessGone }
+
 // Upstream is one model engine or plain service that requests are sent to. It
 // is an immutable value: the methods WithState and WithIncarnation return changed
 // copies.
