--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -155,6 +155,7 @@
 	engines     *engines
 	url         string
 	settings    []edge.Settings
+	log         slog.Handler // of all nodes
 	stop        []context.CancelFunc
 	done        []chan error
 
@@ -171,9 +172,15 @@
 	return p
 }
 
-func newFleet(t *testing.T, nodes int, upstream http.Handler) *fleet {
+// withLog sets the handler of the nodes' log lines.
+func withLog(h slog.Handler) func(*fleet) { return func(f *fleet) { f.log = h } }
+
+func newFleet(t *testing.T, nodes int, upstream http.Handler, opts ...func(*fleet)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, plat: plat.New(), engines: &engines{weights: map[string]uint64{}, seq: map[string]uint64{}}}
+	f := &fleet{t: t, log: slog.DiscardHandler, plat: plat.New(), engines: &engines{weights: map[string]uint64{}, seq: map[string]uint64{}}}
+	for _, o := range opts {
+		o(f)
+	}
 	ps := httptest.NewServer(f.plat)
 	us := httptest.NewServer(upstream)
 	f.url = strings.TrimPrefix(ps.URL, "http://")
@@ -209,7 +216,7 @@
 
 func (f *fleet) start(i int) {
 	ad := edge.Adapter{Protocol: store.Native(), Decoder: decoder{}, Dialect: dialect{}, Control: f.engines, Directory: directory{}}
-	n, err := edge.New(f.settings[i], ad, slog.New(slog.DiscardHandler))
+	n, err := edge.New(f.settings[i], ad, slog.New(f.log))
 	if err != nil {
 		f.t.Fatal(err)
 	}
