front: a crash is not counted against the next process at the upstream's address

Cause: the result of a check was used for a second by the upstream's name, also for requests that were sent to the process after the one that it had found gone. Change: a result is used only for requests that were sent before its check.

--- a/front/crash.go
+++ b/front/crash.go
@@ -64,9 +64,10 @@
 }
 
 // crashed reports whether the process of an upstream is gone, as opposed to a connection
-// that was reset or a cut link: its host refuses connections. A connection that the check
-// opens is kept in the pool.
-func (k *crashChecks) crashed(pool *conns.Pool, u vane.Upstream) bool {
+// that was reset or a cut link: its host refuses connections. sent is the time of a request
+// to that process; the result of an earlier check is not used, since it tells of a process
+// before that one. A connection that the check opens is kept in the pool.
+func (k *crashChecks) crashed(pool *conns.Pool, u vane.Upstream, sent time.Time) bool {
 	now := time.Now()
 	k.mu.Lock()
 	if k.checks == nil {
@@ -78,8 +79,8 @@
 		}
 	}
 	c, ok := k.checks[u.Name]
-	if ok && c.passed() {
-		ok = false // the upstream may have crashed since
+	if ok && (c.passed() || c.at.Before(sent)) {
+		ok = false // the upstream may have crashed, or started again, since
 	}
 	if !ok {
 		c = &crashCheck{at: now, done: make(chan struct{})}
@@ -101,17 +102,18 @@
 	return errors.Is(pool.Probe(ctx, u.Addr, u.Name), syscall.ECONNREFUSED)
 }
 
-// crashed reports whether an upstream that has closed a connection has crashed. The kernel
+// crashed reports whether an upstream that has closed the connection of a request, which was
+// sent at a time, has crashed. The kernel
 // closes the connections of a process that has ended before the socket on which it listened,
 // so that a check that passes is repeated after the delays.
-func (h *Handler) crashed(u vane.Upstream, delays ...time.Duration) bool {
+func (h *Handler) crashed(u vane.Upstream, sent time.Time, delays ...time.Duration) bool {
 	for _, d := range delays {
-		if h.crashChecks.crashed(h.Pool, u) {
+		if h.crashChecks.crashed(h.Pool, u, sent) {
 			return true
 		}
 		time.Sleep(d)
 	}
-	return h.crashChecks.crashed(h.Pool, u)
+	return h.crashChecks.crashed(h.Pool, u, sent)
 }
 
 // checkParts returns a refusal if the request, or a part of its prompt, crashes upstreams.
@@ -138,9 +140,9 @@
 // it off, has crashed, which it checks unless crashed is set. Evidence against a request whose answer has begun is kept apart: many
 // such requests run on an upstream, and one that had no answer yet is the likelier cause.
 func (h *Handler) recordCut(t *attempts, u vane.Upstream, crashed bool) {
-	id, ws, fp, parts, late, ids, at, answering := t.meta.ID, t.tenancy.Workspace, t.fingerprint, t.parts, t.lateKeys, t.partIDs(), time.Now(), t.answering
+	id, ws, fp, parts, late, ids, at, sent, answering := t.meta.ID, t.tenancy.Workspace, t.fingerprint, t.parts, t.lateKeys, t.partIDs(), time.Now(), t.result.sent, t.answering
 	go func() {
-		crashed = crashed || h.crashed(u, endDelay, 5*endDelay)
+		crashed = crashed || h.crashed(u, sent, endDelay, 5*endDelay)
 		h.Log.Info("broken off", "request_id", id, "workspace", ws, "upstream", u.Name, "incarnation", u.Incarnation, "answering", answering,
 			"parts", ids, "hashes", crash.Hashes(parts), "late_hashes", crash.Hashes(late), "crashed", crashed)
 		if !crashed {
