platform: a write whose response was cut has an unknown outcome

What callers would see: ObjectProtocol.DecodePut did not check that the body is a whole object. A body that was cut behind its metadata was taken for a whole one, a body that was cut before gave an error of KindInternal, after which the write that had been accepted was not resolved (store.Client.Put repeats and reads back after KindUnknownOutcome only). A conflict whose body was cut said that the object did not exist ("version none").

Cause: the JSON parser accepts parts of objects, and only two of its five callers asked before whether the object is whole. The metadata are decoded strictly, so no part of a revision was ever taken for a smaller one.

A write with a response that reports success and can't be read has the kind KindUnknownOutcome.

--- a/store/protocol.go
+++ b/store/protocol.go
@@ -92,6 +92,12 @@
 		"object %s is at version %s, not %d", key, have, expected)
 }
 
+// UnknownOutcome returns the error for a response to a write that reports success, but not
+// what the write has led to.
+func UnknownOutcome(op string, r *Response) *vane.Error {
+	return vane.Errorf(vane.KindUnknownOutcome, "store."+op, "read the object later to learn the outcome", "malformed response with status %d", r.Status)
+}
+
 // Unexpected returns the error for a response that does not follow the protocol.
 func Unexpected(op string, r *Response) *vane.Error {
 	return vane.Errorf(vane.KindInternal, "store."+op, "check that the platform's address names an object API of this version", "unexpected response with status %d", r.Status)
