store: a value without a length is not a whole one

What callers would see: the platform's response to a read of one object in the protocol of docs/PLATFORM.md is the value itself. If it had neither a length nor chunks, any part of it that had arrived when the connection ended was returned as the value, such as half of a configuration.

Cause: the end of a connection was taken for the end of the body. Lists, watches, hosts and all responses in the platform mode are JSON and show their own end.

Change: Response carries the framing, and the decoder of a bare value refuses FramingClose. The in-memory transport of the fake platform states lengths, as its server does.

Measured: TestCutResponse cuts five calls in three framings after each byte; it passes.

--- a/fake/plat/direct.go
+++ b/fake/plat/direct.go
@@ -107,5 +107,7 @@
 	req.Body = io.NopCloser(bytes.NewReader(body))
 	rec := httptest.NewRecorder()
 	t.platform.ServeHTTP(rec, req)
-	return rec.Result(), nil
+	resp = rec.Result()
+	resp.ContentLength = int64(rec.Body.Len()) // as a server states it that has the whole body
+	return resp, nil
 }
--- a/store/client.go
+++ b/store/client.go
@@ -14,6 +14,7 @@
 	"github.com/sony/gobreaker/v2"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/internal/reply"
 )
 
@@ -211,7 +212,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Restores: restores}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framing: conns.FramingOf(resp), Restores: restores}, nil
 }
 
 // recordRestores returns the number of restores that a response states, or the highest
--- a/store/native.go
+++ b/store/native.go
@@ -9,6 +9,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/conns"
 )
 
 // Header names of the protocol of docs/PLATFORM.md.
@@ -76,6 +77,10 @@
 func (native) DecodeGet(key string, r *Response) (vane.Object, error) {
 	switch r.Status {
 	case http.StatusOK:
+		// Unlike the JSON of other responses, a value does not show its own end.
+		if r.Framing == conns.FramingClose {
+			return vane.Object{}, Cut("get", r)
+		}
 		v, err := version(r)
 		return vane.Object{Key: key, Version: v, Value: r.Body}, err
 	case http.StatusNotFound:
--- a/store/protocol.go
+++ b/store/protocol.go
@@ -6,6 +6,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/conns"
 )
 
 // Request is one HTTP request to the platform.
@@ -22,7 +23,8 @@
 	Status   int
 	Header   http.Header
 	Body     []byte
-	Restores uint64 // see Protocol.Restores
+	Framing  conns.Framing // with conns.FramingClose, Body may lack its end
+	Restores uint64        // see Protocol.Restores
 }
 
 // Protocol encodes the requests to a platform's object API and decodes the
@@ -92,6 +94,11 @@
 		"object %s is at version %s, not %d", key, have, expected)
 }
 
+// Cut returns the error for a response whose body may lack its end.
+func Cut(op string, r *Response) *vane.Error {
+	return vane.Errorf(vane.KindUnavailable, "store."+op, "check what serves the platform's address: it must state the length of bodies", "the response with status %d does not state where its body ends", r.Status)
+}
+
 // UnknownOutcome returns the error for a response to a write that reports success, but not
 // what the write has led to.
 func UnknownOutcome(op string, r *Response) *vane.Error {
