route: a reset during the write of the request is no orderly end

What callers would see: a plain service answers before it has read the whole request, in a response without framing, and its connection is reset. The part of the response that had arrived looked complete, and was recorded as the outcome of its Idempotency-Key.

Cause: net/http writes and reads one socket in two goroutines, and Linux reports a reset to only one call of a socket. If the write takes it, the read sees an orderly end.

Change: connections to upstreams report the error of a failed write in place of a later orderly end. At that end a write in progress is waited for, since it may hold the error. The trace of net/http doesn't suffice: it tells that the request is written before the last buffer is flushed.

Chat completions were not affected: a stream must end with [DONE], a body must be JSON.

--- a/route/router.go
+++ b/route/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -94,7 +93,7 @@
 // connection turns out to be closed.
 func transport(single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dialUpstream(),
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- /dev/null
+++ b/route/unframed_test.go
@@ -0,0 +1,113 @@
+package route
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/event"
+	"mustardvane.org/vane/hosts"
+)
+
+// noPlacer ignores the list of upstreams.
+type noPlacer struct{ vane.Placer }
+
+// Update implements vane.Placer.
+func (noPlacer) Update(time.Time, []vane.Upstream) {}
+
+// instance is an instance of a plain service that writes responses without framing.
+type instance struct {
+	ln          net.Listener
+	incarnation atomic.Uint64 // that it states on calls for its load; zero if it does not know the call
+	silent      atomic.Bool   // it does not answer such calls
+	head        string        // further header lines of its responses
+	end         func(c net.Conn)
+}
+
+// startInstance starts an instance that calls end after the beginning of a response.
+func startInstance(t *testing.T, head string, end func(s *instance, c net.Conn)) *instance {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	s := &instance{ln: ln, head: head}
+	s.end = func(c net.Conn) { end(s, c) }
+	s.incarnation.Store(1)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+// serve answers the first request of a connection. It does not read a long body.
+func (s *instance) serve(c net.Conn) {
+	r, err := http.ReadRequest(bufio.NewReaderSize(c, 1024))
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	if r.ContentLength < 1024 {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	if r.URL.Path != "/v1/load" {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+s.head+"\r\nsome bytes")
+		s.end(c)
+		return
+	}
+	defer c.Close()
+	n := s.incarnation.Load()
+	switch {
+	case s.silent.Load():
+		time.Sleep(2 * probeTimeout)
+	case n == 0:
+		_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}")
+	default:
+		body := fmt.Sprintf(`{"incarnation":%d}`, n)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+}
+
+// call sends a call with a body to the instance, which is listed with the incarnation.
+func (s *instance) call(t *testing.T, listed uint64, body []byte) (Result, error) {
+	t.Helper()
+	rec := event.NewRing("n1", 64)
+	dir := hosts.New(nil, noPlacer{}, rec)
+	dir.SetUpstreams([]vane.Upstream{{Name: "s1", Addr: s.ln.Addr().String(), Role: vane.RoleService, Service: "s", Incarnation: listed}})
+	rt := New(noPlacer{}, dir, rec)
+	defer rt.Close()
+	return rt.Call(t.Context(), Call{Service: "s", Method: "POST", Path: "/x", Header: http.Header{}, Body: body, Begin: time.Now()})
+}
+
+// Linux reports a reset to one call of a socket: if a write takes it, a read sees an
+// orderly end.
+func TestResetDuringTheWriteLooksWhole(t *testing.T) {
+	const calls = 40
+	whole := 0
+	for range calls {
+		s := startInstance(t, "", func(_ *instance, c net.Conn) {
+			time.Sleep(2 * time.Millisecond) // the caller reads the beginning, and its write blocks
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		})
+		if _, err := s.call(t, 1, make([]byte, 16<<20)); err == nil {
+			whole++
+		}
+	}
+	if whole > 0 {
+		t.Errorf("%d of %d responses look whole", whole, calls)
+	}
+}
