route: a response without framing needs proof that its process still runs

What callers would see: a plain service crashes within a response that has neither a length nor chunks. The part that had arrived was relayed (as a response without a stated end) and recorded as the outcome of the call's Idempotency-Key. Nothing looked at whether the instance had crashed at all.

Cause: the end of a connection was taken for the end of the response, for want of a sign of a crash.

Change: such a response counts if GET /v1/load, asked after its end, returns the incarnation of its writer: that of the response's header, else that of the list of hosts. The fake service states its incarnation, so TestServiceAnswerWithoutItsEnd asks for the same as before; a fault turns that off. Whether a request crashed an engine is asked as before.

A process that still runs may have closed the connection early. The caller still gets a response that states no end.

--- a/bench/caller_test.go
+++ b/bench/caller_test.go
@@ -351,17 +351,7 @@
 	is := is.New(t)
 	f := startFleet(t, bench.WithNodes(1), bench.WithServices(1))
 	f.Services[0].SetFaults(plain.Faults{Unframed: true})
-	book := func() *http.Response {
-		req, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+f.Nodes[0].Addr()+"/v1/services/booking/bookings", strings.NewReader("{}"))
-		is.NoErr(err)
-		req.Header.Set("Authorization", bearer("w1"))
-		req.Header.Set("Idempotency-Key", "a")
-		req.Header.Set(plain.HeaderOperation, "op-a")
-		resp, err := http.DefaultClient.Do(req)
-		is.NoErr(err)
-		is.NoErr(resp.Body.Close())
-		return resp
-	}
+	book := func() *http.Response { return bookOnce(t, f) }
 	check := func(resp *http.Response) {
 		is.Equal(resp.ContentLength, int64(-1))
 		is.Equal(len(resp.TransferEncoding), 0)
@@ -373,3 +363,31 @@
 	is.Equal(again.Header.Get("Idempotent-Replayed"), "true")
 	is.Equal(f.RunCounter.Runs("op-a"), 1)
 }
+
+// The response of an instance of which nobody knows whether it has crashed is no outcome of
+// the call: it is neither relayed nor recorded.
+func TestServiceAnswerOfAnUnknownProcess(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, bench.WithNodes(1), bench.WithServices(1))
+	f.Services[0].SetFaults(plain.Faults{Unframed: true, NoLoad: true})
+	is.Equal(bookOnce(t, f).StatusCode, http.StatusBadGateway)
+	again := bookOnce(t, f)
+	is.True(again.StatusCode >= http.StatusBadRequest)
+	is.Equal(again.Header.Get("Idempotent-Replayed"), "")
+	is.Equal(f.RunCounter.Runs("op-a"), 1)
+}
+
+// bookOnce calls a route that is not idempotent, each time with the same key.
+func bookOnce(t *testing.T, f *bench.Fleet) *http.Response {
+	t.Helper()
+	is := is.New(t)
+	req, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+f.Nodes[0].Addr()+"/v1/services/booking/bookings", strings.NewReader("{}"))
+	is.NoErr(err)
+	req.Header.Set("Authorization", bearer("w1"))
+	req.Header.Set("Idempotency-Key", "a")
+	req.Header.Set(plain.HeaderOperation, "op-a")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	return resp
+}
--- a/fake/plain/plain.go
+++ b/fake/plain/plain.go
@@ -9,6 +9,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/fake"
+	"mustardvane.org/vane/internal/reply"
 )
 
 // HeaderOperation is the request header with the caller's name for an operation. The
@@ -20,6 +21,7 @@
 	CutBefore  bool `json:"cut_before"`  // abort the connection before running the operation
 	CutAfter   bool `json:"cut_after"`   // run the operation, then abort the connection without a response
 	Unframed   bool `json:"unframed"`    // respond with half of the body, without its length, and close the connection
+	NoLoad     bool `json:"no_load"`     // do not state the incarnation
 	DelayMS    int  `json:"slow_ms"`     // delay before running the operation, in milliseconds
 	Fail       bool `json:"fail"`        // respond with status 500 without running the operation
 	RefuseBusy bool `json:"refuse_busy"` // respond with status 503 without running the operation
@@ -85,6 +87,7 @@
 		o(s)
 	}
 	s.mux.Handle("/fake/faults", fake.FaultsHandler(s.Faults, s.SetFaults))
+	s.mux.HandleFunc("GET /v1/load", s.serveLoad)
 	s.mux.HandleFunc("/", s.serve)
 	return s
 }
@@ -118,10 +121,22 @@
 func (s *Service) Upstream(addr, dataCentre string) vane.Upstream {
 	return vane.Upstream{
 		Name: s.instance, Addr: addr, DataCentre: dataCentre, Role: vane.RoleService,
-		Service: s.service, Incarnation: 1,
+		Service: s.service, Incarnation: incarnation,
 	}
 }
 
+// incarnation is that of all instances.
+const incarnation = 1
+
+// serveLoad states the instance's incarnation.
+func (s *Service) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if s.Faults().NoLoad {
+		http.NotFound(w, r)
+		return
+	}
+	reply.JSON(w, map[string]int{"incarnation": incarnation})
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mux.ServeHTTP(w, r)
--- a/route/plain.go
+++ b/route/plain.go
@@ -37,7 +37,8 @@
 }
 
 // Result is the response of a plain service. It is complete unless its framing is
-// conns.FramingClose, which does not show whether it is.
+// conns.FramingClose. Then the process that wrote it still ran at its end, which does not
+// show whether it wrote all of it.
 type Result struct {
 	Status  int
 	Header  http.Header
@@ -102,9 +103,14 @@
 		return Result{}, vane.Refuse(vane.ReasonUpstreamFailed, "the response of instance %s is incomplete or too long", u.Name).
 			WithExecution(vane.MayHaveRun).WithCause(err)
 	}
+	framing := conns.FramingOf(resp)
+	if framing == conns.FramingClose && !rt.stillRuns(ctx, u, resp.Header) {
+		return Result{}, vane.Refuse(vane.ReasonUpstreamFailed, "the response of instance %s states no end, and the instance is not known to run", u.Name).
+			WithExecution(vane.MayHaveRun)
+	}
 	h := resp.Header.Clone()
 	removeHopByHopHeaders(h)
-	return Result{Status: resp.StatusCode, Header: h, Body: body, Framing: conns.FramingOf(resp)}, nil
+	return Result{Status: resp.StatusCode, Header: h, Body: body, Framing: framing}, nil
 }
 
 // request builds the request to one instance.
--- a/route/unframed_test.go
+++ b/route/unframed_test.go
@@ -10,7 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/event"
 	"mustardvane.org/vane/hosts"
 )
@@ -92,6 +95,41 @@
 	return rt.Call(t.Context(), Call{Service: "s", Method: "POST", Path: "/x", Header: http.Header{}, Body: body, Begin: time.Now()})
 }
 
+// A response without framing is whole only if the process that wrote it still runs at its
+// end. Otherwise the call may have run and has no result.
+func TestEndOfUnframedResponse(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		listed uint64
+		head   string
+		end    func(s *instance)
+		whole  bool
+	}{
+		{"the same process", 1, "", func(*instance) {}, true},
+		{"the same process, which the list does not show yet", 1, "Engine-Incarnation: 2\r\n", func(s *instance) { s.incarnation.Store(2) }, true},
+		{"another process at its address", 1, "", func(s *instance) { s.incarnation.Store(2) }, false},
+		{"another process that is listed already", 2, "Engine-Incarnation: 1\r\n", func(s *instance) { s.incarnation.Store(2) }, false},
+		{"nothing at its address", 1, "", func(s *instance) { _ = s.ln.Close() }, false},
+		{"a host that is silent", 1, "", func(s *instance) { s.silent.Store(true) }, false},
+		{"a process that states no incarnation", 1, "", func(s *instance) { s.incarnation.Store(0) }, false},
+		{"a process whose incarnation is not known", 0, "", func(s *instance) { s.incarnation.Store(0) }, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := startInstance(t, tt.head, func(s *instance, c net.Conn) { tt.end(s); _ = c.Close() })
+			res, err := s.call(t, tt.listed, []byte("{}"))
+			if !tt.whole {
+				is.True(err != nil) // else a part may look whole
+				is.Equal(refusal(err).Execution, vane.MayHaveRun)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(string(res.Body), "some bytes")
+			is.Equal(res.Framing, conns.FramingClose)
+		})
+	}
+}
+
 // Linux reports a reset to one call of a socket: if a write takes it, a read sees an
 // orderly end.
 func TestResetDuringTheWriteLooksWhole(t *testing.T) {
