mesh: part of a message's extension is not taken for the whole

What would be seen: a message that was cut inside its extension gave the fields before the cut, as if the sender had nothing else to say: no convictions, no results of releases, no upstreams that leave.

Cause: io.EOF was taken for "no extension", and the decoder returns io.EOF also in the middle of a value.

The message's own fields and the envelope, whose lengths show a cut of a datagram, had no fault, so only a sender that cuts messages shows this.

Change: an extension is decoded if any bytes are left, and all errors count.

Measured: each cut but that between fields and extension, where messages of earlier builds end, gives an error; so does each cut of an envelope.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -168,12 +167,16 @@
 // returns an error if the sender is missing.
 func decodeMessage(b []byte) (*Message, error) {
 	var m Message
-	d := msgpack.NewDecoder(bytes.NewReader(b))
+	r := bytes.NewReader(b)
+	d := msgpack.NewDecoder(r)
 	if err := d.Decode(&m); err != nil {
 		return nil, err
 	}
-	if err := d.Decode(&m.Extension); err != nil && err != io.EOF {
-		return nil, err
+	// A decoder also returns io.EOF at the end of part of a value.
+	if r.Len() > 0 {
+		if err := d.Decode(&m.Extension); err != nil {
+			return nil, err
+		}
 	}
 	if m.Name == "" || m.Boot == 0 {
 		return nil, vane.Errorf(vane.KindInvalid, "mesh.decode", "check what else sends to this port", "the message has no sender name or boot time")
