--- a/mesh/cut_test.go
+++ b/mesh/cut_test.go
@@ -1,9 +1,17 @@
 package mesh
 
 import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/mirror"
 )
 
 // A message that is cut after any byte is none, except between its fields and its
@@ -36,3 +44,46 @@
 		}
 	}
 }
+
+// A snapshot that is cut after any byte is not taken.
+func TestCutSnapshot(t *testing.T) {
+	is := is.New(t)
+	m := newSite(1)
+	m.Export = func(mirror.Versions) []vane.Object {
+		return []vane.Object{{Key: "a", Version: 1, Value: []byte("x")}, {Key: "b", Version: 2, Value: []byte("y")}}
+	}
+	rec := httptest.NewRecorder()
+	m.serveSnapshot(rec, httptest.NewRequest(http.MethodGet, snapshotPath, nil))
+	body := rec.Body.Bytes()
+	fetch := func(head string, n int) ([]vane.Object, error) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = c.Write(append([]byte("HTTP/1.1 200 OK\r\n"+head+"\r\n"), body[:n]...))
+			_ = c.Close()
+		}()
+		return newSite(1).fetchSnapshot(t.Context(), ln.Addr().String())
+	}
+	for _, head := range []string{"", fmt.Sprintf("Content-Length: %d\r\n", len(body))} {
+		var wg sync.WaitGroup
+		for n := range len(body) {
+			wg.Go(func() {
+				if objs, err := fetch(head, n); err == nil {
+					t.Errorf("header %q, cut after %d of %d bytes: %d objects", head, n, len(body), len(objs))
+				}
+			})
+		}
+		wg.Wait()
+		objs, err := fetch(head, len(body))
+		is.NoErr(err)
+		is.Equal(len(objs), 2)
+	}
+}
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -139,6 +139,13 @@
 		return nil, err
 	}
 	var objs []vane.Object
-	err = msgpack.NewDecoder(io.LimitReader(z, maxSnapshot)).Decode(&objs)
-	return objs, err
+	r := io.LimitReader(z, maxSnapshot)
+	if err := msgpack.NewDecoder(r).Decode(&objs); err != nil {
+		return nil, err
+	}
+	// The checksum is verified at the end.
+	if n, err := io.Copy(io.Discard, r); n > 0 || err != nil {
+		return nil, vane.Errorf(vane.KindUnavailable, "mesh.snapshot", "another node is asked", "the snapshot has no proper end").WithCause(err)
+	}
+	return objs, nil
 }
