vanectl: get fails if its output can't be written

What operators would see: "vanectl get > fleet.yaml" to a full disk left part of the configuration and exited with 0.

Cause: the error of the write was ignored.

Evidence: TestGetToAFullDisk before the change: "not true: run(args, fullDisk{}, io.Discard) != 0".

Measured: the test passes.

--- a/cmd/vanectl/config.go
+++ b/cmd/vanectl/config.go
@@ -113,7 +113,9 @@
 			if err != nil {
 				return cli.Exit(err.Error(), exitFailed)
 			}
-			fmt.Fprintf(cmd.Root().Writer, "# revision %d\n%s", rev, b)
+			if _, err := fmt.Fprintf(cmd.Root().Writer, "# revision %d\n%s", rev, b); err != nil {
+				return cli.Exit(err.Error(), exitFailed)
+			}
 			return nil
 		},
 	}
