hosts, route: an engine that does not state its load does not look idle

What callers would see: an engine whose load report was an error in JSON, or left a count out, and one whose Engine-Load header was malformed or that only announced draining, was recorded with a load of zero, the best there is, and so drew requests.

Cause: what could not be read was taken for zero.

Change: a load report counts with status 200 and both counts, a header with both counts. Draining is recorded with or without them.

--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -11,6 +10,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/internal/clock"
+	"mustardvane.org/vane/internal/reply"
 )
 
 // Intervals, timeout, concurrency and limit of the polls.
@@ -20,6 +20,7 @@
 	loadTimeout        = 500 * time.Millisecond
 	maxConcurrentPolls = 16
 	maxHeadBytes       = 32 << 10 // longest response head
+	maxLoadBytes       = 64 << 10 // longest load report
 )
 
 // Directory is a kernel service that maintains the set of upstreams. Its methods are
@@ -218,8 +219,8 @@
 
 // loadReport is the JSON body of the response to GET /v1/load.
 type loadReport struct {
-	Running     int    `json:"running"`
-	Waiting     int    `json:"waiting"`
+	Running     *int   `json:"running"`
+	Waiting     *int   `json:"waiting"`
 	Draining    bool   `json:"draining"`
 	Incarnation uint64 `json:"incarnation"`
 }
@@ -243,7 +244,8 @@
 	}
 }
 
-// fetchLoad reads one engine's load report. Engines that do not respond are skipped.
+// fetchLoad reads one engine's load report. Engines that do not state their load are
+// skipped, since they would look idle.
 func (d *Directory) fetchLoad(ctx context.Context, u vane.Upstream) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Addr+"/v1/load", nil)
 	if err != nil {
@@ -255,11 +257,12 @@
 	}
 	defer resp.Body.Close()
 	var r loadReport
-	if json.NewDecoder(io.LimitReader(resp.Body, 1<<16)).Decode(&r) != nil {
+	body, err := reply.Read(resp.Body, maxLoadBytes)
+	if resp.StatusCode != http.StatusOK || err != nil || json.Unmarshal(body, &r) != nil || r.Running == nil || r.Waiting == nil {
 		return
 	}
 	d.ObserveIncarnation(u.Name, r.Incarnation)
-	l := vane.Load{Running: r.Running, Waiting: r.Waiting, Draining: r.Draining}
+	l := vane.Load{Running: *r.Running, Waiting: *r.Waiting, Draining: r.Draining}
 	d.ReportLoad(u.Name, r.Incarnation, l)
 	d.onLoad(u.Name, r.Incarnation, l)
 }
--- a/route/job.go
+++ b/route/job.go
@@ -151,6 +151,15 @@
 	return n, err == nil
 }
 
+// load reads the upstream's load from the headers of a response. It returns false if it is
+// missing or malformed.
+func load(h http.Header) (vane.Load, bool) {
+	running, waiting, _ := strings.Cut(h.Get(headerLoad), "/")
+	r, errRunning := strconv.Atoi(running)
+	w, errWaiting := strconv.Atoi(waiting)
+	return vane.Load{Running: r, Waiting: w}, errRunning == nil && errWaiting == nil
+}
+
 // drainBody reads the rest of a short body and closes it, so that the connection can be
 // reused.
 func drainBody(body io.ReadCloser) {
--- a/route/router.go
+++ b/route/router.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -256,13 +254,13 @@
 		rt.dir.ObserveIncarnation(u.Name, inc)
 		return
 	}
-	var l vane.Load
-	running, waiting, found := strings.Cut(h.Get(headerLoad), "/")
-	l.Running, _ = strconv.Atoi(running)
-	l.Waiting, _ = strconv.Atoi(waiting)
+	l, known := load(h)
 	l.Draining = h.Get(headerDraining) != ""
-	if found || l.Draining {
+	switch {
+	case known:
 		rt.dir.ReportLoad(u.Name, u.Incarnation, l)
+	case l.Draining:
+		rt.dir.MarkDraining(u.Name, u.Incarnation)
 	}
 }
 
