certs: part of a chain that was read during a write does not stay in use

What operators would see: a node reads its certificate file while the file is written, and gets the leaf without its issuers, which is a valid file. The time of the finished file was then noted for what had been read, so that the part stayed in use until the next renewal.

Cause: the state of the files was noted after they had been read.

Change: the state is noted before, with the sizes. A file that changes during or after the reading is read again at the next check, a second later.

A cut within a certificate had no fault, the previous pair stays in use (TestCutCertificate).

--- a/node/certs/reload.go
+++ b/node/certs/reload.go
@@ -20,43 +20,51 @@
 // safe for concurrent use.
 type Reloader struct {
 	cert, key string
+	read      func(cert, key string) (tls.Certificate, error)
 
 	mu        sync.Mutex
 	current   *tls.Certificate
-	modTime   time.Time // newest modification time of the files when they were loaded
+	files     [2]fileState // when they were loaded
 	checkedAt time.Time
 }
 
 // NewReloader loads the certificate and key from PEM files. It returns an error of
 // kind invalid if they can't be loaded.
 func NewReloader(cert, key string) (*Reloader, error) {
-	r := &Reloader{cert: cert, key: key}
+	r := &Reloader{cert: cert, key: key, read: tls.LoadX509KeyPair}
 	if err := r.load(); err != nil {
 		return nil, err
 	}
 	return r, nil
 }
 
-// load reads the files and replaces the current certificate.
+// load reads the files and replaces the current certificate. It notes their state before
+// that: files that are being written are loaded again once they have changed.
 func (r *Reloader) load() error {
-	c, err := tls.LoadX509KeyPair(r.cert, r.key)
+	r.files = r.stat()
+	c, err := r.read(r.cert, r.key)
 	if err != nil {
 		return vane.Errorf(vane.KindInvalid, "certs.load", "name a PEM certificate and its key", "can't load certificate %s or its key", r.cert).WithCause(err)
 	}
-	r.current, r.modTime = &c, r.newestModTime()
+	r.current = &c
 	return nil
 }
 
-// newestModTime returns the newer of the two files' modification times, or zero if
-// neither can be read.
-func (r *Reloader) newestModTime() time.Time {
-	var newest time.Time
-	for _, f := range []string{r.cert, r.key} {
-		if st, err := os.Stat(f); err == nil && st.ModTime().After(newest) {
-			newest = st.ModTime()
+// fileState tells whether a file has changed.
+type fileState struct {
+	modTime time.Time
+	size    int64
+}
+
+// stat returns the state of the two files; that of a file that can't be read is zero.
+func (r *Reloader) stat() [2]fileState {
+	var out [2]fileState
+	for i, f := range []string{r.cert, r.key} {
+		if st, err := os.Stat(f); err == nil {
+			out[i] = fileState{st.ModTime(), st.Size()}
 		}
 	}
-	return newest
+	return out
 }
 
 // get returns the current certificate, reloaded if its files have changed. If
@@ -69,7 +77,7 @@
 		return r.current
 	}
 	r.checkedAt = now
-	if r.newestModTime().Equal(r.modTime) {
+	if r.stat() == r.files {
 		return r.current
 	}
 	if err := r.load(); err != nil {
