route: a response to HEAD needs no proof

What callers would see since: 502 for HEAD if the service states no length and no incarnation. Such a response has no body whose end could be missing, but net/http states its length as unknown.

--- a/route/unframed_test.go
+++ b/route/unframed_test.go
@@ -67,7 +67,10 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
 	if r.URL.Path != "/v1/load" {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+s.head+"\r\nsome bytes")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+s.head+"\r\n")
+		if r.Method != http.MethodHead {
+			_, _ = io.WriteString(c, "some bytes")
+		}
 		s.end(c)
 		return
 	}
@@ -84,7 +87,8 @@
 	}
 }
 
-// call sends a call with a body to the instance, which is listed with the incarnation.
+// call sends a call to the instance, which is listed with the incarnation. Without a body
+// its method is HEAD.
 func (s *instance) call(t *testing.T, listed uint64, body []byte) (Result, error) {
 	t.Helper()
 	rec := event.NewRing("n1", 64)
@@ -92,7 +96,11 @@
 	dir.SetUpstreams([]vane.Upstream{{Name: "s1", Addr: s.ln.Addr().String(), Role: vane.RoleService, Service: "s", Incarnation: listed}})
 	rt := New(noPlacer{}, dir, rec)
 	defer rt.Close()
-	return rt.Call(t.Context(), Call{Service: "s", Method: "POST", Path: "/x", Header: http.Header{}, Body: body, Begin: time.Now()})
+	method := http.MethodPost
+	if body == nil {
+		method = http.MethodHead
+	}
+	return rt.Call(t.Context(), Call{Service: "s", Method: method, Path: "/x", Header: http.Header{}, Body: body, Begin: time.Now()})
 }
 
 // A response without framing is whole only if the process that wrote it still runs at its
@@ -130,6 +138,16 @@
 	}
 }
 
+// A response to HEAD has no body whose end could be missing.
+func TestHeadNeedsNoProof(t *testing.T) {
+	is := is.New(t)
+	s := startInstance(t, "", func(s *instance, c net.Conn) { _ = c.Close() })
+	s.incarnation.Store(0)
+	res, err := s.call(t, 1, nil)
+	is.NoErr(err)
+	is.Equal(len(res.Body), 0)
+}
+
 // Linux reports a reset to one call of a socket: if a write takes it, a read sees an
 // orderly end.
 func TestResetDuringTheWriteLooksWhole(t *testing.T) {
