front: another process at an address does not show under which request its predecessor crashed

The first can't be told from the reverse; a crash is now counted only if the upstream's host refuses connections, as for other responses.

--- a/front/crash.go
+++ b/front/crash.go
@@ -137,12 +137,12 @@
 }
 
 // recordCut records the request as a possible cause of a crash if the upstream, which broke
-// it off, has crashed, which it checks unless crashed is set. Evidence against a request whose answer has begun is kept apart: many
+// it off, has crashed. Evidence against a request whose answer has begun is kept apart: many
 // such requests run on an upstream, and one that had no answer yet is the likelier cause.
-func (h *Handler) recordCut(t *attempts, u vane.Upstream, crashed bool) {
+func (h *Handler) recordCut(t *attempts, u vane.Upstream) {
 	id, ws, fp, parts, late, ids, at, sent, answering := t.meta.ID, t.tenancy.Workspace, t.fingerprint, t.parts, t.lateKeys, t.partIDs(), time.Now(), t.result.sent, t.answering
 	go func() {
-		crashed = crashed || h.crashed(u, sent, endDelay, 5*endDelay)
+		crashed := h.crashed(u, sent, endDelay, 5*endDelay)
 		h.Log.Info("broken off", "request_id", id, "workspace", ws, "upstream", u.Name, "incarnation", u.Incarnation, "answering", answering,
 			"parts", ids, "hashes", crash.Hashes(parts), "late_hashes", crash.Hashes(late), "crashed", crashed)
 		if !crashed {
--- a/front/end.go
+++ b/front/end.go
@@ -13,9 +13,8 @@
 
 // Errors of responses whose connection has ended in order, but which are not known to be whole.
 var (
-	errUnstated     = errors.New("the end of a response is stated, but not that of its rest")
-	errProcessEnded = errors.New("the upstream's process has ended")
-	errProcess      = errors.New("it is not known whether the upstream's process still runs")
+	errUnstated = errors.New("the end of a response is stated, but not that of its rest")
+	errProcess  = errors.New("the upstream's process is not known to run")
 )
 
 // checkEnd returns an error unless a response that has been read to its end is whole. The
@@ -31,10 +30,7 @@
 	state := h.Process(ctx, p.Upstream)
 	h.Log.Info("end of a response that states none", "request_id", t.meta.ID, "upstream", p.Upstream.Name, "incarnation", p.Upstream.Incarnation,
 		"process", state.String(), "took_ms", time.Since(begin).Milliseconds())
-	switch {
-	case state.Ended():
-		return errProcessEnded
-	case state != vane.ProcessRuns:
+	if state != vane.ProcessRuns {
 		return errProcess
 	}
 	return nil
--- a/front/serve.go
+++ b/front/serve.go
@@ -226,7 +226,7 @@
 	}
 	t.sends++
 	if ce.Sent && !ce.Malformed && ctx.Err() == nil {
-		h.recordCut(t, p.Upstream, false)
+		h.recordCut(t, p.Upstream)
 	}
 	return vane.Refuse(vane.ReasonUpstreamFailed, "the connection to upstream %s failed before a response", p.Upstream.Name).WithExecution(executionOf(ce)).WithCause(err)
 }
@@ -371,10 +371,8 @@
 	case ctx.Err() != nil:
 		reason = vane.ReasonQueueDeadline
 	case err == errNotEvent:
-	case err == errProcessEnded:
-		h.recordCut(t, p.Upstream, true)
 	case resp.Ended():
-		h.recordCut(t, p.Upstream, false)
+		h.recordCut(t, p.Upstream)
 	case err != io.EOF:
 		h.setAside(t, p, &conns.Error{Malformed: true, Cause: err})
 	}
--- a/upstream.go
+++ b/upstream.go
@@ -30,10 +30,6 @@
 	ProcessGone                         // gone
 )
 
-// Ended reports whether the process is known to have ended: another one has its address, or
-// its host refuses connections.
-func (s ProcessState) Ended() bool { return s == ProcessReplaced || s == ProcessGone }
-
 // Upstream is one model engine or plain service that requests are sent to. It
 // is an immutable value: the methods WithState and WithIncarnation return changed
 // copies.
