--- a/conns/framing.go
+++ b/conns/framing.go
@@ -18,9 +18,11 @@
 	FramingClose                  // close
 )
 
-// FramingOf returns the framing of a response.
+// FramingOf returns the framing of a response. One to HEAD has no body that could be cut.
 func FramingOf(r *http.Response) Framing {
 	switch {
+	case r.Request != nil && r.Request.Method == http.MethodHead:
+		return FramingLength
 	case len(r.TransferEncoding) > 0:
 		return FramingChunked
 	case r.ContentLength >= 0:
--- a/route/plain.go
+++ b/route/plain.go
@@ -104,7 +104,7 @@
 			WithExecution(vane.MayHaveRun).WithCause(err)
 	}
 	framing := conns.FramingOf(resp)
-	if framing == conns.FramingClose && c.Method != http.MethodHead && !rt.stillRuns(ctx, u, resp.Header) {
+	if framing == conns.FramingClose && !rt.stillRuns(ctx, u, resp.Header) {
 		return Result{}, vane.Refuse(vane.ReasonUpstreamFailed, "the response of instance %s states no end, and the instance is not known to run", u.Name).
 			WithExecution(vane.MayHaveRun)
 	}
--- a/route/unframed_test.go
+++ b/route/unframed_test.go
@@ -141,7 +141,7 @@
 // A response to HEAD has no body whose end could be missing.
 func TestHeadNeedsNoProof(t *testing.T) {
 	is := is.New(t)
-	s := startInstance(t, "", func(s *instance, c net.Conn) { _ = c.Close() })
+	s := startInstance(t, "", func(_ *instance, c net.Conn) { _ = c.Close() })
 	s.incarnation.Store(0)
 	res, err := s.call(t, 1, nil)
 	is.NoErr(err)
