route: a switch of protocols that no request asked for is a failure

A caller of the product's own interface got "101 Switching Protocols" with an empty body as the whole response if an instance of a plain service sent that status and then stopped, anywhere after the empty line of the 101's head. A chat whose engine did so got 400 upstream_rejected, "correct its fields", and was not repeated. net/http's client skips interim responses except 101, after which it hands over the connection in place of a body; the router took the bytes up to the end of the connection, or a status that is not 200, for the response. Requests to upstreams carry no Upgrade, so 101 is never due. It is now an error of the transport: 502, may have run; idempotent requests are repeated. conns skips a 101 like other interim responses, so the platform's interface had no such fault.

--- a/route/router.go
+++ b/route/router.go
@@ -78,8 +78,8 @@
 // treats all versions of a model as equal.
 func New(placer vane.Placer, dir *hosts.Directory, rec vane.Recorder, opts ...Option) *Router {
 	r := &Router{placer: placer, dir: dir, recorder: rec, budget: retry.NewBudget(), policy: anyVersion{}}
-	r.reused = &http.Client{Transport: transport(false), CheckRedirect: noRedirect}
-	r.singleUse = &http.Client{Transport: transport(true), CheckRedirect: noRedirect}
+	r.reused = &http.Client{Transport: noUpgrade{transport(false)}, CheckRedirect: noRedirect}
+	r.singleUse = &http.Client{Transport: noUpgrade{transport(true)}, CheckRedirect: noRedirect}
 	for _, o := range opts {
 		o(r)
 	}
@@ -101,6 +101,23 @@
 	}
 }
 
+// noUpgrade is a transport that fails if an upstream switches protocols (status 101), which
+// no request asks for. What follows has no framing of HTTP, so that its end shows nothing.
+type noUpgrade struct{ *http.Transport }
+
+// errUpgrade is the error of a request whose upstream switched protocols.
+var errUpgrade = errors.New("the upstream switched protocols without being asked")
+
+// RoundTrip implements http.RoundTripper.
+func (t noUpgrade) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+		_ = resp.Body.Close()
+		return nil, errUpgrade
+	}
+	return resp, err
+}
+
 // noRedirect returns redirects of upstreams to the caller instead of following them.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
