front, edge: the process that ended a response is compared with the one that got the request

Its health check states no start, and the node's view of the store was older than the standstill. - While the entry of an upstream was late, whole responses of its new process were broken off, for as long as the store was down. - A configuration that dropped a service broke off its responses in flight: no path was known. - 64 responses that ended at once made 64 checks. Change: a check returns the incarnation that the process states, or else that of the entry, which is read from the store after the end. It must be the one that the store had named when the request was sent, or one that a check before had seen to run. The path is that of the request's configuration. One check serves all ends of an upstream that wait for it, and a call whose connection fails is repeated.

--- a/dialect.go
+++ b/dialect.go
@@ -137,9 +137,10 @@
 	Order(ctx context.Context, u Upstream, o WeightsOrder) (OrderResult, error)
 	// Report asks an engine for its state.
 	Report(ctx context.Context, u Upstream) (EngineReport, error)
-	// Process asks an engine or a plain service whether it still is the process that u
-	// describes. healthPath is the path of the health check of a plain service.
-	Process(ctx context.Context, u Upstream, healthPath string) ProcessState
+	// Process asks an engine or a plain service for its incarnation, which is zero if it states
+	// none. The state is ProcessReplaced if another upstream answers. healthPath is the path
+	// of the health check of a plain service.
+	Process(ctx context.Context, u Upstream, healthPath string) (uint64, ProcessState)
 	// CacheContents returns all parts that a cache holds, each as an event that adds it.
 	CacheContents(ctx context.Context, addr string) (CacheChanges, error)
 	// CacheChanges waits for changes of a cache after the position since.
--- a/edge/node.go
+++ b/edge/node.go
@@ -316,19 +316,23 @@
 	n.mesh.SendSoon()
 }
 
-// processOf checks whether an upstream still is the process that u describes, as far as its
-// answer and its latest entry in the store show.
-func (n *Node) processOf(ctx context.Context, u vane.Upstream) vane.ProcessState {
-	path := ""
-	if cfg := n.mirror.View().Config; cfg != nil {
-		s, _ := cfg.Service(u.Service)
-		path = s.HealthPath
+// processOf returns the incarnation of an upstream's process, if one runs. If the process does
+// not state it, it is that of its entry in the store, or as last heard if the store can't be
+// read.
+func (n *Node) processOf(ctx context.Context, u vane.Upstream, healthPath string) (uint64, vane.ProcessState) {
+	incarnation, state := n.adapter.Control.Process(ctx, u, healthPath)
+	if state != vane.ProcessRuns || incarnation > 0 {
+		return incarnation, state
 	}
-	state := n.adapter.Control.Process(ctx, u, path)
-	if now, ok := n.mirror.View().Upstreams[u.Name]; ok && now.Incarnation != u.Incarnation {
-		return vane.ProcessReplaced
+	if o, err := n.storeClient.Get(ctx, n.adapter.Decoder.UpstreamPrefix()+u.Name); err == nil {
+		if now, ok := n.adapter.Decoder.Upstream(o); ok {
+			return now.Incarnation, state
+		}
+	}
+	if now, ok := n.mirror.View().Upstreams[u.Name]; ok {
+		return now.Incarnation, state
 	}
-	return state
+	return u.Incarnation, state
 }
 
 // forgetDeadPeers drops the requests in flight of nodes that are down.
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -123,8 +123,8 @@
 	return vane.EngineReport{Weights: map[string]uint64{"m": e.weights[u.Name]}, AcceptedOrders: e.seq[u.Name]}, nil
 }
 
-func (*engines) Process(context.Context, vane.Upstream, string) vane.ProcessState {
-	return vane.ProcessRuns
+func (*engines) Process(context.Context, vane.Upstream, string) (uint64, vane.ProcessState) {
+	return 0, vane.ProcessRuns
 }
 
 func (*engines) CacheContents(context.Context, string) (vane.CacheChanges, error) {
--- a/front/endless_test.go
+++ b/front/endless_test.go
@@ -228,9 +228,14 @@
 		ups = append(ups, newScriptedUpstream(t, respondEndlessly(e.begin, e.more, written)))
 	}
 	b := newTestFront(t, 1000, ups...)
-	runtime.GC()
 	var before, now runtime.MemStats
-	runtime.ReadMemStats(&before)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		runtime.GC() // what earlier tests have left would allow for more garbage
+		runtime.ReadMemStats(&before)
+		if before.HeapInuse < limitBytes/4 || time.Now().After(end) {
+			break
+		}
+	}
 	peak := uint64(0)
 	done := make(chan struct{})
 	var wg sync.WaitGroup
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -89,6 +89,7 @@
 	disconnected chan struct{} // gets a value when a connection ends
 	incarnation  atomic.Uint64 // of the process at the address
 	replaced     atomic.Bool   // another upstream has taken over the address
+	checks       atomic.Int64  // answers to checks which process runs
 	silent       atomic.Bool   // the process at the address answers nothing
 }
 
@@ -211,8 +212,8 @@
 }
 
 // processOf returns a function that checks the processes of the upstreams.
-func processOf(ups *[]*scriptedUpstream) func(context.Context, vane.Upstream) vane.ProcessState {
-	return func(ctx context.Context, u vane.Upstream) vane.ProcessState {
+func processOf(ups *[]*scriptedUpstream) func(context.Context, vane.Upstream, string) (uint64, vane.ProcessState) {
+	return func(_ context.Context, u vane.Upstream, _ string) (uint64, vane.ProcessState) {
 		for _, s := range *ups {
 			if s.addr != u.Addr {
 				continue
@@ -220,15 +221,16 @@
 			c, err := net.Dial("tcp", s.addr)
 			switch {
 			case err != nil:
-				return vane.ProcessGone
+				return 0, vane.ProcessGone
 			case c.Close() != nil || s.silent.Load():
-				return vane.ProcessUnknown
-			case s.replaced.Load() || s.incarnation.Load() != u.Incarnation:
-				return vane.ProcessReplaced
+				return 0, vane.ProcessUnknown
+			case s.replaced.Load():
+				return 0, vane.ProcessReplaced
 			}
-			return vane.ProcessRuns
+			s.checks.Add(1)
+			return s.incarnation.Load(), vane.ProcessRuns
 		}
-		return vane.ProcessUnknown
+		return 0, vane.ProcessUnknown
 	}
 }
 
--- a/front/handler.go
+++ b/front/handler.go
@@ -62,15 +62,15 @@
 	Quota            Limiter
 	Crashes          CrashTracker
 	Parts            PartTracker
-	RetryBudget      func(service string) *retry.Window                           // returns the retry budget of a service
-	Draining         func() bool                                                  // reports whether the node is shutting down; callers are then asked to close their connections
-	Closing          func() (until time.Time, ok bool)                            // reports whether callers know that the node stops, and until when it serves requests
-	WeightsChanged   func(upstream string, weights uint64)                        // called when a response shows that an upstream's weights have changed
-	UpstreamMismatch func(u vane.Upstream)                                        // called when a response shows that another upstream has the address
-	UpstreamFailed   func(u vane.Upstream)                                        // called when an upstream can't be reached or its connection fails before a response
-	Process          func(ctx context.Context, u vane.Upstream) vane.ProcessState // checks whether an upstream still is the process that u describes
-	UpstreamLeaving  func(u vane.Upstream)                                        // called when a response shows that an upstream is leaving
-	RecordResult     func(u vane.Upstream, service string, s canary.Sample)       // called with the result of each attempt that ran
+	RetryBudget      func(service string) *retry.Window                                                        // returns the retry budget of a service
+	Draining         func() bool                                                                               // reports whether the node is shutting down; callers are then asked to close their connections
+	Closing          func() (until time.Time, ok bool)                                                         // reports whether callers know that the node stops, and until when it serves requests
+	WeightsChanged   func(upstream string, weights uint64)                                                     // called when a response shows that an upstream's weights have changed
+	UpstreamMismatch func(u vane.Upstream)                                                                     // called when a response shows that another upstream has the address
+	UpstreamFailed   func(u vane.Upstream)                                                                     // called when an upstream can't be reached or its connection fails before a response
+	Process          func(ctx context.Context, u vane.Upstream, healthPath string) (uint64, vane.ProcessState) // returns the incarnation of an upstream's process, if one runs
+	UpstreamLeaving  func(u vane.Upstream)                                                                     // called when a response shows that an upstream is leaving
+	RecordResult     func(u vane.Upstream, service string, s canary.Sample)                                    // called with the result of each attempt that ran
 	Log              *slog.Logger
 	Metrics          *Metrics
 }
@@ -80,6 +80,7 @@
 	Deps
 	inFlight    atomic.Int64
 	crashChecks crashChecks
+	processes   processChecks
 	stopped     context.Context // ends when Stop is called
 	stop        context.CancelFunc
 }
--- a/front/restart_test.go
+++ b/front/restart_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -75,3 +76,47 @@
 		}
 	}
 }
+
+// While the store still names an earlier start of an upstream, whole responses of its process are
+// served once that has been seen to run, and no request counts as one that crashes upstreams.
+func TestLateEntryBreaksOffWholeAnswers(t *testing.T) {
+	is := is.New(t)
+	u := newScriptedUpstream(t, respondRaw("some bytes", false))
+	b := newTestFront(t, 5, u)
+	u.incarnation.Store(2) // the view names an earlier one
+	for i, want := range []int{502, 200, 200, 200} {
+		status, _, body, err := b.send(t.Context(), "/unsafe/x")
+		is.NoErr(err)
+		is.Equal(status, want)
+		is.Equal(body == "some bytes", i > 0)
+	}
+	u.incarnation.Store(3) // started again since the last check
+	status, _, _, err := b.send(t.Context(), "/unsafe/x")
+	is.NoErr(err)
+	is.Equal(status, 502)
+}
+
+// Responses that end together cost their upstream one check, not one each.
+func TestManyEndsAreCheckedTogether(t *testing.T) {
+	const streams = 48
+	is := is.New(t)
+	var begun sync.WaitGroup
+	begun.Add(streams)
+	u := newScriptedUpstream(t, func(n int, w io.Writer, id string, r *http.Request) bool {
+		begun.Done()
+		begun.Wait()
+		return respondRaw("id: 1\ndata: a\n\n", false)(n, w, id, r)
+	})
+	b := newTestFront(t, 5, u)
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			status, _, body, err := b.send(t.Context(), "/once/x")
+			if err != nil || status != 200 || body != "id: 1\ndata: a\n\n" {
+				t.Errorf("status %d, body %q, error %v", status, body, err)
+			}
+		})
+	}
+	wg.Wait()
+	is.True(u.checks.Load() < streams/2)
+}
--- a/upstream.go
+++ b/upstream.go
@@ -18,8 +18,7 @@
 	RoleService                     // service
 )
 
-// ProcessState is what a check found out about the process of an upstream that sent an earlier
-// response.
+// ProcessState is what a check found out about the process of an upstream.
 type ProcessState int
 
 // The states of a process.
