--- a/cmd/vanebench/soak.go
+++ b/cmd/vanebench/soak.go
@@ -23,6 +23,7 @@
 			&cli.Uint64Flag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.DurationFlag{Name: "length", Usage: "duration of the faults for each seed", Value: 10 * time.Second},
 			&cli.BoolFlag{Name: "stops", Usage: "inject planned stops, reloads and configurations only, under callers that keep their connections"},
+			&cli.BoolFlag{Name: "crashes", Usage: "with --stops: also crash upstreams, kill and pause nodes, and vary requests and responses"},
 		},
 		Action: runSoak,
 	}
@@ -42,11 +43,11 @@
 		if cmd.Bool("stops") {
 			run = soak.RunStops
 		}
-		res, err := run(ctx, soak.Options{Binary: cmd.String("binary"), Dir: dir, Seed: seed, Length: cmd.Duration("length")})
+		res, err := run(ctx, soak.Options{Binary: cmd.String("binary"), Dir: dir, Seed: seed, Length: cmd.Duration("length"), Crashes: cmd.Bool("crashes")})
 		if err != nil {
 			return cli.Exit(err.Error(), 1)
 		}
-		fmt.Fprintf(cmd.Root().Writer, "seed %d: %d requests, %d answered, %d faults, %d stops, %d violations\n", seed, res.Requests, res.Answered, len(res.Faults), res.Stops, len(res.Violations))
+		fmt.Fprintf(cmd.Root().Writer, "seed %d: %d requests, %d answered, %d faults, %d stops, %d crashes, %d violations\n", seed, res.Requests, res.Answered, len(res.Faults), res.Stops, res.Crashes, len(res.Violations))
 		for _, v := range res.Violations {
 			fmt.Fprintln(cmd.Root().Writer, "  ", v)
 		}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -117,7 +117,7 @@
 	}
 	// The method is POST and the body can't be read twice, so that net/http does not retry
 	// the request by itself.
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+kindPaths[k], io.NopCloser(strings.NewReader("body of "+id)))
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+kindPaths[k], io.NopCloser(strings.NewReader(stand.RequestBody(id, 0))))
 	if err != nil {
 		return
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -47,6 +47,9 @@
 			if x.Path != kindPaths[r.kind] {
 				add("target", r.id, "ran at path %s", x.Path)
 			}
+			if x.BodyWrong {
+				add("body", r.id, "upstream %s read another body than its caller sent", x.Server)
+			}
 		}
 		if r.kind == unsafe && len(ran) > 1 {
 			add("once", r.id, "ran %d times", len(ran))
--- a/soak/run.go
+++ b/soak/run.go
@@ -30,6 +30,10 @@
 	Dir    string        // folder for settings and logs of the nodes, created if missing
 	Seed   uint64        // determines the sequence of faults
 	Length time.Duration // time from the start of the soak after which no further faults start
+
+	// Crashes adds crashes of upstreams, killed and paused nodes, and more kinds of requests
+	// and responses to RunStops.
+	Crashes bool
 }
 
 // Result is the outcome of a soak.
@@ -37,6 +41,7 @@
 	Requests, Answered int      // requests sent, and those with status 200 whose body was read without an error
 	Faults             []string // descriptions of the injected faults
 	Stops              int      // planned stops of [RunStops]
+	Crashes            int      // crashes of upstreams in [RunStops]
 	Violations         []Violation
 }
 
@@ -47,13 +52,15 @@
 	store           *stand.Store
 	runLog          *stand.RunLog
 	servers         []*stand.Server
-	upstreamProxies []*proxy
+	upstreamProxies []*proxy         // not with Options.Crashes
+	processes       []*stand.Process // of the upstreams, with Options.Crashes only
 	nodes           []*node
 	close           []func() // called by shutDown
 
 	mu             sync.Mutex
 	faults         []string
 	violations     []Violation
+	incidents      []incident
 	configVersion  int
 	weightsVersion uint64
 }
@@ -100,18 +107,7 @@
 		return err
 	}
 	for i := range serverCount {
-		id := fmt.Sprintf("i-%d", i)
-		s := stand.NewServer(id, b.runLog)
-		at, err := b.serve(s)
-		if err != nil {
-			return err
-		}
-		p, err := newProxy(at)
-		if err != nil {
-			return err
-		}
-		b.servers, b.upstreamProxies, b.close = append(b.servers, s), append(b.upstreamProxies, p), append(b.close, p.close)
-		if err := b.store.Put("servers", id, s.Entry(p.addr(), "z", "ready")); err != nil {
+		if err := b.startUpstream(i); err != nil {
 			return err
 		}
 	}
@@ -132,6 +128,26 @@
 	return nil
 }
 
+// startUpstream starts upstream i and writes its entry: as a process that can crash with
+// Options.Crashes, else behind a proxy.
+func (b *testbed) startUpstream(i int) error {
+	s := stand.NewServer(fmt.Sprintf("i-%d", i), b.runLog)
+	b.servers = append(b.servers, s)
+	if b.opt.Crashes {
+		return b.startProcess(s)
+	}
+	at, err := b.serve(s)
+	if err != nil {
+		return err
+	}
+	p, err := newProxy(at)
+	if err != nil {
+		return err
+	}
+	b.upstreamProxies, b.close = append(b.upstreamProxies, p), append(b.close, p.close)
+	return b.store.Put("servers", s.ID(), s.Entry(p.addr(), "z", "ready"))
+}
+
 // serve serves a fake on the loopback interface and returns its address.
 func (b *testbed) serve(h http.Handler) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,8 @@
 		{"broken stream", result{id: "1", workspace: "a", kind: stream, status: 200, body: stand.Event("1", 1), err: errors.New("reset")}, nil, ""},
 		{"another workspace", good, []stand.Run{{ID: "1", Tenant: "b", Path: kindPaths[unsafe]}}, "workspace"},
 		{"key forwarded to the upstream", good, []stand.Run{{ID: "1", Tenant: "a", Path: kindPaths[unsafe], KeyForwarded: true}}, "key"},
+		{"other body at the upstream", good, []stand.Run{{ID: "1", Tenant: "a", Path: kindPaths[unsafe], BodyWrong: true}}, "body"},
+		{"stream that states no end, broken off by its upstream", events(stand.Event("1", 1), false), []stand.Run{{ID: "1", Tenant: "a", Path: kindPaths[stream], BrokenOff: true}}, "whole"},
 		{"denied", result{id: "1", workspace: "a", kind: unsafe, status: 401}, nil, "denied"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -26,7 +28,7 @@
 
 // RunStops stops and restarts the nodes with SIGTERM, in series that overlap, sends SIGHUP
 // and changes the configuration, while callers go on using their connections. It checks that
-// no request is lost. Nothing but this planned work is injected.
+// no request is lost. Nothing but this planned work is injected, unless opt.Crashes is set.
 func RunStops(ctx context.Context, opt Options) (Result, error) {
 	b := &testbed{opt: opt, store: stand.NewStore(), runLog: &stand.RunLog{}, configVersion: 1, weightsVersion: 1}
 	defer b.shutDown()
@@ -49,10 +51,16 @@
 			})
 		}
 	}
-	stops := b.stopNodes(ctx)
+	lifecycle := make([]sync.Mutex, nodeCount) // one for each node, held by what stops or signals it
+	var faults sync.WaitGroup
+	if opt.Crashes {
+		faults.Go(func() { b.crashUpstreams(ctx, lifecycle) })
+	}
+	stops := b.stopNodes(ctx, lifecycle)
+	faults.Wait()
 	stop()
 	wg.Wait()
-	res := Result{Requests: len(results), Stops: len(stops)}
+	res := Result{Requests: len(results), Stops: len(stops), Crashes: b.crashes()}
 	plain := make([]result, len(results))
 	for i, r := range results {
 		plain[i] = r.result
@@ -61,40 +69,40 @@
 		}
 	}
 	runs := b.runLog.Runs()
-	res.Violations = append(b.violations, checkResults(plain, runs)...)
-	res.Violations = append(res.Violations, checkStops(results, runs, stops)...)
+	found := append(checkResults(plain, runs), checkStops(results, runs, stops, b.incidents)...)
+	res.Violations = append(b.violations, withIncidents(found, results, runs, b.incidents)...)
 	return res, nil
 }
 
 // stopNodes stops nodes one after the other until the length of the soak is over. A stop
 // begins while earlier ones go on; at least one node is left.
-func (b *testbed) stopNodes(ctx context.Context) []plannedStop {
+func (b *testbed) stopNodes(ctx context.Context, lifecycle []sync.Mutex) []plannedStop {
 	r := rand.New(rand.NewPCG(b.opt.Seed, 1<<32))
 	begin := time.Now()
 	var mu sync.Mutex
 	var stops []plannedStop
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, nodeCount-1) // stops at a time
-	lifecycle := make([]sync.Mutex, nodeCount)
 	for time.Since(begin) < b.opt.Length && ctx.Err() == nil {
 		i := r.IntN(nodeCount)
 		pause := time.Duration(r.Int64N(int64(maxStopPause)))
 		b.configure()
 		j := r.IntN(nodeCount)
 		b.reload(&lifecycle[j], j)
+		end := nodeEnd{}
+		if b.opt.Crashes {
+			end = drawNodeEnd(r)
+		}
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
 			lifecycle[i].Lock()
 			defer lifecycle[i].Unlock()
-			s := plannedStop{node: i, term: time.Now()}
-			if err := b.nodes[i].stopWithin(gracePeriod); err != nil {
-				b.addViolation("planned stop", b.nodes[i].name, "process ended with %v", err)
+			if s, ok := b.endNode(ctx, i, end); ok {
+				mu.Lock()
+				stops = append(stops, s)
+				mu.Unlock()
 			}
-			s.ended = time.Now()
-			mu.Lock()
-			stops = append(stops, s)
-			mu.Unlock()
 			sleep(ctx, pause/4)
 			b.restart(b.nodes[i])
 			sleep(ctx, warmUp)
@@ -115,7 +123,9 @@
 
 // checkStops finds the requests that planned work lost: a node had read the whole request,
 // and the connection ended without a complete response, during a stop of the node or not.
-func checkStops(results []keptResult, runs []stand.Run, stops []plannedStop) []Violation {
+// Requests that were broken off by their upstream, or in flight during an incident of their
+// node, do not count.
+func checkStops(results []keptResult, runs []stand.Run, stops []plannedStop, incidents []incident) []Violation {
 	byID := make(map[string][]stand.Run, len(results))
 	for _, r := range runs {
 		byID[r.ID] = append(byID[r.ID], r)
@@ -130,6 +140,9 @@
 		if len(ran) == 0 && took <= lossSlack {
 			continue // the node closed the connection before it read the request
 		}
+		if len(ran) > 0 && ran[len(ran)-1].BrokenOff || slices.ContainsFunc(incidents, func(x incident) bool { return x.concernsNode(r) }) {
+			continue
+		}
 		during := "no stop"
 		excused := false
 		for _, s := range stops {
@@ -159,5 +172,5 @@
 	if !x.Ended.IsZero() {
 		ended = "ended " + x.Ended.Format("05.000")
 	}
-	return "ran at " + x.Server + ", began " + x.Began.Format("05.000") + ", " + ended
+	return "ran " + strconv.Itoa(len(runs)) + " times, last at " + x.Server + ", began " + x.Began.Format("05.000") + ", " + ended
 }
