--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -144,7 +144,7 @@
 	if err := p.Start(s); err != nil {
 		return err
 	}
-	b.processes, b.close = append(b.processes, p), append(b.close, func() { p.Crash(true) })
+	b.processes, b.close = append(b.processes, p), append(b.close, p.Close)
 	return b.store.Put("servers", s.ID(), s.Entry(p.Addr(), "z", "ready"))
 }
 
@@ -152,6 +152,7 @@
 type crash struct {
 	up      int
 	reset   bool          // its connections are reset, not closed in order
+	listens bool          // its listening socket outlives it
 	down    time.Duration // until another incarnation listens at its address
 	renamed bool          // that has another id
 	entry   time.Duration // from then until its entry is written
@@ -173,6 +174,7 @@
 	if i := r.IntN(nodeCount); r.IntN(3) == 0 {
 		c.paused = i
 	}
+	c.listens = r.IntN(6) == 0
 	c.lead = frac(maxFreeze / 2)
 	c.pause = frac(maxFreeze - c.lead)
 	return c
@@ -223,7 +225,11 @@
 		id = fmt.Sprintf("i-%d-%d", c.up, k)
 	}
 	x := incident{node: -1, server: old.ID(), begin: time.Now()}
-	b.processes[c.up].Crash(c.reset)
+	how, end := "crash", b.processes[c.up].Crash
+	if c.listens {
+		how, end = "crash, still listening", b.processes[c.up].CrashListening
+	}
+	end(c.reset)
 	crashed := time.Now()
 	sleep(ctx, c.down)
 	s := stand.NewServer(id, b.runLog)
@@ -231,7 +237,7 @@
 		b.addViolation("soak", id, "upstream could not be restarted: %v", err)
 		return
 	}
-	x.text = fmt.Sprintf("crash (reset %v, %v long), %s listens %v later", c.reset, crashed.Sub(x.begin), id, time.Since(crashed))
+	x.text = fmt.Sprintf(how+" (reset %v, %v long), %s listens %v later", c.reset, crashed.Sub(x.begin), id, time.Since(crashed))
 	b.addIncident(x)
 	sleep(ctx, c.entry)
 	b.mu.Lock()
