--- a/soak/doc.go
+++ b/soak/doc.go
@@ -28,9 +28,9 @@
 //
 // RunStops injects planned work only: stops in series that overlap, reloads and
 // configurations. Its callers go on using their connections, and none of their requests may
-// be lost. With Options.Crashes, upstreams also crash and come back at their addresses, some of
-// which go on accepting connections meanwhile, nodes
-// are killed and paused, and upstreams reset responses, some before they have read the
-// request. Requests that were in flight at a node that was killed or paused, or that their
-// upstream broke off, may be lost then, but must not look complete.
+// be lost. With Options.Crashes, upstreams also crash and come back at their addresses (some
+// go on accepting connections meanwhile), nodes are killed and paused, and upstreams reset
+// responses, some before they have read the request. Requests that were in flight at a node
+// that was killed or paused, or that their upstream broke off, may be lost then, but must not
+// look complete.
 package soak
