--- a/soak/kept.go
+++ b/soak/kept.go
@@ -109,7 +109,7 @@
 	} else {
 		fmt.Fprintf(&req, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	}
-	_ = c.SetDeadline(time.Now().Add(res.limit + time.Second))
+	_ = c.SetDeadline(time.Now().Add(res.limit + time.Second + s.pause))
 	wrote := make(chan error, 1)
 	var sent time.Time
 	go func() {
@@ -120,6 +120,7 @@
 			_, err = io.WriteString(c, req.String()[at:])
 		}
 		sent = time.Now()
+		_ = c.SetReadDeadline(sent.Add(res.limit + time.Second)) // the node has the whole limit from here on
 		wrote <- err
 	}()
 	resp, err := http.ReadResponse(br, nil)
