--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -46,7 +46,7 @@
 	if json.Unmarshal(o.Value, &v) != nil {
 		return nil, false
 	}
-	return site.New(v.Version, site.WithRoutes(v.Routes...)), true
+	return site.New(v.Version, site.WithRoutes(v.Routes...), site.WithServices(vane.Service{Name: "llm", HealthPath: "/health"})), true
 }
 
 func (decoder) Upstream(o vane.Object) (vane.Upstream, bool) {
@@ -103,6 +103,7 @@
 	weights map[string]uint64
 	seq     map[string]uint64
 	orders  []order
+	process func(healthPath string) (uint64, vane.ProcessState) // answers checks which process runs; nil for one that states no start
 }
 
 func (e *engines) Order(_ context.Context, u vane.Upstream, o vane.WeightsOrder) (vane.OrderResult, error) {
@@ -123,8 +124,13 @@
 	return vane.EngineReport{Weights: map[string]uint64{"m": e.weights[u.Name]}, AcceptedOrders: e.seq[u.Name]}, nil
 }
 
-func (*engines) Process(context.Context, vane.Upstream, string) (uint64, vane.ProcessState) {
-	return 0, vane.ProcessRuns
+func (e *engines) Process(_ context.Context, _ vane.Upstream, healthPath string) (uint64, vane.ProcessState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.process == nil {
+		return 0, vane.ProcessRuns
+	}
+	return e.process(healthPath)
 }
 
 func (*engines) CacheContents(context.Context, string) (vane.CacheChanges, error) {
--- a/edge/restart_test.go
+++ b/edge/restart_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
 )
 
 // startLog counts the upstreams of each start that a node has logged.
@@ -54,10 +56,21 @@
 	for _, tt := range []struct {
 		name        string
 		incarnation uint64 // that the store names when the response ends
+		process     func(healthPath string) (uint64, vane.ProcessState)
 		whole       bool
 	}{
-		{"the same start", 1, true},
-		{"a later start", 2, false},
+		{"the same start", 1, nil, true},
+		{"a later start", 2, nil, false},
+		{"a later start in the store alone", 2, func(string) (uint64, vane.ProcessState) { return 1, vane.ProcessRuns }, true},
+		{"a later start that only the process states", 1, func(string) (uint64, vane.ProcessState) { return 2, vane.ProcessRuns }, false},
+		{"another upstream", 1, func(string) (uint64, vane.ProcessState) { return 0, vane.ProcessReplaced }, false},
+		{"no answer", 1, func(string) (uint64, vane.ProcessState) { return 0, vane.ProcessUnknown }, false},
+		{"no path of a health check", 1, func(path string) (uint64, vane.ProcessState) {
+			if path != "/health" {
+				return 0, vane.ProcessUnknown
+			}
+			return 1, vane.ProcessRuns
+		}, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -94,6 +107,9 @@
 				case <-time.After(waitTimeout):
 				}
 			}), withLog(log))
+			f.engines.mu.Lock()
+			f.engines.process = tt.process
+			f.engines.mu.Unlock()
 			name(1)
 			f.configure(1)
 			f.waitFor("the node is ready", func() bool { return len(f.entries(0)) == 1 })
