soak: a broken response of an upstream whose start nodes can't know of is not a loss

The node knew the start before only, so this looks to it like a part that the process before has left, and a part must not look whole. Only that is left out: the same id, the run began between the crash and the time at which nodes learn of the entry, the response states no end and had begun. TestUnknownStart has six rows beside it that count as lost as before.

--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,10 +32,22 @@
 	server  string
 	begin   time.Time
 	end     time.Time // equal to begin if it takes no time
+	known   time.Time // of a crash whose upstream is back under its ID: when nodes know the new start
 	planned bool
 	text    string
 }
 
+// hidesStart reports whether a request ran at an upstream that was back under its ID, and
+// nodes did not know the new start. They can't tell a whole response that states no end from
+// what the process before has left of one.
+func (x incident) hidesStart(r keptResult, ran []stand.Run) bool {
+	if len(ran) == 0 || r.stated || r.status != http.StatusOK {
+		return false
+	}
+	last := ran[len(ran)-1]
+	return last.Server == x.server && last.Began.After(x.begin) && last.Began.Before(x.known)
+}
+
 // concernsNode reports whether a request was in flight at a node during an unplanned incident
 // of that node.
 func (x incident) concernsNode(r keptResult) bool {
@@ -238,6 +251,9 @@
 		return
 	}
 	x.text = fmt.Sprintf(how+" (reset %v, %v long), %s listens %v later", c.reset, crashed.Sub(x.begin), id, time.Since(crashed))
+	if !c.renamed {
+		x.known = time.Now().Add(c.entry + learnTime)
+	}
 	b.addIncident(x)
 	sleep(ctx, c.entry)
 	b.mu.Lock()
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -126,7 +126,7 @@
 // checkStops finds the requests that planned work lost: a node had read the whole request,
 // and the connection ended without a complete response, during a stop of the node or not.
 // Requests that were broken off by their upstream, or in flight during an incident of their
-// node, do not count.
+// node, or soon after one of their upstream that nodes can't know of, do not count.
 func checkStops(results []keptResult, runs []stand.Run, stops []plannedStop, incidents []incident) []Violation {
 	byID := make(map[string][]stand.Run, len(results))
 	for _, r := range runs {
@@ -142,7 +142,7 @@
 		if len(ran) == 0 && took <= lossSlack {
 			continue // the node closed the connection before it read the request
 		}
-		if len(ran) > 0 && ran[len(ran)-1].BrokenOff || slices.ContainsFunc(incidents, func(x incident) bool { return x.concernsNode(r) }) {
+		if len(ran) > 0 && ran[len(ran)-1].BrokenOff || slices.ContainsFunc(incidents, func(x incident) bool { return x.concernsNode(r) || x.hidesStart(r, ran) }) {
 			continue
 		}
 		during := "no stop"
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -58,6 +58,40 @@
 	}
 }
 
+// TestUnknownStart checks that a broken response that states no end is not lost if nodes could
+// not know that its upstream was started again, and is in all other cases.
+func TestUnknownStart(t *testing.T) {
+	base := time.Unix(100, 0)
+	at := func(s float64) time.Time { return base.Add(time.Duration(s * float64(time.Second))) }
+	restart := incident{node: -1, server: "i", begin: at(0), end: at(1), known: at(1.5)}
+	renamed := restart
+	renamed.known = time.Time{}
+	for _, tt := range []struct {
+		name   string
+		began  float64
+		server string
+		stated bool
+		status int
+		x      incident
+		lost   bool
+	}{
+		{"before its start is known", 1.2, "i", false, 200, restart, false},
+		{"once its start is known", 1.6, "i", false, 200, restart, true},
+		{"before the crash", -0.1, "i", false, 200, restart, true},
+		{"response that states its end", 1.2, "i", true, 200, restart, true},
+		{"no response", 1.2, "i", false, 0, restart, true},
+		{"another upstream", 1.2, "j", false, 200, restart, true},
+		{"back under another ID", 1.2, "i", false, 200, renamed, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := keptResult{result: result{id: "a", sent: at(tt.began), ended: at(tt.began + 0.3), err: io.EOF, status: tt.status, stated: tt.stated}, limit: 10 * time.Second}
+			runs := []stand.Run{{ID: "a", Server: tt.server, Began: at(tt.began), Ended: at(tt.began + 0.2)}}
+			is.Equal(len(checkStops([]keptResult{r}, runs, nil, []incident{tt.x})) > 0, tt.lost)
+		})
+	}
+}
+
 // TestLastRunBrokenOff checks that a request counts as lost if an upstream has broken it off
 // but not the one where it ran last.
 func TestLastRunBrokenOff(t *testing.T) {
