--- a/front/doc.go
+++ b/front/doc.go
@@ -18,4 +18,10 @@
 // after its last complete event. If a stream can't be resumed, the connection is
 // closed without the end of the body, so that the caller sees an incomplete
 // response.
+//
+// # Responses without a stated end
+//
+// A response with neither a length nor chunks reaches the caller without them. Its
+// end proves nothing by itself: it is taken for whole only if the process that got the
+// request still runs, and until then every end of the caller's connection resets it.
 package front
