platform: load headers with more than three values are read

Callers saw slower answers at sites whose servers state a fourth value in their load header: the whole header was dropped, so that nodes placed requests without any report of running and waiting requests. The cause was a check for exactly three values. Each value is now read on its own, values after the fourth are ignored, and one that is malformed or out of bounds counts as not stated. The fourth value becomes vane.Load.Slowdown (1 as usual, 0 not stated).

--- a/dialect.go
+++ b/dialect.go
@@ -57,8 +57,8 @@
 	NotRun        bool   // the upstream states that the request did not run
 	WrongUpstream bool   // the request reached another upstream than the one it names
 	Load          Load   // valid if HasLoad is set
-	Slots         int    // requests that the upstream batches at once; valid if HasLoad is set
-	HasLoad       bool   // the response states Load and Slots
+	Slots         int    // requests that the upstream batches at once; zero if not stated
+	HasLoad       bool   // the response states at least one value of Load; the others are zero
 	Weights       uint64 // version of the weights that served the request; zero if not stated
 	Leaving       bool   // the upstream states that it is about to stop
 	// RetryAfter is the time for which an upstream that refused the request wants no
--- a/upstream.go
+++ b/upstream.go
@@ -61,9 +61,10 @@
 
 // Load is the load that an upstream reports.
 type Load struct {
-	Running  int  // requests in the current batch
-	Waiting  int  // requests that wait for a slot
-	Draining bool // the upstream accepts no new requests
+	Running  int     // requests in the current batch
+	Waiting  int     // requests that wait for a slot
+	Draining bool    // the upstream accepts no new requests
+	Slowdown float64 // how long work takes now, as a multiple of the usual time: 1 as usual, 2.5 two and a half times as long, 0 not stated
 }
 
 // Level is one of the nested prefixes that a prompt is split into.
