sched: estimates use the learned rates of a service

Estimates of the time to the first token erred in the same direction at all requests of a site, since the prefill rate, the time at an idle engine and the service time of plain upstreams were constants. They now come from package rates. Samples are taken by the placer itself: the uncached tokens, the work ahead and the load when a request is sent, and the time of its first byte. Answers of requests whose prompt length is unknown are left out. The estimate for a plain service now contains the work of the request itself.

An upstream that states how slow it is may keep a request waiting for up to twice the silence limit before it is ejected.

--- a/rates/rates.go
+++ b/rates/rates.go
@@ -303,7 +303,7 @@
 		if out == nil {
 			out = make(map[string]Learned)
 		}
-		out[name] = Learned{Rates: s.own, Samples: s.samples}
+		out[name] = Learned{Rates: s.own, Samples: min(s.samples, maxSamplesClaimed)}
 	}
 	return out
 }
@@ -311,7 +311,7 @@
 // Import replaces what another node has learned. Rates out of bounds are left out. An
 // empty map removes the node.
 func (e *Estimator) Import(node string, l map[string]Learned) {
-	touched := maps.Clone(e.peers[node])
+	touched := e.peers[node]
 	valid := make(map[string]Learned)
 	for name, r := range l {
 		if _, ok := bounded(r.Rates); ok && r.Samples >= minPlainSamples && r.Samples <= maxSamplesClaimed && len(valid) < maxPeerServices {
@@ -335,6 +335,15 @@
 	}
 }
 
+// KeepPeers removes what the nodes have learned for which keep returns false.
+func (e *Estimator) KeepPeers(keep func(node string) bool) {
+	for node := range e.peers {
+		if !keep(node) {
+			e.Import(node, nil)
+		}
+	}
+}
+
 // Keep removes the services for which keep returns false, such as those that are no longer
 // configured.
 func (e *Estimator) Keep(keep func(service string) bool) {
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -86,15 +86,14 @@
 	return out
 }
 
-// prefill estimates the computation of the prompt at u. It returns the milliseconds
-// until the prompt is computed, adds the costs of computing and copying parts to cost,
-// and fills the fields of c that concern caches. h says where the shared parts are; it
+// prefill estimates the computation of the prompt at u. It adds the costs of computing and
+// copying parts to cost, and fills the fields of c that concern caches. h says where the shared parts are; it
 // may be nil if the prompt has none.
-func (p *Placer) prefill(now time.Time, q Query, u *upstream, c *Pick, cost *float64, h *partHolders) float64 {
+func (p *Placer) prefill(now time.Time, q Query, u *upstream, c *Pick, cost *float64, h *partHolders) {
 	shared := q.Shared()
 	if len(shared) == 0 {
 		c.UncachedTokens = q.PromptTokens
-		return float64(c.UncachedTokens) / prefillTokensPerMS
+		return
 	}
 	sum := make([]float64, len(shared)+1) // sum[i] is the number of tokens of the first i parts
 	stored := 0                           // number of leading parts that the cache store holds
@@ -134,5 +133,5 @@
 		*cost += recomputeTokenCost * (tokens - cached)
 	}
 	c.UncachedTokens = max(0, q.PromptTokens-int(cached))
-	return ms + float64(c.UncachedTokens)/prefillTokensPerMS
+	c.fetchMS = ms
 }
--- a/sched/light.go
+++ b/sched/light.go
@@ -61,7 +61,7 @@
 		}
 	}
 	nodes := p.storeLink.nodes
-	if slots == 0 || p.longPrefill.perMS(now)*nodes < minLongShare*prefillTokensPerMS*float64(usable) {
+	if slots == 0 || p.longPrefill.perMS(now)*nodes < minLongShare*p.rates.Engine(q.Service).PrefillPerMS*float64(usable) {
 		return -1
 	}
 	each := reservedFill * float64(slots) / float64(usable)
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -47,7 +47,8 @@
 	Holders        int           // engines that are believed to hold all shared parts
 	HoldsShared    bool          // the chosen engine is one of the holders
 
-	fetchesFromStore bool // the engine fetches parts from the cache store that it does not hold
+	fetchesFromStore bool    // the engine fetches parts from the cache store that it does not hold
+	fetchMS          float64 // estimated milliseconds for fetching parts
 }
 
 // Pick returns the upstream with the lowest cost. It returns false if no upstream can
@@ -67,13 +68,14 @@
 	filter := p.releaseFilter(now, q, target)
 	holders := p.findHolders(now, q, reservedRank, filter)
 	skipNewest := p.skipNewest(now, q, target)
+	v := p.speed(q.Service)
 	var best Pick
 	found := false
 	for _, u := range p.byService[q.Service] {
 		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
 			continue
 		}
-		c := p.evaluate(now, q, u, target, holders[u.Weights])
+		c := p.evaluate(now, q, u, target, holders[u.Weights], v)
 		if p.beginsOutdated(now, c, target) {
 			continue
 		}
@@ -124,7 +126,7 @@
 	if p.storeLink.nodes > manyNodes {
 		share = newestShareManyNodes
 	}
-	allowed := share * float64(newest) * prefillTokensPerMS / (p.prefillRate.perMS(now) * p.storeLink.nodes)
+	allowed := share * float64(newest) * p.rates.Engine(q.Service).PrefillPerMS / (p.prefillRate.perMS(now) * p.storeLink.nodes)
 	return rendezvousHash(q.ID, "newest weights") > allowed
 }
 
@@ -134,26 +136,32 @@
 	return q.CacheScope + "|" + q.Model + "|" + strconv.FormatUint(weights, 10)
 }
 
-// evaluate returns the pick of u for the query, with its cost and the estimated time.
-func (p *Placer) evaluate(now time.Time, q Query, u *upstream, target mirror.Weights, h *partHolders) Pick {
+// evaluate returns the pick of u for the query, with its cost and the estimated time. v is the
+// speed of the service.
+func (p *Placer) evaluate(now time.Time, q Query, u *upstream, target mirror.Weights, h *partHolders, v speed) Pick {
 	c := Pick{Upstream: u.Upstream, Weights: u.Weights, LoadAge: now.Sub(u.loadAt)}
 	cost := 0.0
 	if u.DataCentre != p.dataCentre {
 		cost += remoteByteCost * float64(q.Bytes)
 	}
-	ms := u.queueMS(now, p.peerInFlight(u.Name))
+	w := u.ahead(now, p.peerInFlight(u.Name))
+	expected, compared := v.plainMS(w, u.Slots)
 	if u.Role == vane.RoleEngine {
 		if target.OutdatedFor(now, u.Weights) > oldWeightsGrace {
 			cost += oldWeightsCost
 		}
 		c.Salt = salt(q, u.Weights)
-		ms += idleEngineMS + p.prefill(now, q, u, &c, &cost, h)
+		p.prefill(now, q, u, &c, &cost, h)
+		expected = v.FirstTokenMS(w.tokens+float64(c.UncachedTokens), w.busy, w.waiting)
+		compared = expected
 	}
+	f := v.factor(now, u)
+	expected, compared = f*expected+c.fetchMS, f*compared+c.fetchMS
 	if u.onProbation(now) {
 		cost += probationCost
 	}
-	x := ms / float64(q.Objective.Milliseconds())
+	x := compared / float64(q.Objective.Milliseconds())
 	cost += lateCost*lateProbability(x) + waitCost*x
-	c.Cost, c.Estimate = cost, time.Duration(ms*float64(time.Millisecond))
+	c.Cost, c.Estimate = cost, time.Duration(expected*float64(time.Millisecond))
 	return c
 }
--- a/sched/price.go
+++ b/sched/price.go
@@ -19,13 +19,9 @@
 	probationCost      = 0.3  // cost of using an upstream that failed recently, for the risk that it fails again
 )
 
-// Estimates of service times and rates.
+// Estimates of times and rates that are not learned.
 const (
-	prefillTokensPerMS   = 90.0                    // prompt tokens that an engine computes per millisecond
-	runningRequestMS     = 0.6                     // delay of the first token for each other running request
-	idleEngineMS         = 90.0                    // time to the first token at an idle engine, not counting the computation of the prompt
 	engineFetchMS        = 6.0                     // time to fetch shared parts from another engine
-	waitingRequestMS     = 35.0                    // delay of the first token for each request in the engine's queue
 	defaultObjective     = 500 * time.Millisecond  // time within which the first token should arrive
 	defaultWeightsLimit  = 12 * time.Second        // default time from the announcement of new weights until engines with older ones get no requests
 	newestShare          = 0.7                     // share of the prefill rate of the engines with the newest weights that is used while other engines have older ones
--- /dev/null
+++ b/sched/replay_test.go
@@ -0,0 +1,324 @@
+package sched_test
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/mirror"
+	"mustardvane.org/vane/sched"
+)
+
+// replay sends requests through the placers of several nodes to a model of engines, in
+// virtual time, and compares the estimates with the times to the first token.
+type replay struct {
+	nodes, upstreams int
+	prefill, baseMS  float64       // of the engines: prompt tokens per millisecond, and time to the first token without them
+	long, short      float64       // requests per second and engine
+	workMS           float64       // service time of the upstreams of a plain service; zero for engines
+	perSecond        float64       // requests to a plain service per second
+	slowEvery        int           // one of so many upstreams works 2.5 times slower at a time; zero for none
+	cacheTokens      int           // memory of an engine for shared parts
+	duration         time.Duration // results are taken from the second half
+}
+
+// Pattern of the load: the rate is twice as high for two seconds in eight, and other
+// upstreams are slow after each turn.
+const (
+	burstEvery  = 8 * time.Second
+	burstLength = 2 * time.Second
+	burstFactor = 2.0
+	slowTurn    = 600 * time.Millisecond
+)
+
+// server is the model of one upstream. Prompts are computed one after the other, requests
+// of a plain service by slots in parallel.
+type server struct {
+	index    int
+	freeAt   time.Duration // end of the computation of all prompts
+	slotFree []time.Duration
+	running  int
+	begins   []time.Duration // times at which the requests without a first token begin
+	parts    map[string]time.Duration
+	size     int
+	served   int
+}
+
+// replayed is the result of one request.
+type replayed struct {
+	estimate, actual, objective float64 // milliseconds
+	late                        bool
+}
+
+// slowdown returns the slowdown of the server at the time.
+func (r replay) slowdown(s *server, at time.Duration) float64 {
+	if r.slowEvery > 0 && (s.index+int(at/slowTurn)*7)%r.slowEvery == 0 {
+		return 2.5
+	}
+	return 1
+}
+
+// work returns the time at which work that takes ms at the usual speed ends.
+func (r replay) work(s *server, from time.Duration, ms float64) time.Duration {
+	left := ms * float64(time.Millisecond)
+	for {
+		next := (from/slowTurn + 1) * slowTurn
+		f := r.slowdown(s, from)
+		if float64(next-from) >= left*f {
+			return from + time.Duration(left*f)
+		}
+		left -= float64(next-from) / f
+		from = next
+	}
+}
+
+// send returns the times of the first token and of the end of a request.
+func (r replay) send(s *server, at time.Duration, q sched.Query, c sched.Pick, servers map[string]*server) (first, end time.Duration) {
+	at += time.Millisecond
+	if r.workMS > 0 {
+		i := 0
+		for k := range s.slotFree {
+			if s.slotFree[k] < s.slotFree[i] {
+				i = k
+			}
+		}
+		begin := max(at, s.slotFree[i])
+		s.slotFree[i] = r.work(s, begin, r.workMS)
+		s.begins = append(s.begins, begin)
+		return s.slotFree[i], s.slotFree[i]
+	}
+	tokens, cached := q.PromptTokens, true
+	for _, p := range q.Shared() {
+		_, here := s.parts[p.ID]
+		for _, o := range servers {
+			_, there := o.parts[p.ID]
+			here = here || there && c.FetchFrom == o.addr()
+		}
+		if cached = cached && here; cached {
+			tokens -= p.Tokens
+		}
+		if _, ok := s.parts[p.ID]; !ok {
+			s.size += p.Tokens
+		}
+		s.parts[p.ID] = at
+		for s.size > r.cacheTokens {
+			oldest := p.ID
+			for id, used := range s.parts {
+				if used < s.parts[oldest] || used == s.parts[oldest] && id < oldest {
+					oldest = id
+				}
+			}
+			delete(s.parts, oldest)
+			s.size -= partTokens(oldest)
+		}
+	}
+	begin := max(at, s.freeAt)
+	s.freeAt = r.work(s, begin, float64(tokens)/r.prefill+0.3*float64(s.running))
+	s.begins = append(s.begins, begin)
+	first = r.work(s, s.freeAt, r.baseMS)
+	out := 7
+	if q.PromptTokens < 2000 {
+		out = 42
+	}
+	return first, r.work(s, first, 5*float64(out))
+}
+
+// addr returns the address of the upstream in [view].
+func (s *server) addr() string { return fmt.Sprintf("e%02d:1", s.index) }
+
+// partTokens returns the size of a shared part of the replayed prompts.
+func partTokens(id string) int {
+	switch id[0] {
+	case 'r':
+		return 2500
+	case 's':
+		return 3800
+	}
+	return 198
+}
+
+// load returns the load that the server states.
+func (r replay) load(s *server, at time.Duration) vane.ResponseMeta {
+	s.begins = slices.DeleteFunc(s.begins, func(b time.Duration) bool { return b <= at })
+	m := vane.ResponseMeta{HasLoad: true, Load: vane.Load{Running: s.running - len(s.begins), Waiting: len(s.begins)}}
+	if r.slowEvery > 0 {
+		m.Load.Slowdown = r.slowdown(s, at)
+	}
+	return m
+}
+
+// view returns the upstreams.
+func (r replay) view() *mirror.View {
+	v := view(r.upstreams, same(1))
+	for name, u := range v.Upstreams {
+		if r.workMS > 0 {
+			u.Role, u.Service, u.Model, u.Weights, u.Slots = vane.RoleService, "plain", "", 0, 6
+		}
+		v.Upstreams[name] = u
+	}
+	for i := range r.nodes {
+		if v.Peers == nil {
+			v.Peers = make(map[string]vane.PeerRecord)
+		}
+		v.Peers[fmt.Sprint("n", i)] = vane.PeerRecord{}
+	}
+	return v
+}
+
+// query returns a request of a random kind.
+func (r replay) query(rng *rand.Rand, n int) sched.Query {
+	q := sched.Query{ID: fmt.Sprint(n), Service: "plain", Bytes: 900, Objective: time.Duration(10*r.workMS) * time.Millisecond}
+	if r.workMS > 0 {
+		return q
+	}
+	q.Service, q.Model = "llm", "m"
+	if rng.Float64() < r.long/(r.long+r.short) {
+		q.PromptTokens, q.Bytes, q.Objective = 9190, 18000, 800*time.Millisecond
+		q.Parts = []vane.PromptPart{{ID: "root", Tokens: 2500}, {ID: fmt.Sprintf("s%d", rng.IntN(25*r.upstreams)), Tokens: 3800}, {ID: fmt.Sprintf("o%d", n), Tokens: 2890}}
+	} else {
+		q.PromptTokens, q.Objective = 826, 500*time.Millisecond
+		q.Parts = []vane.PromptPart{{ID: fmt.Sprintf("n%d", rng.IntN(20)), Tokens: 198}, {ID: fmt.Sprintf("p%d", n), Tokens: 628}}
+	}
+	return q
+}
+
+// run returns the results of the second half, and the highest number of requests at one
+// upstream in relation to the mean.
+func (r replay) run() ([]replayed, float64) {
+	rng := rand.New(rand.NewPCG(21, 22))
+	var nodes []*sched.Placer
+	for i := range r.nodes {
+		p := sched.New(fmt.Sprintf("dc%d", i%3), &cache{down: true})
+		p.Update(r.view())
+		nodes = append(nodes, p)
+	}
+	servers := make(map[string]*server)
+	for i := range r.upstreams {
+		servers[fmt.Sprintf("e%02d", i)] = &server{index: i, parts: make(map[string]time.Duration), slotFree: make([]time.Duration, 6)}
+	}
+	const tick = time.Millisecond
+	type event struct {
+		at time.Duration
+		f  func(now time.Time)
+	}
+	events := make(map[time.Duration][]event)
+	on := func(at time.Duration, f func(now time.Time)) {
+		k := at.Truncate(tick) + tick
+		events[k] = append(events[k], event{at, f})
+	}
+	rate := (r.long + r.short) * float64(r.upstreams)
+	if r.workMS > 0 {
+		rate = r.perSecond
+	}
+	var out []replayed
+	next := time.Duration(0)
+	for at := time.Duration(0); at < r.duration; at += tick {
+		now := begin.Add(at)
+		l := events[at]
+		delete(events, at)
+		slices.SortStableFunc(l, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+		for _, e := range l {
+			e.f(begin.Add(e.at))
+		}
+		for i, p := range nodes {
+			if (at+time.Duration(i)*70*tick)%(500*tick) == 0 {
+				updates, inFlight := p.TakeCacheUpdates(), p.InFlight()
+				for j, o := range nodes {
+					if j != i {
+						o.ApplyCacheUpdates(updates)
+						o.SetPeerInFlight(fmt.Sprint("n", i), inFlight)
+					}
+				}
+			}
+		}
+		for next <= at {
+			burst := 1.0
+			if at%burstEvery < burstLength {
+				burst = burstFactor
+			}
+			next += time.Duration(rng.ExpFloat64() / rate / burst * float64(time.Second))
+			p := nodes[rng.IntN(len(nodes))]
+			q := r.query(rng, len(out))
+			c, ok := p.Pick(now, q)
+			if !ok {
+				continue
+			}
+			a := p.Begin(now, q, c)
+			s := servers[c.Upstream.Name]
+			first, end := r.send(s, at, q, c, servers)
+			s.running++
+			if at >= r.duration/2 {
+				s.served++
+			}
+			actual := float64(first-at) / float64(time.Millisecond)
+			out = append(out, replayed{float64(c.Estimate) / float64(time.Millisecond), actual, float64(q.Objective.Milliseconds()), first-at > q.Objective})
+			on(first, func(now time.Time) {
+				p.Observe(now, c.Upstream.Name, r.load(s, first))
+				p.FirstByte(now, a)
+			})
+			on(end, func(now time.Time) {
+				s.running--
+				p.End(now, a)
+			})
+		}
+	}
+	half := out[len(out)/2:]
+	most, sum := 0, 0
+	for _, s := range servers {
+		most, sum = max(most, s.served), sum+s.served
+	}
+	return half, float64(most) * float64(r.upstreams) / float64(sum)
+}
+
+// replayErrors returns the median and the 90th percentile of the errors of the estimates as
+// shares of the objective, and the share of late answers.
+func replayErrors(l []replayed) (median, p90, late float64) {
+	var e []float64
+	for _, x := range l {
+		e = append(e, math.Abs(x.estimate-x.actual)/x.objective)
+		if x.late {
+			late++
+		}
+	}
+	slices.Sort(e)
+	return e[len(e)/2], e[len(e)*9/10], late / float64(len(l))
+}
+
+// Guards against estimates that are wrong by a constant factor where upstreams work at
+// other speeds than those that the rates were first measured on. The load is that of one
+// engine of a site of 60.
+func TestEstimatesFollowTheUpstreams(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		replay      replay
+		median, p90 float64 // bounds on the error as a share of the objective
+	}{
+		{"36.1 tokens/ms", replay{prefill: 36.1, baseMS: 90, long: 1.5, short: 2.1}, 0.06, 0.3},
+		{"36.1 tokens/ms, base 30 ms", replay{prefill: 36.1, baseMS: 30, long: 1.5, short: 2.1}, 0.06, 0.3},
+		{"93.6 tokens/ms", replay{prefill: 93.6, baseMS: 90, long: 3.7, short: 1.9}, 0.06, 0.3},
+		{"93.6 tokens/ms, base 30 ms", replay{prefill: 93.6, baseMS: 30, long: 3.7, short: 1.9}, 0.06, 0.3},
+		{"112 tokens/ms", replay{prefill: 112, baseMS: 90, long: 4.6, short: 4.4}, 0.06, 0.3},
+		{"112 tokens/ms, base 30 ms", replay{prefill: 112, baseMS: 30, long: 4.6, short: 4.4}, 0.06, 0.3},
+		{"work of 15 ms", replay{workMS: 15, upstreams: 3, perSecond: 400}, 0.05, 0.15},
+		{"work of 60 ms", replay{workMS: 60, upstreams: 3, perSecond: 100}, 0.05, 0.15},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := tt.replay
+			r.nodes, r.duration, r.cacheTokens = 6, 40*time.Second, 70_000
+			r.upstreams = max(r.upstreams, 12*int(min(1, r.prefill)))
+			l, _ := r.run()
+			median, p90, late := replayErrors(l)
+			t.Logf("%d requests: median %.3f, 90th percentile %.3f, late %.3f", len(l), median, p90, late)
+			is.True(median < tt.median)
+			is.True(p90 < tt.p90)
+		})
+	}
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -7,22 +7,30 @@
 	"sync"
 	"time"
 
+	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/mirror"
+	"mustardvane.org/vane/rates"
 )
 
 // Attempt is a request that was sent to an upstream. It is created by [Placer.Begin] and
 // passed to the methods that report its progress.
 type Attempt struct {
-	id       string // ID of the request
-	name     string // name of the upstream
-	model    string
-	weights  uint64    // number of the engine's weights when the request was sent; zero for plain services
-	short    bool      // the prompt is short
-	tokens   int       // prompt tokens still to be computed
-	sent     time.Time // time at which the request was sent
-	started  bool      // the first bytes of the answer have arrived
-	ended    bool      // End was called
-	withdraw func()    // set by OnExpire; nil if there is none
+	id      string // ID of the request
+	name    string // name of the upstream
+	model   string
+	weights uint64    // number of the engine's weights when the request was sent; zero for plain services
+	short   bool      // the prompt is short
+	tokens  int       // prompt tokens still to be computed
+	sent    time.Time // time at which the request was sent
+	started bool      // the first bytes of the answer have arrived
+	ended   bool      // End was called
+	service string
+	sample  rates.Sample // what is known about the time to the first token when the request is sent
+
+	estimate, objective time.Duration // of the time to the first token
+	fetchMS             float64       // part of the estimate for fetching parts, in milliseconds
+	unmeasured          bool          // the attempt does not count for the rates
+	withdraw            func()        // set by OnExpire; nil if there is none
 }
 
 // Placer chooses upstreams. It is safe for concurrent use. The times that its methods
@@ -47,6 +55,9 @@
 	prefillRate  tokenRate      // rate of the uncached prompt tokens of all requests of this node
 	longPrefill  tokenRate      // rate of the uncached prompt tokens of the requests whose prompts are not short
 	shortRunning runningAverage // running requests of this node with short prompts
+	rates        *rates.Estimator
+	ratesTaken   time.Time // time of the last TakeRates that returned any
+	metrics      *Metrics
 }
 
 // StoreIndex tells what the cache store holds. Its methods are called with the placer
@@ -69,7 +80,7 @@
 func New(dataCentre string, c StoreIndex, opts ...Option) *Placer {
 	p := &Placer{
 		dataCentre: dataCentre, weightsLimit: defaultWeightsLimit, cache: c, view: &mirror.View{}, upstreams: make(map[string]*upstream),
-		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), saves: newSaveLog(), updates: make(map[string][]uint64),
+		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), saves: newSaveLog(), updates: make(map[string][]uint64), rates: rates.New(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -100,18 +111,34 @@
 		s.update(u)
 		p.byService[u.Service] = append(p.byService[u.Service], s)
 	}
+	p.rates.Keep(p.knowsService)
 	for _, l := range p.byService {
 		slices.SortFunc(l, func(a, b *upstream) int { return cmp.Compare(a.rank, b.rank) })
 	}
 }
 
+// knowsService reports whether a service has upstreams or is configured. The caller must
+// hold p.mu.
+func (p *Placer) knowsService(name string) bool {
+	if len(p.byService[name]) > 0 || p.view.Config == nil {
+		return true
+	}
+	_, ok := p.view.Config.Service(name)
+	return ok
+}
+
 // Begin records that a request is sent to the picked upstream. The caller must pass the
 // returned attempt to [Placer.End] when the exchange is over.
 func (p *Placer) Begin(now time.Time, q Query, c Pick) *Attempt {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prefillRate.add(now, c.UncachedTokens)
-	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now}
+	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now, service: q.Service, estimate: c.Estimate, objective: q.Objective, fetchMS: c.fetchMS}
+	if t.objective <= 0 {
+		t.objective = defaultObjective
+	}
+	// The computed tokens of a prompt of unknown length are unknown too.
+	t.unmeasured = c.Upstream.Role == vane.RoleEngine && q.PromptTokens == 0
 	if t.short {
 		p.shortRunning.add(now, 1)
 	} else {
@@ -121,6 +148,7 @@
 		p.waiting[t] = struct{}{}
 	}
 	if u, ok := p.upstreams[t.name]; ok {
+		t.sample = newSample(q, c, u.ahead(now, p.peerInFlight(u.Name)))
 		u.begin(t)
 		p.recordParts(u, q, c)
 		if c.fetchesFromStore {
@@ -141,6 +169,7 @@
 	defer p.mu.Unlock()
 	if u, ok := p.upstreams[t.name]; ok && !t.started {
 		u.firstByte(now, t)
+		p.learn(now, u, t)
 	}
 	t.started = true
 	delete(p.waiting, t)
@@ -185,9 +214,10 @@
 }
 
 // KeepPeersInFlight removes the nodes for which keep returns false, such as those that are
-// down, from the requests in flight.
+// down, from the requests in flight and from the learned rates.
 func (p *Placer) KeepPeersInFlight(keep func(node string) bool) {
 	p.mu.Lock()
+	p.rates.KeepPeers(keep)
 	var gone []string
 	for node := range p.peers {
 		if !keep(node) {
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -79,27 +79,6 @@
 	return u.ejection > 0 && now.Before(u.ejectedUntil.Add(probation))
 }
 
-// queueMS estimates the milliseconds until a new request begins. peers is the number of
-// requests that the other nodes have in flight here.
-func (u *upstream) queueMS(now time.Time, peers int) float64 {
-	own := u.inFlight + peers
-	if u.Role == vane.RoleEngine {
-		var l vane.Load
-		if now.Sub(u.loadAt) < loadTTL {
-			l = u.load
-		}
-		busy := max(own, l.Running+l.Waiting)
-		return float64(u.pending)/prefillTokensPerMS + runningRequestMS*float64(busy) + waitingRequestMS*float64(l.Waiting) + float64(peers)*peerPrefillMS
-	}
-	return plainRequestMS * float64(own) / float64(max(1, u.Slots)) * float64(1+own/max(1, u.Slots))
-}
-
-// Estimates of queueing times.
-const (
-	peerPrefillMS  = 8.0  // mean remaining prefill time of a request of another node; most have their first token already
-	plainRequestMS = 30.0 // service time of a request to a plain service
-)
-
 // begin adds an attempt.
 func (u *upstream) begin(t *Attempt) {
 	if u.waiting == nil {
@@ -150,13 +129,19 @@
 }
 
 // silent reports whether an attempt has been waiting for longer than limit while the
-// upstream sent nothing for at least as long.
+// upstream sent nothing for at least as long. At an upstream that states how slow its
+// machine is, an attempt may first take as long as at the slowest machine, up to twice the
+// limit, since a slow upstream has not failed.
 func (u *upstream) silent(now time.Time, limit time.Duration) bool {
 	if now.Sub(u.respondedAt) < limit {
 		return false
 	}
 	for t := range u.waiting {
-		if now.Sub(t.sent) > limit {
+		allowed := limit
+		if u.load.Slowdown > 0 {
+			allowed = max(limit, min(maxSlowdown*t.estimate, 2*limit))
+		}
+		if now.Sub(t.sent) > allowed && now.Sub(u.respondedAt) >= allowed {
 			return true
 		}
 	}
