mesh, edge: nodes tell each other the rates that they have learned

A node that starts estimated with the fixed rates until it had samples of its own. Every fourth second a message now carries the rates that the sender learned from its own requests, in mesh.Extension.Rates. A node uses the median of the other nodes together with its own, weighted by its samples. Rates out of bounds are left out, builds without the field ignore it, and rates of nodes that are down are dropped. A log line tells of rates that moved by more than a quarter; metrics show the rates and the error of the estimates.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -139,6 +139,7 @@
 	m.PromptParts = n.placer.TakeCacheUpdates()
 	m.StoreOK, m.Extension.StoreFailing = n.mirror.Reachable() && n.mesh.IsPromptWatcher(), n.mirror.Failing()
 	n.rollouts.fill(m)
+	n.composeRates(m)
 	n.pendingUpdates.fill(now, m)
 	n.composeConvictions(now, m)
 }
@@ -166,6 +167,7 @@
 	at := clock.BootTime() // the clock of the placer
 	n.placer.SetPeerInFlight(m.Name, m.InFlight)
 	n.placer.ApplyCacheUpdates(m.PromptParts)
+	n.receiveRates(m)
 	n.quota.receive(now, m)
 	n.rollouts.receive(now, m)
 	for _, e := range m.Engines {
--- a/edge/node.go
+++ b/edge/node.go
@@ -111,7 +111,7 @@
 	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)),
 		store.WithRestoreFunc(n.handleRestore))
 	n.cache = newCacheWatcher(adapter.Control, log, func() bool { return n.mesh.IsPromptWatcher() })
-	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit))
+	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit), sched.WithMetrics(sched.NewMetrics(n.registry)))
 	n.quota = newLimiter(settings.Node, settings.LinkMbps, func() { n.mesh.SendSoon() }, n.registry, log)
 	n.mirror = mirror.NewService(n.storeClient, adapter.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy),
 		mirror.WithMalformedFunc(malformedCounter(n.registry).Inc))
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/mirror"
@@ -84,6 +87,40 @@
 	is.Equal(len(m.Rollouts), 0)
 }
 
+// A node of a build without learned rates decodes a message that has them, and this build
+// decodes messages whose rates are no numbers or are those of a later build.
+func TestBuildsWithoutRates(t *testing.T) {
+	is := is.New(t)
+	in := &Message{Name: "n", Boot: 1, Extension: Extension{RolloutVersion: 4, Rates: []ServiceRates{{Service: "s", PrefillPerMS: 36.1, Samples: 70}}}}
+	b, err := encodeMessage(in)
+	is.NoErr(err)
+	m, err := decodeMessage(b)
+	is.NoErr(err)
+	is.Equal(m, in)
+	type before struct {
+		RolloutVersion uint64 `msgpack:"rollout_version,omitempty"`
+		StoreFailing   bool   `msgpack:"store_failing,omitempty"`
+	}
+	ext, err := msgpack.Marshal(&in.Extension)
+	is.NoErr(err)
+	var old before
+	is.NoErr(msgpack.Unmarshal(ext, &old))
+	is.Equal(old.RolloutVersion, uint64(4))
+	head, err := encode(&Message{Name: "n", Boot: 1})
+	is.NoErr(err)
+	for _, x := range []any{
+		&before{RolloutVersion: 4},
+		map[string]any{"rollout_version": 4, "rates": []map[string]any{{"service": "s", "prefill_per_ms": math.NaN(), "steps": []int{1}}}},
+		map[string]any{"rollout_version": 4, "rates": nil},
+	} {
+		ext, err := msgpack.Marshal(x)
+		is.NoErr(err)
+		m, err := decodeMessage(append(slices.Clone(head), ext...))
+		is.NoErr(err)
+		is.Equal(m.RolloutVersion, uint64(4))
+	}
+}
+
 // A node of a build without the reports on prompt parts decodes a message that has them,
 // and its own messages are decoded by this build.
 func TestBuildsWithoutPromptParts(t *testing.T) {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -47,6 +47,19 @@
 	Convictions    []Conviction    `msgpack:"convictions,omitempty"`     // parts of prompts with which requests are refused
 	StoreFailing   bool            `msgpack:"store_failing,omitempty"`   // the store does not answer the node
 	Leaving        []UpstreamStart `msgpack:"leaving,omitempty"`         // upstreams that said that they are leaving
+	Rates          []ServiceRates  `msgpack:"rates,omitempty"`           // learned rates; nil in most messages
+}
+
+// ServiceRates are the rates of the upstreams of a service that the sender has learned from
+// its own requests, as in package rates.
+type ServiceRates struct {
+	Service      string  `msgpack:"service"`
+	PrefillPerMS float64 `msgpack:"prefill_per_ms"`
+	BaseMS       float64 `msgpack:"base_ms"`
+	RunningMS    float64 `msgpack:"running_ms"`
+	WaitingMS    float64 `msgpack:"waiting_ms"`
+	WorkMS       float64 `msgpack:"work_ms"`
+	Samples      int     `msgpack:"samples"`
 }
 
 // UpstreamStart identifies one start of an upstream.
--- a/sched/replay_test.go
+++ b/sched/replay_test.go
@@ -300,14 +300,14 @@
 		replay      replay
 		median, p90 float64 // bounds on the error as a share of the objective
 	}{
-		{"36.1 tokens/ms", replay{prefill: 36.1, baseMS: 90, long: 1.5, short: 2.1}, 0.06, 0.3},
-		{"36.1 tokens/ms, base 30 ms", replay{prefill: 36.1, baseMS: 30, long: 1.5, short: 2.1}, 0.06, 0.3},
-		{"93.6 tokens/ms", replay{prefill: 93.6, baseMS: 90, long: 3.7, short: 1.9}, 0.06, 0.3},
-		{"93.6 tokens/ms, base 30 ms", replay{prefill: 93.6, baseMS: 30, long: 3.7, short: 1.9}, 0.06, 0.3},
-		{"112 tokens/ms", replay{prefill: 112, baseMS: 90, long: 4.6, short: 4.4}, 0.06, 0.3},
-		{"112 tokens/ms, base 30 ms", replay{prefill: 112, baseMS: 30, long: 4.6, short: 4.4}, 0.06, 0.3},
-		{"work of 15 ms", replay{workMS: 15, upstreams: 3, perSecond: 400}, 0.05, 0.15},
-		{"work of 60 ms", replay{workMS: 60, upstreams: 3, perSecond: 100}, 0.05, 0.15},
+		{"36.1 tokens/ms", replay{prefill: 36.1, baseMS: 90, long: 1.5, short: 2.1}, 0.04, 0.15},
+		{"36.1 tokens/ms, base 30 ms", replay{prefill: 36.1, baseMS: 30, long: 1.5, short: 2.1}, 0.04, 0.15},
+		{"93.6 tokens/ms", replay{prefill: 93.6, baseMS: 90, long: 3.7, short: 1.9}, 0.04, 0.15},
+		{"93.6 tokens/ms, base 30 ms", replay{prefill: 93.6, baseMS: 30, long: 3.7, short: 1.9}, 0.04, 0.15},
+		{"112 tokens/ms", replay{prefill: 112, baseMS: 90, long: 4.6, short: 4.4}, 0.04, 0.15},
+		{"112 tokens/ms, base 30 ms", replay{prefill: 112, baseMS: 30, long: 4.6, short: 4.4}, 0.04, 0.15},
+		{"work of 15 ms", replay{workMS: 15, upstreams: 3, perSecond: 400}, 0.02, 0.05},
+		{"work of 60 ms", replay{workMS: 60, upstreams: 3, perSecond: 100}, 0.02, 0.05},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
