front: results of a roll-out are those at the usual speed of the machine

A release was blamed for the time that its upstreams' machines are slow, and the slow machines of the old release hid slowness of the new one. Times of a response that states a slowdown are now divided by it, up to 4. TestSlowMachineIsNotTheRelease fails on the code before at slowdowns of 2.5 and 90. Responses with a status of 300 or more do not count for the learned rates.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -55,8 +55,9 @@
 
 func (dialect) ParseResponse(_ int, h http.Header) vane.ResponseMeta {
 	ms, _ := strconv.Atoi(h.Get("Back-In-Ms"))
+	slowdown, _ := strconv.ParseFloat(h.Get("Slowdown"), 64)
 	return vane.ResponseMeta{
-		ID: h.Get("Id"), Signed: h.Get("Sig") != "", NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "", RetryAfter: time.Duration(ms) * time.Millisecond,
+		HasLoad: slowdown > 0, Load: vane.Load{Slowdown: slowdown}, ID: h.Get("Id"), Signed: h.Get("Sig") != "", NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "", RetryAfter: time.Duration(ms) * time.Millisecond,
 	}
 }
 
--- a/front/result.go
+++ b/front/result.go
@@ -13,6 +13,10 @@
 // that a slow stream counts before it ends.
 const sampleEvents = 8
 
+// maxSlowdown is the largest slowdown by which times are reduced, so that a release that
+// states nonsense does not look fast.
+const maxSlowdown = 4.0
+
 // result gathers what one attempt shows about its upstream's release.
 type result struct {
 	upstream vane.Upstream
@@ -23,7 +27,8 @@
 	firstAt  time.Time // time of the first event or of the whole answer; zero before
 	lastAt   time.Time
 	events   int
-	status   int // status of a complete answer; zero if there was none
+	status   int     // status of a complete answer; zero if there was none
+	slowdown float64 // slowdown of the upstream's machine that the response stated; zero if none
 	recorded bool
 }
 
@@ -79,7 +84,9 @@
 }
 
 // send passes the result on. Events that arrive together do not show the time between
-// tokens.
+// tokens. Times are those at the usual speed of the upstream's machine: a slow machine says
+// nothing about the release that runs there. The times are not left out instead, so that a
+// release can't hide its own slowness on slow machines.
 func (r *result) send(failed bool) {
 	s := r.sample
 	s.Failed = failed
@@ -88,6 +95,10 @@
 		if r.events > 1 {
 			s.TokenGap = r.lastAt.Sub(r.firstAt) / time.Duration(r.events-1)
 		}
+		if r.slowdown > 1 && !s.Unanswered {
+			f := min(r.slowdown, maxSlowdown)
+			s.FirstToken, s.TokenGap = time.Duration(float64(s.FirstToken)/f), time.Duration(float64(s.TokenGap)/f)
+		}
 	}
 	r.recorded = true
 	r.record(r.upstream, r.service, s)
--- a/front/result_test.go
+++ b/front/result_test.go
@@ -1,6 +1,9 @@
 package front_test
 
 import (
+	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -43,3 +46,30 @@
 		})
 	}
 }
+
+// Guards against roll-outs that are rolled back because the new release runs on a machine
+// that is slow at the moment. Slowness beyond what the machine states still counts.
+func TestSlowMachineIsNotTheRelease(t *testing.T) {
+	const works = 300 * time.Millisecond
+	for _, tt := range []struct {
+		slowdown string
+		factor   float64
+	}{{"", 1}, {"1", 1}, {"0.5", 1}, {"2.5", 2.5}, {"90", 4}} {
+		t.Run(tt.slowdown, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestFront(t, 0, newScriptedUpstream(t, func(_ int, w io.Writer, id string, _ *http.Request) bool {
+				time.Sleep(works)
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSig: s\r\nSlowdown: %s\r\nContent-Length: 2\r\n\r\nok", id, tt.slowdown)
+				return true
+			}))
+			began := time.Now()
+			_, _, _, _ = b.send(t.Context(), "/unsafe/x")
+			took := time.Since(began)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			is.Equal(len(b.results), 1)
+			first := b.results[0].FirstToken.Seconds() * tt.factor
+			is.True(first >= works.Seconds()-0.001 && first <= took.Seconds()+0.001)
+		})
+	}
+}
--- a/front/serve.go
+++ b/front/serve.go
@@ -256,6 +256,10 @@
 	if h.Placer.Observe(clock.BootTime(), p.Upstream.Name, m) {
 		h.WeightsChanged(p.Upstream.Name, m.Weights)
 	}
+	t.result.slowdown = m.Load.Slowdown
+	if resp.Status >= http.StatusMultipleChoices {
+		h.Placer.SkipSample(att)
+	}
 	h.observeWishes(t, p, resp, m)
 	if m.NotRun {
 		h.handleNotRun(t, p, resp, m)
