sched, edge: a silent engine is checked before it is set aside; parts use one number of weights

What callers saw: in a burst with a quarter of the engines dark, half of the requests were late and 6 % failed, though the other engines could bear the load. Cause: an engine that kept a request of one node waiting for 1.2 s was set aside by all nodes, and its load went to the others, which then kept requests waiting as long. While engines load weights, requests were divided among old and new weights by their IDs, so that each shared part was computed with both. Change: a silent engine is asked for its load and stays in use if it is busy; the delay of its waiting requests raises its estimate. Requests are divided by their last shared part.

--- a/edge/node.go
+++ b/edge/node.go
@@ -35,8 +35,10 @@
 	largeSiteWait  = 6 * time.Second         // how long the store holds a watch of a large site; a lost connection shows earlier by its probes
 	relaxedBatch   = 4 * time.Second         // the same for nodes of a large site that learn of changes from other nodes first
 	tickPeriod     = 100 * time.Millisecond  // period of the checks for silent upstreams, and of the waits while draining
-	silentTimeout  = 1200 * time.Millisecond // an upstream that keeps requests waiting for this long is set aside
-	leasePrefix    = "vane-leases"           // key prefix of the leases in the store
+	silentTimeout  = 1200 * time.Millisecond // an upstream that keeps requests waiting for this long is checked, or set aside
+
+	silentCheckTimeout = 400 * time.Millisecond // a running engine answers a check within milliseconds; connecting may need a second packet
+	leasePrefix        = "vane-leases"          // key prefix of the leases in the store
 )
 
 // Directory encodes the answers to callers that ask which nodes to use.
@@ -340,10 +342,34 @@
 	n.placer.KeepPeersInFlight(n.mesh.IsAlive)
 }
 
+// checkSilent asks an engine that keeps requests waiting for its load. The upstream is set
+// aside, and the other nodes are told, if it does not answer or is not an engine. Slow
+// engines that were set aside by all nodes once left the whole load to the others, which
+// then were as slow.
+func (n *Node) checkSilent(ctx context.Context, u vane.Upstream) {
+	var load *vane.Load
+	if u.Role == vane.RoleEngine {
+		ctx, cancel := context.WithTimeout(ctx, silentCheckTimeout)
+		defer cancel()
+		if r, err := n.adapter.Control.Report(ctx, u); err == nil {
+			load = &r.Load
+		}
+	}
+	if n.placer.ResolveSilent(clock.BootTime(), u, load, silentTimeout) {
+		n.pendingUpdates.addUnresponsive(u.Name)
+		n.mesh.SendNow()
+		n.log.Warn("upstream set aside", "upstream", u.Name, "cause", "silent", "reported", load != nil, "limit_ms", silentTimeout.Milliseconds())
+	} else if load != nil {
+		n.log.Info("silent upstream is busy", "upstream", u.Name, "running", load.Running, "waiting", load.Waiting)
+	}
+}
+
 // watchSilentUpstreams sets aside upstreams that keep requests waiting for too long, and
 // withdraws requests that would begin on outdated weights.
 func (n *Node) watchSilentUpstreams(ctx context.Context, ready func()) error {
 	ready()
+	var checks sync.WaitGroup
+	defer checks.Wait()
 	failing := false
 	for clock.Sleep(ctx, tickPeriod) {
 		if now := n.mirror.Failing(); now != failing {
@@ -353,10 +379,8 @@
 		}
 		n.quota.tick()
 		n.forgetDeadPeers()
-		for _, name := range n.placer.EjectSilent(clock.BootTime(), silentTimeout) {
-			n.pendingUpdates.addUnresponsive(name)
-			n.mesh.SendNow()
-			n.log.Warn("upstream set aside", "upstream", name, "cause", "silent", "limit_ms", silentTimeout.Milliseconds())
+		for _, u := range n.placer.SilentUpstreams(clock.BootTime(), silentTimeout) {
+			checks.Go(func() { n.checkSilent(ctx, u) })
 		}
 		for _, x := range n.placer.ExpireWaiting(clock.BootTime()) {
 			n.log.Info("request withdrawn", "request_id", x.ID, "upstream", x.Upstream, "cause", "weights outdated", "weights", x.Weights,
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -107,7 +107,9 @@
 // weights, because they are too few for all requests. All nodes prefer these engines and
 // would overload them before any node sees the requests of the others. Each node
 // therefore uses only its share of their prefill rate. Requests are selected by a hash
-// of their ID, so that all attempts of a request give the same result.
+// of their last shared part, so that the parts are computed and kept with one number of
+// weights only, and all attempts of a request give the same result. Requests without
+// shared parts are selected by a hash of their ID.
 func (p *Placer) skipNewest(now time.Time, q Query, target mirror.Weights) bool {
 	newest, older := 0, 0
 	for _, u := range p.byService[q.Service] {
@@ -127,7 +129,11 @@
 		share = newestShareManyNodes
 	}
 	allowed := share * float64(newest) * p.rates.Engine(q.Service).PrefillPerMS / (p.prefillRate.perMS(now) * p.storeLink.nodes)
-	return rendezvousHash(q.ID, "newest weights") > allowed
+	key := q.ID
+	if shared := q.Shared(); len(shared) > 0 {
+		key = shared[len(shared)-1].ID
+	}
+	return rendezvousHash(key, "newest weights") > allowed
 }
 
 // salt returns the cache salt of the prompt's parts at engines with the given weights.
@@ -156,7 +162,8 @@
 		compared = expected
 	}
 	f := v.factor(now, u)
-	expected, compared = f*expected+c.fetchMS, f*compared+c.fetchMS
+	late := float64(u.lag(now)) / float64(time.Millisecond)
+	expected, compared = f*expected+c.fetchMS+late, f*compared+c.fetchMS+late
 	if u.onProbation(now) {
 		cost += probationCost
 	}
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -29,6 +29,7 @@
 	load        vane.Load             // last load report
 	loadAt      time.Time             // time of the last load report
 	respondedAt time.Time             // time of the last bytes of an answer
+	checkAfter  time.Time             // time before which the upstream is not checked again for being silent
 
 	loadingUntil time.Time     // end of the time during which the engine loads weights
 	ejectedUntil time.Time     // end of the last ejection
@@ -127,23 +128,3 @@
 	u.ejectedUntil = now.Add(u.ejection)
 	return u.ejection
 }
-
-// silent reports whether an attempt has been waiting for longer than limit while the
-// upstream sent nothing for at least as long. At an upstream that states how slow its
-// machine is, an attempt may first take as long as at the slowest machine, up to twice the
-// limit, since a slow upstream has not failed.
-func (u *upstream) silent(now time.Time, limit time.Duration) bool {
-	if now.Sub(u.respondedAt) < limit {
-		return false
-	}
-	for t := range u.waiting {
-		allowed := limit
-		if u.load.Slowdown > 0 {
-			allowed = max(limit, min(maxSlowdown*t.estimate, 2*limit))
-		}
-		if now.Sub(t.sent) > allowed && now.Sub(u.respondedAt) >= allowed {
-			return true
-		}
-	}
-	return false
-}
