--- a/dialect.go
+++ b/dialect.go
@@ -130,6 +130,15 @@
 	Events []CacheEvent
 }
 
+// ColdProber asks upstreams whether they are cold. The interface is optional for an
+// [EngineControl].
+type ColdProber interface {
+	// ColdLeft returns how much longer the upstream stays cold, by its health check. It returns
+	// false if the response does not state it or is that of another upstream. The error says
+	// that there was no response.
+	ColdLeft(ctx context.Context, u Upstream, healthPath string) (time.Duration, bool, error)
+}
+
 // EngineControl is the management interface of engines and caches.
 type EngineControl interface {
 	// Order sends an order to load weights. After an error it is not known whether
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -31,6 +31,13 @@
 	RetryShare      float64       // retries per request, over all nodes
 	RetrySlack      float64       // retries per window in addition to the share, over all nodes
 	RetryWindow     time.Duration // period over which requests and retries are counted
+
+	ColdOver        float64           // requests in a second to a cold upstream over all nodes, as a multiple of the rate that it tolerates
+	ColdSlack       float64           // requests in a second to a cold upstream in addition to that
+	EvacuationLimit time.Duration     // time after which no request goes to an evacuated data centre; zero if evacuations are not followed
+	ContactLimit    time.Duration     // time after which callers are not sent to a node that ended, not counting 3 s; zero for no such limit
+	Regions         map[string]string // region of each data centre; empty for a site of one region
+	Region          string            // region of this node's data centre
 }
 
 // DefaultSettings returns the defaults, without names and addresses.
@@ -38,6 +45,7 @@
 	return Settings{
 		Grace: 8 * time.Second, DirectoryTTLMax: 5 * time.Second, FencePause: 3 * time.Second,
 		WeightsLimit: 12 * time.Second, ExposeShare: 0.1, RetryShare: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+		ColdOver: 1, // not more than the rate that the upstream tolerates
 	}
 }
 
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -46,6 +46,7 @@
 	state        *State
 	failingSince map[string]time.Time // time of the first of the consecutive failed calls, by prefix
 	contact      contact
+	complete     completeAt    // of the calls that succeeded
 	lastAnswer   time.Time     // last answer of the store; zero if there was none
 	returned     chan struct{} // closed and replaced when the store is back after an outage
 	prober       string        // prefix whose calls show whether the store answers again; empty while calls succeed
@@ -87,7 +88,7 @@
 func NewService(st Store, dec Decoder, opts ...Option) *Service {
 	s := &Service{
 		store: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, onMalformed: func() {}, watchPolicy: func(string) WatchPolicy { return defaultWatchPolicy },
-		failingSince: make(map[string]time.Time), contact: newContact(), returned: make(chan struct{}), answered: make(chan struct{}),
+		failingSince: make(map[string]time.Time), contact: newContact(), complete: make(completeAt), returned: make(chan struct{}), answered: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(s)
@@ -261,12 +262,14 @@
 
 // list reads all objects under the prefix and returns their revision.
 func (s *Service) list(ctx context.Context, prefix string) (uint64, error) {
+	begun := clock.BootTime()
 	b, err := s.store.List(ctx, prefix)
 	if err != nil {
 		return 0, err
 	}
 	s.log.Info("objects listed", "prefix", prefix, "objects", len(b.Objects), "restores", vane.RestoresOf(b.Revision), "revision", vane.RevisionOf(b.Revision))
 	s.updateFromStore(prefix, func(now time.Time) bool { return s.state.Replace(now, prefix, b) })
+	s.recordComplete(prefix, begun)
 	return b.Revision, nil
 }
 
@@ -299,11 +302,13 @@
 		case <-wctx.Done():
 		}
 	}()
+	begun := clock.BootTime()
 	b, err := watch(wctx, prefix, rev)
 	if err != nil {
 		return rev, wctx.Err() != nil && ctx.Err() == nil, err
 	}
 	s.updateFromStore(prefix, func(now time.Time) bool { return len(b.Objects) > 0 && s.state.Apply(now, b.Objects) })
+	s.recordComplete(prefix, begun)
 	if len(b.Objects) > 0 && (policy.Relaxed || prefix == s.state.dec.UpstreamPrefix()) {
 		clock.Sleep(ctx, clock.Jitter(policy.BatchWindow)) // jitter spreads the load of the nodes on the store
 	}
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -66,6 +66,7 @@
 	wallOffset      time.Duration   // wall time minus the time of the clock
 	completeUntil   time.Time       // time at which no change was missing; zero if none is now
 	followsWeights  bool            // the target weights have been listed, so that further ones are new
+	listsUpstreams  bool            // the upstreams have been listed, so that further starts are seen
 	view            *View
 	versions        *Versions // result of Versions; nil if the objects have changed since
 }
@@ -133,6 +134,9 @@
 	if prefix == s.dec.WeightsPrefix() {
 		defer func() { s.followsWeights = true }()
 	}
+	if prefix == s.dec.UpstreamPrefix() {
+		defer func() { s.listsUpstreams = true }()
+	}
 	for k, o := range s.objects {
 		if strings.HasPrefix(k, prefix) && !present[k] && !o.Deleted && o.Version <= b.Revision {
 			o.Deleted = true
@@ -309,7 +313,11 @@
 		}
 		d, ok := s.decoded[k]
 		if !ok || d.version != o.Version {
+			old, known := d.value.(vane.Upstream)
 			d = decodedObject{o.Version, s.decode(k, o)}
+			if u, ok := d.value.(vane.Upstream); ok {
+				d.value = s.withColdTimes(now, k, u, old, known)
+			}
 			s.decoded[k] = d
 			if d.value == nil {
 				s.malformed = append(s.malformed, vane.Object{Key: k, Version: o.Version})
--- a/site.go
+++ b/site.go
@@ -54,6 +54,9 @@
 	LinkMbps        float64  // bandwidth of one engine's link or of the cache store's, in Mbit/s
 	TokenBytes      float64  // size of one cached token in bytes
 	MaxCacheWatches int      // pending calls for cache changes that one cache accepts at once
+
+	ColdStart time.Duration // time for which an upstream is cold after its start; zero if upstreams do not start cold
+	ColdRate  float64       // requests a second that a cold upstream tolerates
 }
 
 // Quota limits a workspace's traffic over all nodes. A unit is a request or a
--- a/upstream.go
+++ b/upstream.go
@@ -1,5 +1,7 @@
 package vane
 
+import "time"
+
 // UpstreamState is the state of an upstream on the platform's list.
 type UpstreamState int
 
@@ -45,6 +47,16 @@
 	Slots       int           `json:"slots,omitempty"`   // requests that the upstream batches at once
 	Release     string        `json:"release,omitempty"` // version of the upstream's software
 	Weights     uint64        `json:"weights,omitempty"` // version number of the loaded weights, for engines that number them; zero if none
+
+	// ColdLeft is how long the upstream stayed cold when its entry was written, as decoded.
+	// Package mirror replaces it by ColdUntil.
+	ColdLeft time.Duration `json:"-"`
+	// ColdUntil is the end of the cold time on this node's clock, no earlier than the true end;
+	// zero if the entry states none.
+	ColdUntil time.Time `json:"-"`
+	// StartSeen is when this node saw that the upstream had started; zero if it runs since
+	// before this node first listed the upstreams, or if a later entry states that it is not cold.
+	StartSeen time.Time `json:"-"`
 }
 
 // WithState returns a copy of u in the state s.
