edge, sched: cold upstreams get requests from their owners only

Callers saw upstreams crash after a start, since all nodes sent them requests at once. A filter of the placer lets a node send to a cold upstream only within its share. An upstream that failed counts as cold until its entry or a health check shows otherwise, and is checked by one node. During an outage of the store the health checks are the only source. Nodes tell each other what they found.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -141,6 +141,7 @@
 	n.rollouts.fill(m)
 	n.pendingUpdates.fill(now, m)
 	n.composeConvictions(now, m)
+	n.coldStarts.fill(clock.BootTime(), m)
 }
 
 // maxWeightsAges is the number of newest weights of a model whose ages are sent. Engines
@@ -193,6 +194,7 @@
 		n.crash.Add(crash.Report{Request: crash.RequestKey{Workspace: c.Workspace, Fingerprint: c.Fingerprint}, Upstream: c.Upstream, Incarnation: c.Incarnation})
 	}
 	n.receiveParts(now, m)
+	n.coldStarts.receive(at, m)
 }
 
 // wantsLease reports whether this node should hold the lease on weight orders. The
--- a/edge/node.go
+++ b/edge/node.go
@@ -87,6 +87,7 @@
 	leases         *lease.Manager
 	loader         *loader
 	rollouts       *rollouts
+	coldStarts     *coldStarts
 	handler        *front.Handler
 	pendingUpdates *pendingUpdates
 	rejoin         chan struct{} // requests that the node's record is written again; holds one request
@@ -111,7 +112,8 @@
 	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)),
 		store.WithRestoreFunc(n.handleRestore))
 	n.cache = newCacheWatcher(adapter.Control, log, func() bool { return n.mesh.IsPromptWatcher() })
-	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit))
+	n.coldStarts = newColdStarts(n)
+	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit), sched.WithColdLimiter(n.coldStarts))
 	n.quota = newLimiter(settings.Node, settings.LinkMbps, func() { n.mesh.SendSoon() }, n.registry, log)
 	n.mirror = mirror.NewService(n.storeClient, adapter.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy),
 		mirror.WithMalformedFunc(malformedCounter(n.registry).Inc))
@@ -260,6 +262,7 @@
 	n.placer.Update(v)
 	n.mesh.SetPeers(v.Peers)
 	n.quota.update(v, n.settings.Node)
+	n.coldStarts.handleViewChange(old, v)
 	n.cache.update(v)
 	if v.Config != old.Config || len(v.Rollouts) > len(old.Rollouts) {
 		n.mesh.SendSoon()
@@ -283,7 +286,11 @@
 	}
 	for name, u := range v.Upstreams {
 		if o, ok := old.Upstreams[name]; !ok || o != u {
-			n.log.Info("upstream", "upstream", name, "addr", u.Addr, "service", u.Service, "state", u.State.String(), "release", u.Release, "weights", u.Weights, "incarnation", u.Incarnation)
+			args := []any{"upstream", name, "addr", u.Addr, "service", u.Service, "state", u.State.String(), "release", u.Release, "weights", u.Weights, "incarnation", u.Incarnation}
+			if !u.ColdUntil.IsZero() {
+				args = append(args, "cold_left_ms", u.ColdUntil.Sub(clock.BootTime()).Milliseconds())
+			}
+			n.log.Info("upstream", args...)
 		}
 	}
 	for name := range old.Upstreams {
@@ -353,6 +360,7 @@
 		}
 		n.quota.tick()
 		n.forgetDeadPeers()
+		n.coldStarts.tick(ctx, clock.BootTime())
 		for _, name := range n.placer.EjectSilent(clock.BootTime(), silentTimeout) {
 			n.pendingUpdates.addUnresponsive(name)
 			n.mesh.SendNow()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -47,6 +47,8 @@
 	Convictions    []Conviction    `msgpack:"convictions,omitempty"`     // parts of prompts with which requests are refused
 	StoreFailing   bool            `msgpack:"store_failing,omitempty"`   // the store does not answer the node
 	Leaving        []UpstreamStart `msgpack:"leaving,omitempty"`         // upstreams that said that they are leaving
+	NodesVersion   uint64          `msgpack:"nodes_version,omitempty"`   // version of the list of nodes by which the node decides which cold upstreams it owns; zero if there are none
+	Cold           []ColdReport    `msgpack:"cold,omitempty"`            // upstreams that are cold, or were found warm after a failure
 }
 
 // UpstreamStart identifies one start of an upstream.
@@ -55,6 +57,13 @@
 	Incarnation uint64 `msgpack:"incarnation"`
 }
 
+// ColdReport tells how much longer an upstream stays cold.
+type ColdReport struct {
+	Upstream string `msgpack:"upstream"`
+	LeftMS   int64  `msgpack:"left_ms"` // remaining cold time in milliseconds; zero if the upstream is warm
+	AgeMS    int64  `msgpack:"age_ms"`  // time since the sender found this, in milliseconds
+}
+
 // WeightsAge tells how long ago weights were designated for a model.
 type WeightsAge struct {
 	Model   string `msgpack:"model"`
--- a/sched/observe.go
+++ b/sched/observe.go
@@ -69,6 +69,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if u, ok := p.upstreams[name]; ok {
+		u.recordColdUnknown(now)
 		return u.fail(now)
 	}
 	return 0
@@ -80,6 +81,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if u, ok := p.upstreams[name]; ok && now.Sub(u.respondedAt) > recentResponse {
+		if !now.Before(u.ejectedUntil) { // else this node knows of the failure, and reports are repeated
+			u.recordColdUnknown(now)
+		}
 		u.fail(now)
 	}
 }
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -51,8 +51,8 @@
 }
 
 // Pick returns the upstream with the lowest cost. It returns false if no upstream can
-// take the request now. Pick records nothing; [Placer.Begin] does when the request is
-// sent.
+// take the request now. Pick records nothing but the request to a cold upstream, so that
+// concurrent calls do not exceed its share; [Placer.Begin] does when the request is sent.
 func (p *Placer) Pick(now time.Time, q Query) (Pick, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -70,7 +70,7 @@
 	var best Pick
 	found := false
 	for _, u := range p.byService[q.Service] {
-		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
+		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.excludesCold(now, u) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
 			continue
 		}
 		c := p.evaluate(now, q, u, target, holders[u.Weights])
@@ -84,6 +84,9 @@
 			best, found = c, true
 		}
 	}
+	if found {
+		p.spendCold(now, best.Upstream.Name)
+	}
 	return best, found
 }
 
@@ -110,7 +113,7 @@
 	newest, older := 0, 0
 	for _, u := range p.byService[q.Service] {
 		switch {
-		case u.Role != vane.RoleEngine || !u.usable(now) || slices.Contains(q.Avoid, u.Name):
+		case u.Role != vane.RoleEngine || !u.usable(now) || u.isCold(now) || slices.Contains(q.Avoid, u.Name):
 		case u.Weights >= target.Version:
 			newest++
 		case !p.outdated(now, u, target):
--- a/sched/refusal.go
+++ b/sched/refusal.go
@@ -58,8 +58,8 @@
 }
 
 // RetryAfter returns the time after which the first upstream of a service that asked for no
-// requests may get one. It returns false if another upstream serves requests, or none is
-// expected to.
+// requests, or is cold, may get one. It returns false if another upstream serves requests, or
+// none is expected to.
 func (p *Placer) RetryAfter(now time.Time, service string) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -68,11 +68,15 @@
 		if !u.inService(now) {
 			continue
 		}
-		if !now.Before(u.refusal.until) {
+		until := u.refusal.until
+		if end := u.coldUntil(); end.After(until) {
+			until = end
+		}
+		if !now.Before(until) {
 			return 0, false
 		}
-		if first.IsZero() || u.refusal.until.Before(first) {
-			first = u.refusal.until
+		if first.IsZero() || until.Before(first) {
+			first = until
 		}
 	}
 	return first.Sub(now), !first.IsZero()
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -32,6 +32,7 @@
 	dataCentre   string
 	weightsLimit time.Duration // time from the announcement of new weights until engines with older ones get no requests
 	cache        StoreIndex
+	cold         ColdLimiter // nil if there is none
 
 	mu           sync.Mutex
 	view         *mirror.View
@@ -100,6 +101,7 @@
 		s.update(u)
 		p.byService[u.Service] = append(p.byService[u.Service], s)
 	}
+	p.configureCold()
 	for _, l := range p.byService {
 		slices.SortFunc(l, func(a, b *upstream) int { return cmp.Compare(a.rank, b.rank) })
 	}
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -36,6 +36,7 @@
 	fullUntil    time.Time     // end of the pause after a refusal for lack of capacity
 	leaving      bool          // the upstream said that it is leaving
 	refusal      refusal       // the upstream asked for no requests
+	cold         coldState
 }
 
 // update replaces the upstream's entry from the view. Entries are delayed, so that an
