ramp: a new owner also waits out what a displaced owner has just sent

Two owners had been displaced within a second and had spent their shares just before they learned of it. A new owner now waits for a window after a displaced one said that it knows of the change.

--- a/edge/cold.go
+++ b/edge/cold.go
@@ -258,7 +258,7 @@
 // receive applies what a message says about cold upstreams.
 func (c *coldStarts) receive(now time.Time, m *mesh.Message) {
 	if m.Extension.NodesVersion > 0 {
-		c.ramp.SetKnown(m.Name, m.Extension.NodesVersion)
+		c.ramp.SetKnown(now, m.Name, m.Extension.NodesVersion)
 	}
 	transit := smallSiteTransit
 	if c.n.mesh.IsLargeSite() {
--- a/ramp/ramp.go
+++ b/ramp/ramp.go
@@ -59,8 +59,9 @@
 	mu      sync.Mutex
 	members Members
 	past    []memberSet          // sets of members, oldest first; the last one is the present one
-	known   map[string]uint64    // newest version that another node said to know, by node
+	known   map[string]known     // what the other nodes said to know, by node
 	owned   map[string]ownership // by upstream; cleared when the members change
+	granted map[string]time.Time // by upstream: ownership.since of the ownership that waits no longer
 	spent   map[string]*sends    // by upstream
 	stopped bool
 }
@@ -72,6 +73,12 @@
 	from    time.Time
 }
 
+// known is the newest version of the members that another node said to act on.
+type known struct {
+	version uint64
+	at      time.Time // time of the first message that said so
+}
+
 // ownership says since when this node has been an owner of an upstream.
 type ownership struct {
 	owner     bool
@@ -87,7 +94,7 @@
 // New returns a ramp for the node with the given name. It allows nothing before the first
 // call of SetMembers.
 func New(self string, b Bounds) *Ramp {
-	return &Ramp{self: self, bounds: b, known: make(map[string]uint64), owned: make(map[string]ownership), spent: make(map[string]*sends)}
+	return &Ramp{self: self, bounds: b, known: make(map[string]known), owned: make(map[string]ownership), granted: make(map[string]time.Time), spent: make(map[string]*sends)}
 }
 
 // SetMembers replaces the members.
@@ -121,11 +128,11 @@
 }
 
 // SetKnown records the value of [Ramp.Version] at another node.
-func (r *Ramp) SetKnown(node string, version uint64) {
+func (r *Ramp) SetKnown(now time.Time, node string, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version > r.known[node] {
-		r.known[node] = version
+	if version > r.known[node].version {
+		r.known[node] = known{version, now}
 	}
 }
 
@@ -217,10 +224,21 @@
 	if !o.owner {
 		return false
 	}
-	if now.Sub(o.since) >= r.wait() {
+	if since, ok := r.granted[upstream]; ok && since.Equal(o.since) {
 		return true
 	}
-	return !o.removed && !slices.ContainsFunc(o.displaced, func(node string) bool { return r.known[node] < o.version })
+	if now.Sub(o.since) < r.wait() && (o.removed || slices.ContainsFunc(o.displaced, func(node string) bool { return !r.gaveUp(now, node, o.version) })) {
+		return false
+	}
+	r.granted[upstream] = o.since
+	return true
+}
+
+// gaveUp reports whether a node has known the version of the members for a window, so that
+// what it sent before counts no more. The caller must hold mu.
+func (r *Ramp) gaveUp(now time.Time, node string, version uint64) bool {
+	k := r.known[node]
+	return k.version >= version && now.Sub(k.at) >= Window
 }
 
 // Allows reports whether a request may be sent now to a cold upstream that tolerates perS
@@ -259,6 +277,11 @@
 			delete(r.spent, name)
 		}
 	}
+	for name := range r.granted {
+		if !keep(name) {
+			delete(r.granted, name)
+		}
+	}
 }
 
 // within returns the number of requests within the last window, and forgets older ones.
--- a/ramp/ramp_test.go
+++ b/ramp/ramp_test.go
@@ -47,7 +47,7 @@
 				r := ramp.New(name, bounds)
 				r.SetMembers(begin, m)
 				for _, other := range all {
-					r.SetKnown(other, 7)
+					r.SetKnown(begin.Add(-ramp.Window), other, 7)
 				}
 				nodes = append(nodes, r)
 			}
@@ -82,9 +82,10 @@
 	is.True(upstream != "")
 	is.True(!r.Owns(begin, upstream)) // nobody has said to know of the node
 	for _, name := range all {
-		r.SetKnown(name, 1)
+		r.SetKnown(begin, name, 1)
 	}
-	is.True(r.Owns(begin, upstream))
+	is.True(!r.Owns(begin.Add(ramp.Window-1), upstream)) // what the others sent still counts
+	is.True(r.Owns(begin.Add(ramp.Window), upstream))
 	is.True(r.Owns(begin.Add(maxAge), upstream))
 	is.True(!r.Owns(begin.Add(maxAge+1), upstream)) // the view is too old
 	later := begin.Add(time.Minute)
@@ -115,7 +116,7 @@
 	left := append(rest, second)
 	r.SetMembers(at, ramp.Members{Names: left, Version: 2, AsOf: at, MaxAge: maxAge})
 	for _, name := range all {
-		r.SetKnown(name, 2)
+		r.SetKnown(begin, name, 2)
 	}
 	is.True(!r.Owns(at, "u"))
 	at = at.Add(2*maxAge + ramp.Window)
@@ -201,7 +202,7 @@
 				if rng.IntN(10) == 0 { // a message to all
 					for _, other := range nodes {
 						if !now.Before(other.deafUntil) && !now.Before(n.deafUntil) {
-							other.r.SetKnown(name, n.r.Version())
+							other.r.SetKnown(now, name, n.r.Version())
 						}
 					}
 				}
