mirror, sched: evacuated data centres and allowed regions

Requests went to upstreams of data centres that operators had evacuated, and to regions that routes and workspaces exclude, since neither was read. Evacuations are followed where the settings state their limit; a node does not serve before it knows them, and tells the others at once. The placer leaves out upstreams and caches there. Requests that wait there are withdrawn if they may be repeated. Parts of prompts that are restricted to regions have a salt of their own, so that unrestricted requests do not copy them.

--- a/edge/node.go
+++ b/edge/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -113,12 +114,18 @@
 		store.WithRestoreFunc(n.handleRestore))
 	n.cache = newCacheWatcher(adapter.Control, log, func() bool { return n.mesh.IsPromptWatcher() })
 	n.coldStarts = newColdStarts(n)
-	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit), sched.WithColdLimiter(n.coldStarts))
+	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit), sched.WithColdLimiter(n.coldStarts), sched.WithRegions(settings.Regions))
 	n.quota = newLimiter(settings.Node, settings.LinkMbps, func() { n.mesh.SendSoon() }, n.registry, log)
-	n.mirror = mirror.NewService(n.storeClient, adapter.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy),
-		mirror.WithMalformedFunc(malformedCounter(n.registry).Inc))
+	opts := []mirror.Option{mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy), mirror.WithMalformedFunc(malformedCounter(n.registry).Inc)}
+	evacuations, ok := adapter.Decoder.(mirror.EvacuationDecoder)
+	followsEvacuations := ok && settings.EvacuationLimit > 0
+	if followsEvacuations {
+		opts = append(opts, mirror.WithEvacuations(evacuations))
+	}
+	n.mirror = mirror.NewService(n.storeClient, adapter.Decoder, opts...)
 	n.mesh = mesh.New(n.record(), mesh.Deps{
 		Compose: n.compose, Receive: n.receive, Versions: n.mirror.Versions, Export: n.mirror.Export, Import: n.mirror.Import, Answer: n.quota.answer, Log: log,
+		Evacuations: followsEvacuations,
 	})
 	n.quota.ask, n.quota.nodes, n.quota.leaving = n.mesh.Ask, n.mesh.Peers, n.isLeaving
 	n.crash = crash.NewRegistry(recorder{log}, crash.WithBroadcast(n.pendingUpdates.addCrash, func(crash.RequestKey) {}))
@@ -264,7 +271,10 @@
 	n.quota.update(v, n.settings.Node)
 	n.coldStarts.handleViewChange(old, v)
 	n.cache.update(v)
-	if v.Config != old.Config || len(v.Rollouts) > len(old.Rollouts) {
+	switch {
+	case !maps.Equal(v.Evacuated, old.Evacuated):
+		n.mesh.SendNow() // for nodes that the store does not reach, or that follow it with delay
+	case v.Config != old.Config || len(v.Rollouts) > len(old.Rollouts):
 		n.mesh.SendSoon()
 	}
 	n.mu.Lock()
@@ -298,6 +308,16 @@
 			n.log.Info("upstream gone", "upstream", name)
 		}
 	}
+	for dc := range v.Evacuated {
+		if _, ok := old.Evacuated[dc]; !ok {
+			n.log.Warn("data centre evacuated", "evacuated", dc)
+		}
+	}
+	for dc := range old.Evacuated {
+		if _, ok := v.Evacuated[dc]; !ok {
+			n.log.Info("evacuation of a data centre ended", "evacuated", dc)
+		}
+	}
 	for model, w := range v.Weights {
 		if old.Weights[model].Version != w.Version {
 			n.log.Info("weights named", "model", model, "weights", w.Version)
@@ -366,6 +386,9 @@
 			n.mesh.SendNow()
 			n.log.Warn("upstream set aside", "upstream", name, "cause", "silent", "limit_ms", silentTimeout.Milliseconds())
 		}
+		for _, x := range n.placer.WithdrawEvacuated(clock.BootTime()) {
+			n.log.Info("request withdrawn", "request_id", x.ID, "upstream", x.Upstream, "cause", "data centre evacuated", "waited_ms", x.Waited.Milliseconds())
+		}
 		for _, x := range n.placer.ExpireWaiting(clock.BootTime()) {
 			n.log.Info("request withdrawn", "request_id", x.ID, "upstream", x.Upstream, "cause", "weights outdated", "weights", x.Weights,
 				"outdated_ms", x.OutdatedFor.Milliseconds(), "limit_ms", n.settings.WeightsLimit.Milliseconds(), "waited_ms", x.Waited.Milliseconds())
--- a/front/handler.go
+++ b/front/handler.go
@@ -167,6 +167,9 @@
 	if until, ok := h.Closing(); ok && (route.Kind == vane.RouteStream || c.deadline.After(until)) {
 		return vane.Refuse(vane.ReasonNodeLeaving, "this node is stopping; use another node").WithRetryAfter(minRetryAfter)
 	}
+	if sched.RegionsOf(route.Regions, c.tenancy.Regions).Empty() {
+		return vane.Refuse(vane.ReasonNoUpstream, "route %s allows the regions %v and workspace %s the regions %v; no region is in both", route.Name, route.Regions, c.tenancy.Workspace, c.tenancy.Regions)
+	}
 	c.service = chooseService(route.Services, c.meta.ID)
 	if ref := readBody(w, r, c, cfg.Limits.BodyBytes); ref != nil {
 		return ref
@@ -313,7 +316,7 @@
 func (c *request) placementQuery(avoid []string) sched.Query {
 	q := sched.Query{
 		ID: c.meta.ID, Service: c.service, Model: c.meta.Model, Parts: c.meta.Parts, PromptTokens: c.meta.PromptTokens,
-		Bytes: len(c.body), Objective: c.route.LatencyTarget, Avoid: avoid,
+		Bytes: len(c.body), Objective: c.route.LatencyTarget, Avoid: avoid, Regions: sched.RegionsOf(c.route.Regions, c.tenancy.Regions),
 	}
 	if c.tenancy.Isolated {
 		q.CacheScope = c.tenancy.Workspace
--- a/front/serve.go
+++ b/front/serve.go
@@ -52,7 +52,7 @@
 	for {
 		pick, ok := h.Placer.Pick(clock.BootTime(), c.placementQuery(t.avoid))
 		if !ok {
-			h.finishRefused(w, t, t.withExecution(vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s accepts requests now", c.service).WithRetryAfter(h.retryAfter(c.service))))
+			h.finishRefused(w, t, t.withExecution(h.noUpstream(c)))
 			return
 		}
 		t.result = h.newResult(t, pick)
@@ -163,6 +163,7 @@
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick) *vane.Refusal {
 	t.answering = false
 	q := t.placementQuery(nil)
+	q.Repeatable = t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && t.sends+1 < maxSends
 	att := h.Placer.Begin(clock.BootTime(), q, p)
 	defer func() { h.Placer.End(clock.BootTime(), att) }()
 	f := vane.Forward{
--- a/front/wishes.go
+++ b/front/wishes.go
@@ -34,3 +34,12 @@
 	}
 	return max(busyRetryAfter, d) + rand.N(busyRetryAfter)
 }
+
+// noUpstream returns the refusal of a request for which no upstream can be picked.
+func (h *Handler) noUpstream(c *request) *vane.Refusal {
+	where := ""
+	if r := sched.RegionsOf(c.route.Regions, c.tenancy.Regions).String(); r != "" {
+		where = " in the regions " + r
+	}
+	return vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s%s accepts requests now", c.service, where).WithRetryAfter(h.retryAfter(c.service))
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -41,6 +41,8 @@
 	Import   func([]vane.Object)                         // applies the objects of a snapshot
 	Answer   func(now time.Time, question []byte) []byte // answers a question of another node without blocking; nil if it can't; optional
 	Log      *slog.Logger                                // takes the log lines of the mesh
+
+	Evacuations bool // this node follows evacuations, so that it is to be told of newer ones
 }
 
 // Peer is the known state of another node.
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -47,6 +47,7 @@
 	Convictions    []Conviction    `msgpack:"convictions,omitempty"`     // parts of prompts with which requests are refused
 	StoreFailing   bool            `msgpack:"store_failing,omitempty"`   // the store does not answer the node
 	Leaving        []UpstreamStart `msgpack:"leaving,omitempty"`         // upstreams that said that they are leaving
+	Evacuations    uint64          `msgpack:"evacuations,omitempty"`     // newest known version of any evacuation
 	NodesVersion   uint64          `msgpack:"nodes_version,omitempty"`   // version of the list of nodes by which the node decides which cold upstreams it owns; zero if there are none
 	Cold           []ColdReport    `msgpack:"cold,omitempty"`            // upstreams that are cold, or were found warm after a failure
 }
--- a/mesh/post.go
+++ b/mesh/post.go
@@ -32,7 +32,7 @@
 	msg := &Message{Name: m.self.Name, Boot: m.self.Boot, Callers: m.self.Callers}
 	known := m.Versions()
 	msg.UpstreamVersion, msg.ConfigVersion, msg.WeightsVersion = known.Upstreams, known.Config, known.Weights
-	msg.RolloutVersion = known.Rollouts
+	msg.RolloutVersion, msg.Extension.Evacuations = known.Rollouts, known.Evacuations
 	m.Compose(now, msg)
 	m.mu.Lock()
 	m.seq++
@@ -243,7 +243,7 @@
 	}
 	p.seq, p.LastHeard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
 	p.Fence, p.StoreOK, p.StoreFailing, p.Callers = msg.Fence, msg.StoreOK, msg.Extension.StoreFailing, msg.Callers
-	ahead := msg.ConfigVersion > known.Config || msg.WeightsVersion > known.Weights || msg.RolloutVersion > known.Rollouts
+	ahead := msg.ConfigVersion > known.Config || msg.WeightsVersion > known.Weights || msg.RolloutVersion > known.Rollouts || m.Evacuations && msg.Extension.Evacuations > known.Evacuations
 	trackSince(&p.aheadSince, now, ahead)
 	if ahead && !m.promptWatcherLocked(now) {
 		// This node watches the store with delay, so it does not wait for the store.
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -24,6 +24,8 @@
 	paramWeights   = "weights"
 	paramNodeState = "own"
 	paramRollouts  = "rollouts"
+
+	paramEvacuations = "evacuations"
 )
 
 // serveSnapshot sends another node the objects that it lacks.
@@ -33,6 +35,10 @@
 	if !q.Has(paramRollouts) {
 		have.Rollouts = math.MaxUint64 // a node of an earlier build would count them as configuration
 	}
+	have.Evacuations = math.MaxUint64
+	if q.Has(paramEvacuations) { // else the node does not follow them
+		have.Evacuations = versionParam(q, paramEvacuations)
+	}
 	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
 	if err == nil {
 		err = msgpack.NewEncoder(z).Encode(m.Export(have))
@@ -125,6 +131,9 @@
 	for name, version := range map[string]uint64{paramConfig: have.Config, paramUpstreams: have.Upstreams, paramWeights: have.Weights, paramNodeState: have.NodeState, paramRollouts: have.Rollouts} {
 		q.Set(name, strconv.FormatUint(version, 10))
 	}
+	if m.Evacuations {
+		q.Set(paramEvacuations, strconv.FormatUint(have.Evacuations, 10))
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+snapshotPath+"?"+q.Encode(), nil)
 	if err != nil {
 		return nil, err
--- a/mirror/decode.go
+++ b/mirror/decode.go
@@ -35,6 +35,10 @@
 		if r, ok := s.dec.Rollout(o); ok {
 			return r
 		}
+	case s.evacuated.has(key):
+		if dc, ok := s.evacuated.dec.Evacuation(o); ok {
+			return evacuation{dc}
+		}
 	case strings.HasPrefix(key, weightsRecordPrefix):
 		var n WeightsRecord
 		if json.Unmarshal(o.Value, &n) == nil {
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -81,6 +81,11 @@
 	return func(s *Service) { s.watchPolicy = f }
 }
 
+// WithEvacuations makes the service follow evacuations of data centres.
+func WithEvacuations(d EvacuationDecoder) Option {
+	return func(s *Service) { s.state.FollowEvacuations(d) }
+}
+
 // WithLogger sets the logger. Without it nothing is logged.
 func WithLogger(l *slog.Logger) Option { return func(s *Service) { s.log = l } }
 
@@ -139,7 +144,7 @@
 	s.mu.Lock()
 	until := s.contact.stalledSince(clock.BootTime())
 	s.mu.Unlock()
-	s.updateSince(until, func(now time.Time) bool { return s.state.Apply(now, objs) })
+	s.updateSince(until, func(now time.Time) bool { return s.state.Import(now, objs) })
 }
 
 // MergeAge is [State.MergeAge] at the present time.
@@ -190,7 +195,11 @@
 func (s *Service) Run(ctx context.Context, ready func()) error {
 	var wg sync.WaitGroup
 	dec := s.state.dec
-	for _, p := range []string{dec.ConfigPrefix(), dec.UpstreamPrefix(), dec.WeightsPrefix(), dec.RolloutPrefix(), NodeStatePrefix} {
+	prefixes := []string{dec.ConfigPrefix(), dec.UpstreamPrefix(), dec.WeightsPrefix(), dec.RolloutPrefix(), NodeStatePrefix}
+	if e := s.state.evacuated.dec; e != nil {
+		prefixes = append(prefixes, e.EvacuationPrefix())
+	}
+	for _, p := range prefixes {
 		wg.Go(func() { s.follow(ctx, p) })
 	}
 	wg.Go(func() {
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -45,6 +45,7 @@
 	Weights        map[string]Weights         // target weights by model
 	Peers          map[string]vane.PeerRecord // records of all nodes by node name
 	Rollouts       map[string]vane.Rollout    // roll-outs by service
+	Evacuated      map[string]uint64          // version of the evacuation by data centre; nil if evacuations are not followed
 }
 
 // TargetWeights returns the number of the weights with which the model is to be served,
@@ -55,6 +56,7 @@
 // times that its methods take must come from one clock.
 type State struct {
 	dec             Decoder
+	evacuated       evacuations
 	objects         map[string]vane.Object   // objects by key, including removed ones, which are marked as deleted
 	decoded         map[string]decodedObject // decoded values of the objects that are not removed, by key
 	delayedRemovals map[string]vane.Object   // removals that are delayed until the end of the grace period, by key
@@ -134,6 +136,7 @@
 	if prefix == s.dec.WeightsPrefix() {
 		defer func() { s.followsWeights = true }()
 	}
+	changed = s.evacuated.recordList(prefix) || changed
 	if prefix == s.dec.UpstreamPrefix() {
 		defer func() { s.listsUpstreams = true }()
 	}
@@ -184,6 +187,7 @@
 	if changed {
 		s.versions = nil
 	}
+	changed = s.evacuated.tick(now) || changed
 	return s.rebuildView(now, changed)
 }
 
@@ -195,6 +199,8 @@
 	Weights   uint64
 	NodeState uint64 // newest version of the objects that the nodes write themselves
 	Rollouts  uint64
+
+	Evacuations uint64
 }
 
 // Export returns the objects that a node with the given versions lacks. It always
@@ -235,6 +241,8 @@
 		return &v.Weights
 	case strings.HasPrefix(key, s.dec.RolloutPrefix()):
 		return &v.Rollouts
+	case s.evacuated.has(key):
+		return &v.Evacuations
 	case strings.HasPrefix(key, NodeStatePrefix):
 		return &v.NodeState
 	}
@@ -249,7 +257,8 @@
 		outage := s.storeDown || now.Before(s.graceEnd) || s.restored.inGrace(now, s.dec.UpstreamPrefix())
 		return outage && !s.isLeaving(s.objects[key])
 	}
-	return strings.HasPrefix(key, s.dec.RolloutPrefix()) && s.restored.inGrace(now, s.dec.RolloutPrefix()) ||
+	return s.evacuated.has(key) && s.restored.inGrace(now, s.evacuated.dec.EvacuationPrefix()) ||
+		strings.HasPrefix(key, s.dec.RolloutPrefix()) && s.restored.inGrace(now, s.dec.RolloutPrefix()) ||
 		strings.HasPrefix(key, peerPrefix) && s.restored.inGrace(now, NodeStatePrefix)
 }
 
@@ -304,6 +313,9 @@
 		Config: old.Config, ConfigRevision: old.ConfigRevision, Upstreams: make(map[string]vane.Upstream, len(s.objects)),
 		Weights: make(map[string]Weights), Peers: make(map[string]vane.PeerRecord), Rollouts: make(map[string]vane.Rollout),
 	}
+	if s.evacuated.dec != nil {
+		v.Evacuated = make(map[string]uint64)
+	}
 	maps.Copy(v.Weights, old.Weights)
 	var records []WeightsRecord
 	for k, o := range s.objects {
@@ -334,6 +346,7 @@
 			v.Weights[n.Model] = w.merge(n, s.wallOffset)
 		}
 	}
+	s.holdConfig(now, v)
 	s.view = v
 	return true
 }
@@ -362,5 +375,7 @@
 		v.Peers[x.Name] = x
 	case vane.Rollout:
 		v.Rollouts[x.Service] = x
+	case evacuation:
+		v.Evacuated[x.dataCentre] = d.version
 	}
 }
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -59,7 +59,7 @@
 	last := shared[len(shared)-1].ID
 	out := make(map[uint64]*partHolders)
 	for _, u := range p.byService[q.Service] {
-		if u.Role != vane.RoleEngine {
+		if u.Role != vane.RoleEngine || p.excludesDataCentre(q, u.DataCentre) {
 			continue
 		}
 		h, ok := out[u.Weights]
@@ -111,7 +111,7 @@
 	c.SharedTokens, c.StoredTokens, c.Holders, c.HoldsShared = int(tokens), int(sum[stored]), h.complete, own == len(shared)
 
 	src, found := h.source(u, now)
-	addr, up := p.cache.Addr()
+	addr, up := p.cacheStore(q)
 	storeMS := p.storeLink.waitMS(now)
 	fetched, ms := 0.0, 0.0 // tokens that can be fetched, and the milliseconds that it takes
 	switch {
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -20,6 +20,8 @@
 	Bytes        int           // size of the request
 	Objective    time.Duration // time within which the first token should arrive; zero or less for the default
 	Avoid        []string      // names of upstreams that must not be chosen
+	Regions      Regions       // regions to which the request may be sent
+	Repeatable   bool          // if the attempt fails, the request may be sent to another upstream
 }
 
 // Shared returns the parts that other prompts can have in common with this one: all but
@@ -70,7 +72,7 @@
 	var best Pick
 	found := false
 	for _, u := range p.byService[q.Service] {
-		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.excludesCold(now, u) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
+		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.excludesDataCentre(q, u.DataCentre) || p.excludesCold(now, u) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
 			continue
 		}
 		c := p.evaluate(now, q, u, target, holders[u.Weights])
@@ -113,7 +115,7 @@
 	newest, older := 0, 0
 	for _, u := range p.byService[q.Service] {
 		switch {
-		case u.Role != vane.RoleEngine || !u.usable(now) || u.isCold(now) || slices.Contains(q.Avoid, u.Name):
+		case u.Role != vane.RoleEngine || !u.usable(now) || u.isCold(now) || p.excludesDataCentre(q, u.DataCentre) || slices.Contains(q.Avoid, u.Name):
 		case u.Weights >= target.Version:
 			newest++
 		case !p.outdated(now, u, target):
@@ -132,8 +134,13 @@
 }
 
 // salt returns the cache salt of the prompt's parts at engines with the given weights.
-// Requests share cached parts only within the same scope, model and weights.
+// Requests share cached parts only within the same scope, model and weights, and the same
+// allowed regions, so that a request that may go anywhere does not copy parts of one that may
+// not.
 func salt(q Query, weights uint64) string {
+	if q.Regions.restricted {
+		return q.CacheScope + "@" + q.Regions.String() + "|" + q.Model + "|" + strconv.FormatUint(weights, 10)
+	}
 	return q.CacheScope + "|" + q.Model + "|" + strconv.FormatUint(weights, 10)
 }
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -13,16 +13,18 @@
 // Attempt is a request that was sent to an upstream. It is created by [Placer.Begin] and
 // passed to the methods that report its progress.
 type Attempt struct {
-	id       string // ID of the request
-	name     string // name of the upstream
-	model    string
-	weights  uint64    // number of the engine's weights when the request was sent; zero for plain services
-	short    bool      // the prompt is short
-	tokens   int       // prompt tokens still to be computed
-	sent     time.Time // time at which the request was sent
-	started  bool      // the first bytes of the answer have arrived
-	ended    bool      // End was called
-	withdraw func()    // set by OnExpire; nil if there is none
+	id      string // ID of the request
+	name    string // name of the upstream
+	model   string
+	weights uint64    // number of the engine's weights when the request was sent; zero for plain services
+	short   bool      // the prompt is short
+	tokens  int       // prompt tokens still to be computed
+	sent    time.Time // time at which the request was sent
+	started bool      // the first bytes of the answer have arrived
+	ended   bool      // End was called
+
+	repeatable bool   // the request may be sent to another upstream
+	withdraw   func() // set by OnExpire; nil if there is none
 }
 
 // Placer chooses upstreams. It is safe for concurrent use. The times that its methods
@@ -32,7 +34,8 @@
 	dataCentre   string
 	weightsLimit time.Duration // time from the announcement of new weights until engines with older ones get no requests
 	cache        StoreIndex
-	cold         ColdLimiter // nil if there is none
+	cold         ColdLimiter       // nil if there is none
+	regions      map[string]string // region by data centre
 
 	mu           sync.Mutex
 	view         *mirror.View
@@ -113,7 +116,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prefillRate.add(now, c.UncachedTokens)
-	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now}
+	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now, repeatable: q.Repeatable}
 	if t.short {
 		p.shortRunning.add(now, 1)
 	} else {
--- a/site.go
+++ b/site.go
@@ -34,6 +34,7 @@
 	Public        bool              // no API key is required
 	HasPrompts    bool              // requests carry prompts with shared parts
 	Services      []WeightedService // at least one
+	Regions       []string          // regions to whose upstreams requests may be sent; empty for all
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -84,6 +85,7 @@
 	HasPriority bool     // the configuration states Priority
 	Isolated    bool     // cached prompt parts are not shared with other workspaces
 	Quota       Quota
+	Regions     []string // regions to whose upstreams requests may be sent; empty for all
 }
 
 // CallerLimits limits what callers may send. Sizes are in bytes.
