edge: directory answers leave out silent nodes and name the caller's region first

Callers of a large site were sent to a node for up to 12 s after it had ended, since a node counts as live for three message intervals. Where the settings state contact-ms, a node that was not heard within that limit, less the time of messages at relays, is left out. With several regions, nodes of the caller's region come first.

--- a/edge/settings.go
+++ b/edge/settings.go
@@ -74,6 +74,14 @@
 // mesh returns the address for messages between nodes.
 func (s Settings) mesh() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)) }
 
+// region returns the region of this node, or "" if it is not stated.
+func (s Settings) region() string {
+	if r := s.Regions[s.DataCentre]; r != "" {
+		return r
+	}
+	return s.Region
+}
+
 // ttl returns how long callers may cache a directory answer. A stopping node waits
 // three times as long before it closes its listener, within its grace period.
 func (s Settings) ttl() time.Duration {
--- a/edge/web.go
+++ b/edge/web.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,6 +20,9 @@
 	idleTimeout    = 5 * time.Minute  // longer than callers keep an idle connection
 	maxHeaderBytes = 64 << 10
 	maxAddresses   = 64 // addresses in a directory answer
+
+	contactMargin   = 3 * time.Second        // time that is allowed in addition to the contact limit
+	directoryMargin = 500 * time.Millisecond // time for the answer and for slow hosts
 )
 
 // httpListener is an HTTP server on one address.
@@ -84,7 +88,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	addrs := n.addresses()
+	addrs := n.addresses(n.adapter.Directory.Zone(r))
 	if len(addrs) == 0 {
 		http.Error(w, "no node is ready", http.StatusServiceUnavailable)
 		return
@@ -92,13 +96,61 @@
 	reply.JSON(w, n.adapter.Directory.Answer(addrs, n.settings.ttl()))
 }
 
-// addresses returns the addresses to which callers are directed.
-func (n *Node) addresses() []string {
+// addresses returns the addresses to which callers in the data centre are directed.
+func (n *Node) addresses(dataCentre string) []string {
 	self := ""
 	if n.isReady() {
 		self = n.settings.CallerAddr
 	}
-	return directoryAddresses(self, n.isLeaving(), n.mesh.Peers())
+	peers := n.mesh.Peers()
+	if n.settings.ContactLimit > 0 {
+		peers = recentPeers(time.Now(), peers, n.silenceLimit(len(peers)), self != "")
+	}
+	addrs := directoryAddresses(self, n.isLeaving(), peers)
+	n.sortByRegion(addrs, dataCentre, peers)
+	return addrs[:min(len(addrs), maxAddresses)]
+}
+
+// sortByRegion moves the addresses of nodes in the region of a caller's data centre to the
+// front. It changes nothing if that region is not known.
+func (n *Node) sortByRegion(addrs []string, dataCentre string, peers []mesh.Peer) {
+	region := n.settings.Regions[dataCentre]
+	if region == "" {
+		return
+	}
+	near := make(map[string]bool)
+	near[n.settings.CallerAddr] = n.settings.region() == region
+	for _, p := range peers {
+		near[p.Callers] = n.settings.Regions[p.DataCentre] == region
+	}
+	slices.SortStableFunc(addrs, func(a, b string) int {
+		switch {
+		case near[a] == near[b]:
+			return 0
+		case near[a]:
+			return -1
+		}
+		return 1
+	})
+}
+
+// silenceLimit returns the time without a message after which callers are not sent to one of n
+// other nodes. A message may have been on its way for two periods of relays, so that a node
+// may have ended that long before its last message arrived.
+func (n *Node) silenceLimit(peers int) time.Duration {
+	return max(0, n.settings.ContactLimit+contactMargin-directoryMargin-mesh.MaxTransit(peers))
+}
+
+// recentPeers returns the nodes that were heard within the limit. If this node is not ready
+// itself, those that it has never heard are returned too, so that callers of a node that
+// starts get an answer.
+func recentPeers(now time.Time, peers []mesh.Peer, limit time.Duration, ready bool) []mesh.Peer {
+	return slices.DeleteFunc(peers, func(p mesh.Peer) bool {
+		if p.LastHeard.IsZero() {
+			return ready
+		}
+		return now.Sub(p.LastHeard) > limit
+	})
 }
 
 // directoryAddresses returns the addresses of the ready nodes. self is the address of this
@@ -121,5 +173,5 @@
 	if self != "" {
 		ready = append([]string{self}, ready...)
 	}
-	return ready[:min(len(ready), maxAddresses)]
+	return ready
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -242,6 +242,15 @@
 	return sendPeriod(n) + 2*relayPeriod(n)
 }
 
+// MaxTransit returns the longest time that a message waits at relays, in a site with n other
+// nodes.
+func MaxTransit(n int) time.Duration {
+	if n <= maxSmallSite {
+		return 0
+	}
+	return 2 * relayPeriod(n)
+}
+
 // alive reports whether a message of the node arrived recently. The caller must hold
 // m.mu.
 func (m *Mesh) alive(p *Peer, now time.Time) bool {
