soak: cold upstreams and evacuations; sched: no requests right after a standstill

A node that stood still for half the evacuation limit picks no upstream for 0.6 s, since it may not know yet of an evacuation.

--- a/edge/cold.go
+++ b/edge/cold.go
@@ -22,7 +22,7 @@
 	smallSiteAge     = 5 * time.Second        // age up to which the list of nodes counts; a watch of the store takes up to 2 s, twice in a row
 	largeSiteAge     = 40 * time.Second       // the same for relaxed watches, which take 15 s, pause for up to 4.4 s, and may be some seconds late
 	coldCheckPeriod  = time.Second            // shortest time between two health checks of an upstream that failed
-	outageCheck      = 3 * time.Second        // the same for all upstreams while the store does not answer
+	outageCheck      = time.Second            // the same for all upstreams while the store does not answer
 	outageBegin      = time.Second            // time without the store after which upstreams are checked
 	coldTakeover     = 2 * time.Second        // time after which each node checks an upstream itself if it hears nothing from the one that should
 	smallSiteTransit = 200 * time.Millisecond // time that a message may take, in a small site
@@ -220,10 +220,11 @@
 	c.outstanding[upstream] = repeated[coldReport]{r, r.at.Add(updateRepeatTime)}
 }
 
-// handleViewChange tells the other nodes of a large site that an upstream's entry shows it
-// cold. Most of them follow the entries with some delay.
+// handleViewChange tells the other nodes that an upstream's entry shows that it has turned
+// cold. Most nodes of a large site follow the entries with some delay, and some nodes may not
+// reach the store.
 func (c *coldStarts) handleViewChange(old, v *mirror.View) {
-	if v.Config == nil || !c.n.mesh.IsLargeSite() || !c.n.mesh.IsPromptWatcher() {
+	if v.Config == nil || !c.n.mesh.IsPromptWatcher() {
 		return
 	}
 	now := clock.BootTime()
--- a/edge/node.go
+++ b/edge/node.go
@@ -114,7 +114,7 @@
 		store.WithRestoreFunc(n.handleRestore))
 	n.cache = newCacheWatcher(adapter.Control, log, func() bool { return n.mesh.IsPromptWatcher() })
 	n.coldStarts = newColdStarts(n)
-	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit), sched.WithColdLimiter(n.coldStarts), sched.WithRegions(settings.Regions))
+	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit), sched.WithColdLimiter(n.coldStarts), sched.WithRegions(settings.Regions), sched.WithStallLimit(settings.EvacuationLimit/2))
 	n.quota = newLimiter(settings.Node, settings.LinkMbps, func() { n.mesh.SendSoon() }, n.registry, log)
 	opts := []mirror.Option{mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy), mirror.WithMalformedFunc(malformedCounter(n.registry).Inc)}
 	evacuations, ok := adapter.Decoder.(mirror.EvacuationDecoder)
@@ -380,6 +380,7 @@
 		}
 		n.quota.tick()
 		n.forgetDeadPeers()
+		n.placer.Tick(clock.BootTime())
 		n.coldStarts.tick(ctx, clock.BootTime())
 		for _, name := range n.placer.EjectSilent(clock.BootTime(), silentTimeout) {
 			n.pendingUpdates.addUnresponsive(name)
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -61,6 +61,9 @@
 	if q.Objective <= 0 {
 		q.Objective = defaultObjective
 	}
+	if p.settles(now) {
+		return Pick{}, false
+	}
 	target := p.view.Weights[q.Model]
 	reservedRank := -1.0
 	if q.PromptTokens > 0 {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -36,6 +36,7 @@
 	cache        StoreIndex
 	cold         ColdLimiter       // nil if there is none
 	regions      map[string]string // region by data centre
+	stall        stall
 
 	mu           sync.Mutex
 	view         *mirror.View
--- a/sched/where.go
+++ b/sched/where.go
@@ -37,6 +37,48 @@
 // String returns the allowed regions, separated by commas; empty if all are.
 func (r Regions) String() string { return strings.Join(r.names, ",") }
 
+// settleTime is the time after a standstill within which what happened meanwhile arrives: the
+// answers of pending watches, and messages of other nodes.
+const settleTime = 600 * time.Millisecond
+
+// WithStallLimit sets the time without a call of [Placer.Tick] after which the node counts as
+// having stood still. It then picks no upstream for a moment, since a data centre may have
+// been evacuated meanwhile. Zero, the default, means that it never does.
+func WithStallLimit(d time.Duration) Option { return func(p *Placer) { p.stall.limit = d } }
+
+// stall notices that the process stood still, as on a frozen host.
+type stall struct {
+	limit    time.Duration // zero if it is not to be noticed
+	tickedAt time.Time
+	until    time.Time // end of the time after a standstill in which no upstream is picked
+}
+
+// tick records that the process runs.
+func (s *stall) tick(now time.Time) {
+	if s.limit > 0 && !s.tickedAt.IsZero() && now.Sub(s.tickedAt) > s.limit {
+		s.until = now.Add(settleTime)
+	}
+	s.tickedAt = now
+}
+
+// Tick tells the placer that the process runs. It must be called several times within the stall
+// limit.
+func (p *Placer) Tick(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stall.tick(now)
+}
+
+// settles reports whether the process stood still until a moment ago. The caller must hold
+// p.mu.
+func (p *Placer) settles(now time.Time) bool {
+	if p.stall.limit <= 0 || p.stall.tickedAt.IsZero() {
+		return false
+	}
+	p.stall.tick(now)
+	return now.Before(p.stall.until)
+}
+
 // excludesDataCentre reports whether a request must not be sent to a data centre: it is
 // evacuated, or not in an allowed region. A data centre whose region is not known is in none.
 func (p *Placer) excludesDataCentre(q Query, dataCentre string) bool {
--- a/sched/where_test.go
+++ b/sched/where_test.go
@@ -99,6 +99,33 @@
 	is.Equal(c.SaveTo, "")
 }
 
+// Guards against a node that stood still, does not know yet that a data centre was evacuated
+// meanwhile, and sends what had arrived.
+func TestNoRequestsRightAfterAStandstill(t *testing.T) {
+	is := is.New(t)
+	p := sched.New("dc0", &cache{down: true}, sched.WithStallLimit(2*time.Second))
+	p.Update(evacuate(view(3, same(1))))
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	picks := func(d time.Duration) bool {
+		_, ok := p.Pick(at(d), query(1, 1))
+		return ok
+	}
+	is.True(picks(0))
+	p.Tick(at(0))
+	is.True(picks(2 * time.Second))
+	p.Tick(at(2 * time.Second))
+	is.True(!picks(5 * time.Second)) // before the first tick after the standstill
+	p.Tick(at(5100 * time.Millisecond))
+	is.True(!picks(5500 * time.Millisecond))
+	p.Tick(at(5500 * time.Millisecond))
+	is.True(picks(5700 * time.Millisecond))
+	other := sched.New("dc0", &cache{down: true})
+	other.Update(view(3, same(1)))
+	other.Tick(at(0))
+	_, ok := other.Pick(at(time.Hour), query(1, 1))
+	is.True(ok)
+}
+
 // Guards against requests that stay in the queue of an upstream whose data centre is
 // evacuated although they may go elsewhere, and against ends of those that may not.
 func TestWaitingRequestsLeaveAnEvacuatedDataCentre(t *testing.T) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -180,7 +180,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.configVersion += 3
-	if err := b.store.Put("config", "main", stand.Config(b.configVersion)); err != nil {
+	if err := b.store.Put("config", "main", b.config()); err != nil {
 		b.violations = append(b.violations, Violation{Check: "soak", Request: "configuration", Detail: err.Error()})
 	}
 }
--- a/soak/node.go
+++ b/soak/node.go
@@ -13,7 +13,6 @@
 
 	"mustardvane.org/vane/internal/port"
 	"mustardvane.org/vane/platform"
-	"mustardvane.org/vane/platform/stand"
 )
 
 // startTimeout limits the time from the start of a process until it listens.
@@ -40,8 +39,8 @@
 }
 
 // newNode returns node number i, whose settings and log are in a subfolder of dir. store is
-// the address of the store. It starts the proxy to the store, but not the process.
-func newNode(i int, binary, dir, store string) (*node, error) {
+// the address of the store, and settings returns the contents of the settings file. It starts the proxy to the store, but not the process.
+func newNode(i int, binary, dir, store string, settings func(name, store string, ports [5]int) map[string]any) (*node, error) {
 	n := &node{name: nodeName(i), binary: binary, dir: filepath.Join(dir, nodeName(i))}
 	if err := os.MkdirAll(n.dir, 0o755); err != nil {
 		return nil, err
@@ -53,7 +52,7 @@
 	if n.ports, err = freePorts(); err != nil {
 		return nil, err
 	}
-	b, err := json.Marshal(stand.Settings(n.name, n.storeProxy.addr(), n.ports))
+	b, err := json.Marshal(settings(n.name, n.storeProxy.addr(), n.ports))
 	if err != nil {
 		return nil, err
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -56,6 +56,7 @@
 	processes       []*stand.Process // of the upstreams, with Options.Crashes only
 	nodes           []*node
 	close           []func() // called by shutDown
+	cold            bool     // upstreams start cold, and data centres are evacuated
 
 	mu             sync.Mutex
 	faults         []string
@@ -103,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	if err := b.store.Put("config", "main", stand.Config(b.configVersion)); err != nil {
+	if err := b.store.Put("config", "main", b.config()); err != nil {
 		return err
 	}
 	for i := range serverCount {
@@ -112,7 +113,11 @@
 		}
 	}
 	for i := range nodeCount {
-		n, err := newNode(i, b.opt.Binary, b.opt.Dir, addr)
+		settings := stand.Settings
+		if b.cold {
+			settings = stand.ColdSettings
+		}
+		n, err := newNode(i, b.opt.Binary, b.opt.Dir, addr, settings)
 		if err != nil {
 			return err
 		}
@@ -145,7 +150,7 @@
 		return err
 	}
 	b.upstreamProxies, b.close = append(b.upstreamProxies, p), append(b.close, p.close)
-	return b.store.Put("servers", s.ID(), s.Entry(p.addr(), "z", "ready"))
+	return b.store.Put("servers", s.ID(), s.Entry(p.addr(), b.zone(i), "ready"))
 }
 
 // serve serves a fake on the loopback interface and returns its address.
