--- a/sched/hold.go
+++ b/sched/hold.go
@@ -59,7 +59,7 @@
 	last := shared[len(shared)-1].ID
 	out := make(map[uint64]*partHolders)
 	for _, u := range p.byService[q.Service] {
-		if u.Role != vane.RoleEngine {
+		if u.Role != vane.RoleEngine || p.excludesDataCentre(q, u.DataCentre) {
 			continue
 		}
 		h, ok := out[u.Weights]
@@ -73,7 +73,7 @@
 				h.complete++
 			}
 		}
-		if a := rendezvousHash(last, u.Name); u.usable(now) && !f.excludes(u) && (reservedRank < 0 || q.short() == (u.rank <= reservedRank)) && (h.preferred == nil || a < h.lowest) {
+		if a := rendezvousHash(last, u.Name); u.usable(now) && !u.isCold(now) && !f.excludes(u) && (reservedRank < 0 || q.short() == (u.rank <= reservedRank)) && (h.preferred == nil || a < h.lowest) {
 			h.preferred, h.lowest = u, a
 		}
 	}
@@ -110,7 +110,7 @@
 	c.SharedTokens, c.StoredTokens, c.Holders, c.HoldsShared = int(tokens), int(sum[stored]), h.complete, own == len(shared)
 
 	src, found := h.source(u, now)
-	addr, up := p.cache.Addr()
+	addr, up := p.cacheStore(q)
 	storeMS := p.storeLink.waitMS(now)
 	fetched, ms := 0.0, 0.0 // tokens that can be fetched, and the milliseconds that it takes
 	switch {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -30,6 +30,7 @@
 	estimate, objective time.Duration // of the time to the first token
 	fetchMS             float64       // part of the estimate for fetching parts, in milliseconds
 	unmeasured          bool          // the attempt does not count for the rates
+	repeatable          bool          // the request may be sent to another upstream
 	withdraw            func()        // set by OnExpire; nil if there is none
 }
 
@@ -40,6 +41,9 @@
 	dataCentre   string
 	weightsLimit time.Duration // time from the announcement of new weights until engines with older ones get no requests
 	cache        StoreIndex
+	cold         ColdLimiter       // nil if there is none
+	regions      map[string]string // region by data centre
+	stall        stall
 
 	mu           sync.Mutex
 	view         *mirror.View
@@ -112,6 +116,7 @@
 		p.byService[u.Service] = append(p.byService[u.Service], s)
 	}
 	p.rates.Keep(p.knowsService)
+	p.configureCold()
 	for _, l := range p.byService {
 		slices.SortFunc(l, func(a, b *upstream) int { return cmp.Compare(a.rank, b.rank) })
 	}
@@ -133,7 +138,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prefillRate.add(now, c.UncachedTokens)
-	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now, service: q.Service, estimate: c.Estimate, objective: q.Objective, fetchMS: c.fetchMS}
+	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now, service: q.Service, estimate: c.Estimate, objective: q.Objective, fetchMS: c.fetchMS, repeatable: q.Repeatable}
 	if t.objective <= 0 {
 		t.objective = defaultObjective
 	}
