sched, front: upstreams are asked for their load before a request is sent

Callers waited for engines whose machines were slow at the moment although others were not. A machine's slowdown changes several times a second, and a node gets an answer of the same engine only every 10 to 30 s, so that what it saw last is useless at nearly every choice. Other sites are not asked anything.

The replay does not count the time of the questions.

--- a/dialect.go
+++ b/dialect.go
@@ -141,6 +141,9 @@
 	// none. The state is ProcessReplaced if another upstream answers. healthPath is the path
 	// of the health check of a plain service.
 	Process(ctx context.Context, u Upstream, healthPath string) (uint64, ProcessState)
+	// Load asks an upstream for its load, with a request for the path of its health check. It
+	// returns false if the upstream does not state it.
+	Load(ctx context.Context, u Upstream, healthPath string) (Load, bool)
 	// CacheContents returns all parts that a cache holds, each as an event that adds it.
 	CacheContents(ctx context.Context, addr string) (CacheChanges, error)
 	// CacheChanges waits for changes of a cache after the position since.
--- a/edge/node.go
+++ b/edge/node.go
@@ -134,7 +134,7 @@
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash, Parts: n.parts,
-		RetryBudget: n.retryWindow, Draining: n.isLeaving, Closing: n.closing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, Process: n.processOf, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
+		RetryBudget: n.retryWindow, Draining: n.isLeaving, Closing: n.closing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, Process: n.processOf, UpstreamLoad: n.adapter.Control.Load, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
 	})
 	return n, n.register()
 }
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -124,6 +124,10 @@
 	return vane.EngineReport{Weights: map[string]uint64{"m": e.weights[u.Name]}, AcceptedOrders: e.seq[u.Name]}, nil
 }
 
+func (e *engines) Load(context.Context, vane.Upstream, string) (vane.Load, bool) {
+	return vane.Load{}, false
+}
+
 func (e *engines) Process(_ context.Context, _ vane.Upstream, healthPath string) (uint64, vane.ProcessState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -194,6 +194,18 @@
 
 	mu      sync.Mutex
 	results []canary.Sample
+	load    func(ctx context.Context, name string) (vane.Load, bool) // answers load checks; nil if no upstream does
+	checked []string                                                 // upstreams that were asked for their load
+}
+
+func (b *testFront) upstreamLoad(ctx context.Context, u vane.Upstream, _ string) (vane.Load, bool) {
+	b.mu.Lock()
+	b.checked = append(b.checked, u.Name)
+	b.mu.Unlock()
+	if b.load == nil {
+		return vane.Load{}, false
+	}
+	return b.load(ctx, u.Name)
 }
 
 func (b *testFront) recordResult(_ vane.Upstream, _ string, s canary.Sample) {
@@ -257,7 +269,7 @@
 		vane.Route{Name: "safe", Host: "h", PathPrefix: "/safe/", Kind: vane.RouteSafe, MaxAttempts: 2, Services: s, Timeout: 10 * time.Second},
 		vane.Route{Name: "once", Host: "h", PathPrefix: "/once/", Kind: vane.RouteStream, MaxAttempts: 2, Services: s, Timeout: 10 * time.Second},
 		vane.Route{Name: "resume", Host: "h", PathPrefix: "/resume/", Kind: vane.RouteStream, Resumable: true, MaxAttempts: 2, Services: s, Timeout: 10 * time.Second},
-	), site.WithWorkspaces(vane.WorkspaceConfig{Workspace: "ws", Keys: []string{"k"}, Quota: vane.Quota{Rate: 1, Burst: 1}}))
+	), site.WithServices(vane.Service{Name: "s", HealthPath: "/healthz"}), site.WithWorkspaces(vane.WorkspaceConfig{Workspace: "ws", Keys: []string{"k"}, Quota: vane.Quota{Rate: 1, Burst: 1}}))
 	p := sched.New("dc", noCacheStore{})
 	p.Update(v)
 	b.placer, b.view, b.crashes = p, v, crash.NewRegistry(b.events)
@@ -265,8 +277,8 @@
 	t.Cleanup(pool.Close)
 	w := retry.NewWindow(10*time.Second, 0, slack)
 	h := front.New(front.Deps{
-		RecordResult: b.recordResult,
-		View:         func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
+		RecordResult: b.recordResult, UpstreamLoad: b.upstreamLoad,
+		View: func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
 		Crashes: b.crashes, Parts: newParts(&b.partCrashes), RetryBudget: func(string) *retry.Window { return w },
 		Draining: b.stopping.Load, Closing: func() (time.Time, bool) { return b.until, b.stopping.Load() }, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {}, UpstreamLeaving: func(vane.Upstream) {}, Process: processOf(&b.upstreams),
 		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
--- a/front/handler.go
+++ b/front/handler.go
@@ -69,6 +69,7 @@
 	UpstreamMismatch func(u vane.Upstream)                                                                     // called when a response shows that another upstream has the address
 	UpstreamFailed   func(u vane.Upstream)                                                                     // called when an upstream can't be reached or its connection fails before a response
 	Process          func(ctx context.Context, u vane.Upstream, healthPath string) (uint64, vane.ProcessState) // returns the incarnation of an upstream's process, if one runs
+	UpstreamLoad     func(ctx context.Context, u vane.Upstream, healthPath string) (vane.Load, bool)           // asks an upstream for its load; false if it does not state it in time
 	UpstreamLeaving  func(u vane.Upstream)                                                                     // called when a response shows that an upstream is leaving
 	RecordResult     func(u vane.Upstream, service string, s canary.Sample)                                    // called with the result of each attempt that ran
 	Log              *slog.Logger
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -15,6 +15,7 @@
 	answers           *prometheus.CounterVec
 	responseSeconds   *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
+	loadChecks        *prometheus.CounterVec
 }
 
 // NewMetrics registers the collectors with r.
@@ -39,10 +40,17 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"route"}),
 	}
-	r.MustRegister(m.refusals, m.answers, m.responseSeconds, m.firstEventSeconds)
+	m.loadChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "vane_front_load_checks_total",
+		Help: "Upstreams that were asked for their load before a request was sent, by result.",
+	}, []string{"result"})
+	r.MustRegister(m.refusals, m.answers, m.responseSeconds, m.firstEventSeconds, m.loadChecks)
 	return m
 }
 
+// countLoadCheck counts an upstream that was asked for its load.
+func (m *Metrics) countLoadCheck(result string) { m.loadChecks.WithLabelValues(result).Inc() }
+
 // countRefused counts a request that got no complete response.
 func (m *Metrics) countRefused(route string, reason vane.Reason) {
 	m.refusals.WithLabelValues(route, reason.String()).Inc()
--- a/front/serve.go
+++ b/front/serve.go
@@ -55,6 +55,7 @@
 			h.finishRefused(w, t, t.withExecution(vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s accepts requests now", c.service).WithRetryAfter(h.retryAfter(c.service))))
 			return
 		}
+		pick = h.checkLoads(ctx, t, pick)
 		t.result = h.newResult(t, pick)
 		ref := h.attempt(ctx, w, r, t, pick)
 		t.result.end(time.Now(), ref)
--- a/rates/rates.go
+++ b/rates/rates.go
@@ -175,7 +175,26 @@
 	return s
 }
 
-// Observe adds a sample of a service. Samples with impossible values are ignored.
+// ObserveSlowdown adds a slowdown that an upstream of a service stated. Zero and impossible
+// values are ignored.
+func (e *Estimator) ObserveSlowdown(name string, slowdown float64) {
+	if !(slowdown > 0) || math.IsInf(slowdown, 0) {
+		return
+	}
+	s := e.state(name)
+	if s.slowdown == 0 {
+		s.slowdown = 1
+	}
+	s.slowdown += (limited(slowdown) - s.slowdown) * slowdownWeight
+}
+
+// limited returns a stated slowdown within the bounds that count.
+func limited(slowdown float64) float64 {
+	return min(max(slowdown, 1/maxSlowdown), maxSlowdown)
+}
+
+// Observe adds a sample of a service. Samples with impossible values are ignored. The
+// slowdown of the sample does not count for the mean, see [Estimator.ObserveSlowdown].
 func (e *Estimator) Observe(name string, x Sample) {
 	if !x.valid() {
 		return
@@ -183,11 +202,7 @@
 	s := e.state(name)
 	slowdown := 1.0
 	if x.Slowdown > 0 {
-		slowdown = min(max(x.Slowdown, 1/maxSlowdown), maxSlowdown)
-		if s.slowdown == 0 {
-			s.slowdown = 1
-		}
-		s.slowdown += (slowdown - s.slowdown) * slowdownWeight
+		slowdown = limited(x.Slowdown)
 	}
 	refit := engineRefit
 	if x.Plain {
--- a/rates/rates_test.go
+++ b/rates/rates_test.go
@@ -128,6 +128,7 @@
 					s.FirstMS, s.Slowdown = 2.5*s.FirstMS, 2.5
 				}
 				e.Observe("plain", s)
+				e.ObserveSlowdown("plain", s.Slowdown)
 			}
 			is.True(math.Abs(e.Plain("plain").WorkMS/work-1) < 0.15)
 			is.True(e.Slowdown("plain") > 1 && e.Slowdown("plain") < 1.5)
--- a/sched/replay_test.go
+++ b/sched/replay_test.go
@@ -54,12 +54,12 @@
 // replayed is the result of one request.
 type replayed struct {
 	estimate, actual, objective float64 // milliseconds
-	late                        bool
+	late, slow                  bool    // slow: the upstream was slow when the request was sent
 }
 
 // slowdown returns the slowdown of the server at the time.
 func (r replay) slowdown(s *server, at time.Duration) float64 {
-	if r.slowEvery > 0 && (s.index+int(at/slowTurn)*7)%r.slowEvery == 0 {
+	if r.slowEvery > 0 && (s.index+int(at/slowTurn)*3)%r.slowEvery == 0 {
 		return 2.5
 	}
 	return 1
@@ -189,9 +189,9 @@
 	return q
 }
 
-// run returns the results of the second half, and the highest number of requests at one
-// upstream in relation to the mean.
-func (r replay) run() ([]replayed, float64) {
+// run returns the results of the second half, the highest number of requests at one upstream
+// in relation to the mean, and the number of load checks.
+func (r replay) run() (results []replayed, most float64, checks int) {
 	rng := rand.New(rand.NewPCG(21, 22))
 	var nodes []*sched.Placer
 	for i := range r.nodes {
@@ -250,6 +250,11 @@
 			if !ok {
 				continue
 			}
+			for k := 0; k < 2 && p.NeedsLoadCheck(now, c); k++ {
+				checks++
+				p.RecordLoad(now, c.Upstream.Name, r.load(servers[c.Upstream.Name], at).Load)
+				c, _ = p.Pick(now, q)
+			}
 			a := p.Begin(now, q, c)
 			s := servers[c.Upstream.Name]
 			first, end := r.send(s, at, q, c, servers)
@@ -258,7 +263,7 @@
 				s.served++
 			}
 			actual := float64(first-at) / float64(time.Millisecond)
-			out = append(out, replayed{float64(c.Estimate) / float64(time.Millisecond), actual, float64(q.Objective.Milliseconds()), first-at > q.Objective})
+			out = append(out, replayed{float64(c.Estimate) / float64(time.Millisecond), actual, float64(q.Objective.Milliseconds()), first-at > q.Objective, r.slowdown(s, at) > 1})
 			on(first, func(now time.Time) {
 				p.Observe(now, c.Upstream.Name, r.load(s, first))
 				p.FirstByte(now, a)
@@ -270,11 +275,11 @@
 		}
 	}
 	half := out[len(out)/2:]
-	most, sum := 0, 0
+	sum := 0
 	for _, s := range servers {
-		most, sum = max(most, s.served), sum+s.served
+		most, sum = max(most, float64(s.served)), sum+s.served
 	}
-	return half, float64(most) * float64(r.upstreams) / float64(sum)
+	return half, most * float64(r.upstreams) / float64(sum), checks
 }
 
 // replayErrors returns the median and the 90th percentile of the errors of the estimates as
@@ -314,7 +319,7 @@
 			r := tt.replay
 			r.nodes, r.duration, r.cacheTokens = 6, 40*time.Second, 70_000
 			r.upstreams = max(r.upstreams, 12*int(min(1, r.prefill)))
-			l, _ := r.run()
+			l, _, _ := r.run()
 			median, p90, late := replayErrors(l)
 			t.Logf("%d requests: median %.3f, 90th percentile %.3f, late %.3f", len(l), median, p90, late)
 			is.True(median < tt.median)
@@ -322,3 +327,40 @@
 		})
 	}
 }
+
+// Guards against requests that go to machines that are slow at the moment although others
+// are not, against nodes that all choose the same quick upstream, and against questions at
+// sites whose machines work as usual. 15 % of the upstreams are 2.5 times slower, and others
+// take their turn every 600 ms.
+func TestSlowMachinesAreAvoided(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		replay replay
+		slow   float64 // largest share of the requests that are sent to a slow upstream; 1 of 7 is slow
+		checks bool    // upstreams are asked for their load
+	}{
+		{"36.1 tokens/ms", replay{prefill: 36.1, baseMS: 60, long: 1.5, short: 2.1, slowEvery: 7}, 0.1, true},
+		{"112 tokens/ms", replay{prefill: 112, baseMS: 60, long: 4.6, short: 4.4, slowEvery: 7}, 0.1, true},
+		{"no slow machines", replay{prefill: 36.1, baseMS: 60, long: 1.5, short: 2.1, slowEvery: 1_000_000}, 0.01, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := tt.replay
+			r.nodes, r.upstreams, r.duration, r.cacheTokens = 28, 28, 24*time.Second, 70_000
+			l, most, checks := r.run()
+			slow, ms := 0.0, 0.0
+			for _, x := range l {
+				if ms += x.actual; x.slow {
+					slow++
+				}
+			}
+			median, p90, late := replayErrors(l)
+			n := float64(len(l))
+			t.Logf("%.0f requests: sent to slow upstreams %.3f, largest load %.2f, load checks %d, mean %.1f ms, late %.4f, error of the estimate %.3f, %.3f",
+				n, slow/n, most, checks, ms/n, late, median, p90)
+			is.True(slow/n < tt.slow)
+			is.True(most < 2.2) // the largest load of an upstream in relation to the mean
+			is.Equal(checks > 0, tt.checks)
+		})
+	}
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -29,6 +29,7 @@
 
 	estimate, objective time.Duration // of the time to the first token
 	fetchMS             float64       // part of the estimate for fetching parts, in milliseconds
+	checked             bool          // the upstream was asked for its load just before
 	unmeasured          bool          // the attempt does not count for the rates
 	withdraw            func()        // set by OnExpire; nil if there is none
 }
@@ -57,6 +58,7 @@
 	shortRunning runningAverage // running requests of this node with short prompts
 	rates        *rates.Estimator
 	ratesTaken   time.Time // time of the last TakeRates that returned any
+	loadChecks   loadChecks
 	metrics      *Metrics
 }
 
@@ -148,6 +150,7 @@
 		p.waiting[t] = struct{}{}
 	}
 	if u, ok := p.upstreams[t.name]; ok {
+		t.checked = now.Sub(u.loadAt) <= maxCheckedAge
 		t.sample = newSample(q, c, u.ahead(now, p.peerInFlight(u.Name)))
 		u.begin(t)
 		p.recordParts(u, q, c)
--- a/sched/speed.go
+++ b/sched/speed.go
@@ -93,11 +93,17 @@
 	if t.objective > 0 {
 		p.metrics.observeError(t.service, math.Abs(ms-float64(t.estimate)/float64(time.Millisecond))/float64(t.objective.Milliseconds()))
 	}
+	fresh := !u.loadAt.Before(t.sent)
+	// Answers after a load check come from upstreams that were chosen for being quick, and
+	// would lower the mean.
+	if fresh && !t.checked {
+		p.rates.ObserveSlowdown(t.service, u.load.Slowdown)
+	}
 	if t.unmeasured {
 		return
 	}
 	t.sample.FirstMS = ms - t.fetchMS // no sample if it is not positive
-	if !u.loadAt.Before(t.sent) {
+	if fresh {
 		t.sample.Slowdown = u.load.Slowdown
 	}
 	p.rates.Observe(t.service, t.sample)
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -28,6 +28,7 @@
 	waiting     map[*Attempt]struct{} // this node's requests without a first byte
 	load        vane.Load             // last load report
 	loadAt      time.Time             // time of the last load report
+	uncheckedTo time.Time             // the upstream is not asked for its load until then
 	respondedAt time.Time             // time of the last bytes of an answer
 
 	loadingUntil time.Time     // end of the time during which the engine loads weights
