rates: an overload is not taken for slow engines

Estimates would have kept requests away after the end of the overload. Samples with a queue that was not known when the request was sent, and that explains a quarter of the time or more, are now left out, and the bounds keep the estimate for an idle upstream below the time limits.

--- a/front/serve.go
+++ b/front/serve.go
@@ -257,10 +257,7 @@
 	if h.Placer.Observe(clock.BootTime(), p.Upstream.Name, m) {
 		h.WeightsChanged(p.Upstream.Name, m.Weights)
 	}
-	t.result.slowdown = m.Load.Slowdown
-	if resp.Status >= http.StatusMultipleChoices {
-		h.Placer.SkipSample(att)
-	}
+	h.observeSpeed(t, att, resp, m)
 	h.observeWishes(t, p, resp, m)
 	if m.NotRun {
 		h.handleNotRun(t, p, resp, m)
@@ -316,6 +313,15 @@
 	return nil
 }
 
+// observeSpeed takes what a response states about the speed of its upstream's machine. A
+// response that is no answer does not show how long the work takes.
+func (h *Handler) observeSpeed(t *attempts, att *sched.Attempt, resp *conns.Response, m vane.ResponseMeta) {
+	t.result.slowdown = m.Load.Slowdown
+	if resp.Status >= http.StatusMultipleChoices {
+		h.Placer.SkipSample(att)
+	}
+}
+
 // relayRest relays the rest of a response that is too long to be held until its end.
 func (h *Handler) relayRest(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, resp *conns.Response) *vane.Refusal {
 	t.begun = true
--- a/rates/fit.go
+++ b/rates/fit.go
@@ -48,12 +48,19 @@
 		s.missed = (x.Tokens - x.MinTokens) / d
 	}
 	s.err = minErrorMS + errorShare*s.ms + queueErrorShare*(prior.RunningMS*x.Busy+prior.WaitingMS*x.Waiting+x.AheadTokens/prior.PrefillPerMS)
+	s.err += prior.unknownQueueMS(x)
 	if slowdown > usualSlowdown || slowdown < 1/usualSlowdown {
 		s.weight = slowWeight
 	}
 	return s
 }
 
+// unknownQueueMS returns the delay that the prior expects for requests that were in the
+// queue when x was answered, but were not known when it was sent.
+func (prior Rates) unknownQueueMS(x Sample) float64 {
+	return prior.WaitingMS * max(0, x.Queued-x.Waiting)
+}
+
 // guesses are the probabilities that nothing was cached. They are fitted too, since a
 // guess that is often wrong must not count as evidence.
 type guesses struct {
--- a/rates/rates.go
+++ b/rates/rates.go
@@ -39,17 +39,19 @@
 	PlainRates:  PlainRates{WorkMS: 30},
 }
 
-// Bounds of what is believed. They are an order of magnitude wider than any known
-// deployment.
+// Bounds of what is believed. They are wider than any known deployment. With the slowest
+// rates, a prompt of 9,190 tokens still takes 1.2 s at an idle engine and plain work 0.3 s,
+// so that no estimate keeps requests from upstreams that could show otherwise.
 var (
-	lowest  = Rates{EngineRates{PrefillPerMS: 4, BaseMS: 1, RunningMS: 0, WaitingMS: 0}, PlainRates{WorkMS: 1}}
-	highest = Rates{EngineRates{PrefillPerMS: 1000, BaseMS: 1000, RunningMS: 20, WaitingMS: 500}, PlainRates{WorkMS: 5000}}
+	lowest  = Rates{EngineRates{PrefillPerMS: 10, BaseMS: 1, RunningMS: 0, WaitingMS: 0}, PlainRates{WorkMS: 1}}
+	highest = Rates{EngineRates{PrefillPerMS: 1000, BaseMS: 300, RunningMS: 5, WaitingMS: 300}, PlainRates{WorkMS: 300}}
 )
 
 // Limits of samples, of what is kept, and of when values are used.
 const (
 	maxFirstMS        = 60_000.0   // longer times are those of failures
 	maxTokens         = 10_000_000 // tokens of a prompt, and of all prompts ahead of it
+	maxQueueShare     = 0.25       // share of the time up to which a queue that was not known before may explain it
 	maxRequests       = 100_000    // requests at an upstream
 	maxSlowdown       = 4.0        // larger slowdowns count as this one, so that one upstream that states nonsense hardly moves the mean of its service
 	slowdownWeight    = 1.0 / 64   // weight of a sample in the mean slowdown
@@ -72,6 +74,7 @@
 	FirstMS  float64 // time from sending until the first token, or the whole answer of a plain service, in milliseconds
 	Busy     float64 // other requests at the upstream when the request was sent, as far as known
 	Waiting  float64 // requests in its queue according to its last load report, zero if there is none
+	Queued   float64 // requests in its queue when it answered
 	Slots    int     // requests that it serves at once; zero if unknown
 	Slowdown float64 // slowdown that the response stated; zero if none
 
@@ -84,7 +87,7 @@
 // valid reports whether all values are within their limits.
 func (s Sample) valid() bool {
 	in := func(x, high float64) bool { return x >= 0 && x <= high } // false for NaN
-	return s.FirstMS > 0 && in(s.FirstMS, maxFirstMS) && in(s.Busy, maxRequests) && in(s.Waiting, maxRequests) && s.Slots >= 0 &&
+	return s.FirstMS > 0 && in(s.FirstMS, maxFirstMS) && in(s.Busy, maxRequests) && in(s.Waiting, maxRequests) && in(s.Queued, maxRequests) && s.Slots >= 0 &&
 		in(s.MinTokens, s.Tokens) && in(s.Tokens, s.MaxTokens) && in(s.MaxTokens, maxTokens) && in(s.AheadTokens, maxTokens) && in(s.Slowdown, math.MaxFloat64)
 }
 
@@ -193,12 +196,17 @@
 	return min(max(slowdown, 1/maxSlowdown), maxSlowdown)
 }
 
-// Observe adds a sample of a service. Samples with impossible values are ignored. The
+// Observe adds a sample of a service. Samples with impossible values are ignored, and those
+// of engines with a long queue that was not known when the request was sent. Otherwise, an
+// overload would be taken for slow engines, and the estimates would outlast it. The
 // slowdown of the sample does not count for the mean, see [Estimator.ObserveSlowdown].
 func (e *Estimator) Observe(name string, x Sample) {
 	if !x.valid() {
 		return
 	}
+	if !x.Plain && e.prior.unknownQueueMS(x) > maxQueueShare*x.FirstMS {
+		return
+	}
 	s := e.state(name)
 	slowdown := 1.0
 	if x.Slowdown > 0 {
@@ -208,7 +216,7 @@
 	if x.Plain {
 		slots := float64(max(1, x.Slots))
 		refit = plainRefit
-		s.plain = appendRing(s.plain, x.FirstMS/slowdown/(1+max(0, x.Busy+1-slots)/slots), s.samples, plainWindow)
+		s.plain = appendRing(s.plain, x.FirstMS/slowdown/(1+max(0, x.Busy+1-slots, x.Queued)/slots), s.samples, plainWindow)
 	} else {
 		s.engine = appendRing(s.engine, e.prior.newSample(x, slowdown), s.samples, engineWindow)
 		if s.samples > engineWindow {
--- a/rates/rates_test.go
+++ b/rates/rates_test.go
@@ -115,6 +115,33 @@
 	is.Equal(e.TakeChanges(), nil) // no rate moved by more than a quarter
 }
 
+// Guards against an overload that is taken for slow engines: the estimates would keep
+// requests away after its end.
+func TestOverloadIsNotSlowness(t *testing.T) {
+	is := is.New(t)
+	prior := rates.New().Engine("")
+	r := rand.New(rand.NewPCG(11, 12))
+	for _, stated := range []bool{true, false} {
+		e := rates.New()
+		for range 400 {
+			s := engine{EngineRates: prior, wrong: 0.1}.sample(r)
+			queued := 20 + 60*r.Float64()
+			if s.FirstMS += 35 * queued; stated {
+				s.Queued = queued
+			}
+			e.Observe("llm", s)
+		}
+		got := e.Engine("llm").FirstTokenMS(2890, 5, 0)
+		t.Logf("queues stated %v: %.0f ms, %.0f ms without overload", stated, got, prior.FirstTokenMS(2890, 5, 0))
+		is.True(got < 1500) // an idle engine gets requests, whatever was seen
+		is.True(!stated || got < 1.3*prior.FirstTokenMS(2890, 5, 0))
+		for range 250 {
+			e.Observe("llm", engine{EngineRates: prior, wrong: 0.1}.sample(r))
+		}
+		is.True(math.Abs(e.Engine("llm").FirstTokenMS(2890, 5, 0)/prior.FirstTokenMS(2890, 5, 0)-1) < 0.2)
+	}
+}
+
 func TestServiceTimeIsLearned(t *testing.T) {
 	for _, work := range []float64{15, 30, 60} {
 		t.Run(fmt.Sprint(work), func(t *testing.T) {
@@ -122,8 +149,11 @@
 			r := rand.New(rand.NewPCG(3, 4))
 			e := rates.New()
 			for range 40 {
-				busy := float64(r.IntN(12))
-				s := rates.Sample{Plain: true, FirstMS: work*(1+max(0, busy-5)/6) + r.ExpFloat64(), Busy: busy, Slots: 6, Slowdown: 1}
+				busy, queued := float64(r.IntN(12)), 0.0
+				if r.IntN(2) == 0 {
+					queued = float64(r.IntN(12))
+				}
+				s := rates.Sample{Plain: true, FirstMS: work*(1+max(0, busy-5, queued)/6) + r.ExpFloat64(), Busy: busy, Queued: queued, Slots: 6, Slowdown: 1}
 				if r.IntN(7) == 0 {
 					s.FirstMS, s.Slowdown = 2.5*s.FirstMS, 2.5
 				}
--- a/sched/replay_test.go
+++ b/sched/replay_test.go
@@ -83,41 +83,15 @@
 func (r replay) send(s *server, at time.Duration, q sched.Query, c sched.Pick, servers map[string]*server) (first, end time.Duration) {
 	at += time.Millisecond
 	if r.workMS > 0 {
-		i := 0
-		for k := range s.slotFree {
-			if s.slotFree[k] < s.slotFree[i] {
-				i = k
-			}
-		}
+		i := slices.Index(s.slotFree, slices.Min(s.slotFree))
 		begin := max(at, s.slotFree[i])
 		s.slotFree[i] = r.work(s, begin, r.workMS)
 		s.begins = append(s.begins, begin)
 		return s.slotFree[i], s.slotFree[i]
 	}
-	tokens, cached := q.PromptTokens, true
+	tokens := q.PromptTokens - s.cached(q, c, servers)
 	for _, p := range q.Shared() {
-		_, here := s.parts[p.ID]
-		for _, o := range servers {
-			_, there := o.parts[p.ID]
-			here = here || there && c.FetchFrom == o.addr()
-		}
-		if cached = cached && here; cached {
-			tokens -= p.Tokens
-		}
-		if _, ok := s.parts[p.ID]; !ok {
-			s.size += p.Tokens
-		}
-		s.parts[p.ID] = at
-		for s.size > r.cacheTokens {
-			oldest := p.ID
-			for id, used := range s.parts {
-				if used < s.parts[oldest] || used == s.parts[oldest] && id < oldest {
-					oldest = id
-				}
-			}
-			delete(s.parts, oldest)
-			s.size -= partTokens(oldest)
-		}
+		s.store(p, at, r.cacheTokens)
 	}
 	begin := max(at, s.freeAt)
 	s.freeAt = r.work(s, begin, float64(tokens)/r.prefill+0.3*float64(s.running))
@@ -130,6 +104,42 @@
 	return first, r.work(s, first, 5*float64(out))
 }
 
+// cached returns the shared tokens that the server holds or fetches.
+func (s *server) cached(q sched.Query, c sched.Pick, servers map[string]*server) int {
+	tokens := 0
+	for _, p := range q.Shared() {
+		_, held := s.parts[p.ID]
+		for _, o := range servers {
+			if _, there := o.parts[p.ID]; there && c.FetchFrom == o.addr() {
+				held = true
+			}
+		}
+		if !held {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// store adds a part to the server's cache, which drops the parts used least recently.
+func (s *server) store(p vane.PromptPart, at time.Duration, limit int) {
+	if _, ok := s.parts[p.ID]; !ok {
+		s.size += p.Tokens
+	}
+	s.parts[p.ID] = at
+	for s.size > limit {
+		oldest := p.ID
+		for id, used := range s.parts {
+			if used < s.parts[oldest] || used == s.parts[oldest] && id < oldest {
+				oldest = id
+			}
+		}
+		delete(s.parts, oldest)
+		s.size -= partTokens(oldest)
+	}
+}
+
 // addr returns the address of the upstream in [view].
 func (s *server) addr() string { return fmt.Sprintf("e%02d:1", s.index) }
 
@@ -189,97 +199,121 @@
 	return q
 }
 
+// replayRun is the state of a run.
+type replayRun struct {
+	replay
+	rng     *rand.Rand
+	nodes   []*sched.Placer
+	servers map[string]*server
+	events  map[time.Duration][]replayEvent // by the millisecond in which they are handled
+	results []replayed
+	checks  int // load checks
+}
+
+// replayEvent is called with the virtual time at.
+type replayEvent struct {
+	at time.Duration
+	f  func(now time.Time)
+}
+
+const replayTick = time.Millisecond
+
 // run returns the results of the second half, the highest number of requests at one upstream
 // in relation to the mean, and the number of load checks.
 func (r replay) run() (results []replayed, most float64, checks int) {
-	rng := rand.New(rand.NewPCG(21, 22))
-	var nodes []*sched.Placer
+	x := &replayRun{replay: r, rng: rand.New(rand.NewPCG(21, 22)), servers: make(map[string]*server), events: make(map[time.Duration][]replayEvent)}
 	for i := range r.nodes {
 		p := sched.New(fmt.Sprintf("dc%d", i%3), &cache{down: true})
 		p.Update(r.view())
-		nodes = append(nodes, p)
+		x.nodes = append(x.nodes, p)
 	}
-	servers := make(map[string]*server)
 	for i := range r.upstreams {
-		servers[fmt.Sprintf("e%02d", i)] = &server{index: i, parts: make(map[string]time.Duration), slotFree: make([]time.Duration, 6)}
-	}
-	const tick = time.Millisecond
-	type event struct {
-		at time.Duration
-		f  func(now time.Time)
-	}
-	events := make(map[time.Duration][]event)
-	on := func(at time.Duration, f func(now time.Time)) {
-		k := at.Truncate(tick) + tick
-		events[k] = append(events[k], event{at, f})
+		x.servers[fmt.Sprintf("e%02d", i)] = &server{index: i, parts: make(map[string]time.Duration), slotFree: make([]time.Duration, 6)}
 	}
 	rate := (r.long + r.short) * float64(r.upstreams)
 	if r.workMS > 0 {
 		rate = r.perSecond
 	}
-	var out []replayed
 	next := time.Duration(0)
-	for at := time.Duration(0); at < r.duration; at += tick {
-		now := begin.Add(at)
-		l := events[at]
-		delete(events, at)
-		slices.SortStableFunc(l, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	for at := time.Duration(0); at < r.duration; at += replayTick {
+		l := x.events[at]
+		delete(x.events, at)
+		slices.SortStableFunc(l, func(a, b replayEvent) int { return cmp.Compare(a.at, b.at) })
 		for _, e := range l {
 			e.f(begin.Add(e.at))
 		}
-		for i, p := range nodes {
-			if (at+time.Duration(i)*70*tick)%(500*tick) == 0 {
-				updates, inFlight := p.TakeCacheUpdates(), p.InFlight()
-				for j, o := range nodes {
-					if j != i {
-						o.ApplyCacheUpdates(updates)
-						o.SetPeerInFlight(fmt.Sprint("n", i), inFlight)
-					}
-				}
-			}
-		}
+		x.exchange(at)
 		for next <= at {
 			burst := 1.0
 			if at%burstEvery < burstLength {
 				burst = burstFactor
 			}
-			next += time.Duration(rng.ExpFloat64() / rate / burst * float64(time.Second))
-			p := nodes[rng.IntN(len(nodes))]
-			q := r.query(rng, len(out))
-			c, ok := p.Pick(now, q)
-			if !ok {
-				continue
-			}
-			for k := 0; k < 2 && p.NeedsLoadCheck(now, c); k++ {
-				checks++
-				p.RecordLoad(now, c.Upstream.Name, r.load(servers[c.Upstream.Name], at).Load)
-				c, _ = p.Pick(now, q)
-			}
-			a := p.Begin(now, q, c)
-			s := servers[c.Upstream.Name]
-			first, end := r.send(s, at, q, c, servers)
-			s.running++
-			if at >= r.duration/2 {
-				s.served++
-			}
-			actual := float64(first-at) / float64(time.Millisecond)
-			out = append(out, replayed{float64(c.Estimate) / float64(time.Millisecond), actual, float64(q.Objective.Milliseconds()), first-at > q.Objective, r.slowdown(s, at) > 1})
-			on(first, func(now time.Time) {
-				p.Observe(now, c.Upstream.Name, r.load(s, first))
-				p.FirstByte(now, a)
-			})
-			on(end, func(now time.Time) {
-				s.running--
-				p.End(now, a)
-			})
+			next += time.Duration(x.rng.ExpFloat64() / rate / burst * float64(time.Second))
+			x.request(at)
 		}
 	}
-	half := out[len(out)/2:]
 	sum := 0
-	for _, s := range servers {
+	for _, s := range x.servers {
 		most, sum = max(most, float64(s.served)), sum+s.served
 	}
-	return half, most * float64(r.upstreams) / float64(sum), checks
+	return x.results[len(x.results)/2:], most * float64(r.upstreams) / float64(sum), x.checks
+}
+
+// exchange passes on the messages of the nodes that are due, each half a second.
+func (x *replayRun) exchange(at time.Duration) {
+	for i, p := range x.nodes {
+		if (at+time.Duration(i)*70*replayTick)%(500*replayTick) != 0 {
+			continue
+		}
+		updates, inFlight := p.TakeCacheUpdates(), p.InFlight()
+		for j, o := range x.nodes {
+			if j != i {
+				o.ApplyCacheUpdates(updates)
+				o.SetPeerInFlight(fmt.Sprint("n", i), inFlight)
+			}
+		}
+	}
+}
+
+// request places and sends a request.
+func (x *replayRun) request(at time.Duration) {
+	now := begin.Add(at)
+	p := x.nodes[x.rng.IntN(len(x.nodes))]
+	q := x.query(x.rng, len(x.results))
+	c, ok := p.Pick(now, q)
+	if !ok {
+		return
+	}
+	for k := 0; k < 2 && p.NeedsLoadCheck(now, c); k++ {
+		x.checks++
+		p.RecordLoad(now, c.Upstream.Name, x.load(x.servers[c.Upstream.Name], at).Load)
+		c, _ = p.Pick(now, q)
+	}
+	a := p.Begin(now, q, c)
+	s := x.servers[c.Upstream.Name]
+	first, end := x.send(s, at, q, c, x.servers)
+	s.running++
+	if at >= x.duration/2 {
+		s.served++
+	}
+	x.results = append(x.results, replayed{
+		estimate: float64(c.Estimate) / float64(time.Millisecond), actual: float64(first-at) / float64(time.Millisecond),
+		objective: float64(q.Objective.Milliseconds()), late: first-at > q.Objective, slow: x.slowdown(s, at) > 1,
+	})
+	x.on(first, func(now time.Time) {
+		p.Observe(now, c.Upstream.Name, x.load(s, first))
+		p.FirstByte(now, a)
+	})
+	x.on(end, func(now time.Time) {
+		s.running--
+		p.End(now, a)
+	})
+}
+
+// on has f called at the time.
+func (x *replayRun) on(at time.Duration, f func(now time.Time)) {
+	k := at.Truncate(replayTick) + replayTick
+	x.events[k] = append(x.events[k], replayEvent{at, f})
 }
 
 // replayErrors returns the median and the 90th percentile of the errors of the estimates as
--- a/sched/speed.go
+++ b/sched/speed.go
@@ -104,7 +104,7 @@
 	}
 	t.sample.FirstMS = ms - t.fetchMS // no sample if it is not positive
 	if fresh {
-		t.sample.Slowdown = u.load.Slowdown
+		t.sample.Slowdown, t.sample.Queued = u.load.Slowdown, float64(u.load.Waiting)
 	}
 	p.rates.Observe(t.service, t.sample)
 }
