--- a/sched/speed_test.go
+++ b/sched/speed_test.go
@@ -72,8 +72,11 @@
 			p.Update(plainView())
 			p.RecordLoad(begin, "e00", vane.Load{Slowdown: tt.slowdown})
 			p.Begin(begin, plainQuery, sched.Pick{Upstream: plainView().Upstreams["e00"], Estimate: tt.estimate})
-			is.Equal(len(p.EjectSilent(begin.Add(tt.ejected), limit)), 0)
-			is.Equal(p.EjectSilent(begin.Add(tt.ejected+time.Millisecond), limit), []string{"e00"})
+			is.Equal(len(p.SilentUpstreams(begin.Add(tt.ejected), limit)), 0)
+			l := p.SilentUpstreams(begin.Add(tt.ejected+time.Millisecond), limit)
+			is.Equal(len(l), 1)
+			is.Equal(l[0].Name, "e00")
+			is.True(p.ResolveSilent(begin.Add(tt.ejected+time.Millisecond), l[0], nil, limit))
 		})
 	}
 }
