sched, edge, front: streams of an upstream that is cut off go on elsewhere

Cause: only requests without a first byte were watched for silence. Change: a stream without events for 1.2 s has its upstream checked as well; requests at an upstream that does not answer are withdrawn if they may be repeated or resumed, and go on elsewhere within the retry budget.

--- a/edge/node.go
+++ b/edge/node.go
@@ -386,8 +386,13 @@
 		n.pendingUpdates.addUnresponsive(u.Name)
 		n.mesh.SendNow()
 		n.log.Warn("upstream set aside", "upstream", u.Name, "cause", "silent", "reported", load != nil, "limit_ms", silentTimeout.Milliseconds())
-	} else if load != nil {
-		n.log.Info("silent upstream is busy", "upstream", u.Name, "running", load.Running, "waiting", load.Waiting)
+	}
+	if load == nil {
+		for _, x := range n.placer.WithdrawSilent(clock.BootTime(), u.Name, silentTimeout) {
+			n.log.Info("request withdrawn", "request_id", x.ID, "upstream", x.Upstream, "cause", "upstream silent", "waited_ms", x.Waited.Milliseconds())
+		}
+	} else {
+		n.log.Info("silent upstream answers", "upstream", u.Name, "running", load.Running, "waiting", load.Waiting)
 	}
 }
 
--- a/front/relay.go
+++ b/front/relay.go
@@ -96,7 +96,9 @@
 			t.relay = startRelay(w, resp)
 		}
 		if inEvent {
-			h.Placer.FirstByte(clock.BootTime(), att)
+			now := clock.BootTime()
+			h.Placer.FirstByte(now, att)
+			h.Placer.Event(now, att)
 			t.result.event(time.Now())
 			t.relay.count(block)
 			h.recordEvent(t)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -22,6 +22,7 @@
 	short   bool      // the prompt is short
 	tokens  int       // prompt tokens still to be computed
 	sent    time.Time // time at which the request was sent
+	heard   time.Time // time of the last event of the answer; zero unless the answer is a stream that has begun
 	started bool      // the first bytes of the answer have arrived
 	ended   bool      // End was called
 	service string
@@ -183,6 +184,18 @@
 	delete(p.waiting, t)
 }
 
+// Event records that an event of a stream arrived. [Placer.FirstByte] must have been called
+// for the attempt.
+func (p *Placer) Event(now time.Time, t *Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.heard = now
+	if u, ok := p.upstreams[t.name]; ok && !t.ended {
+		u.respondedAt = now
+		u.streams[t] = struct{}{}
+	}
+}
+
 // End records the end of an attempt, successful or not. Further calls for the same
 // attempt have no effect.
 func (p *Placer) End(now time.Time, t *Attempt) {
--- a/sched/silent.go
+++ b/sched/silent.go
@@ -6,9 +6,10 @@
 	vane "mustardvane.org/vane"
 )
 
-// SilentUpstreams returns the upstreams at which a request has been waiting for longer than
-// limit while the upstream sent this node nothing for as long. Ejected upstreams, and those
-// that were returned less than limit ago, are left out. Silence alone does not show that an
+// SilentUpstreams returns the upstreams at which a request, or a stream for its next event,
+// has been waiting for longer than limit while the upstream sent this node nothing for as long. Those that were
+// returned less than limit ago are left out. Ejected ones are not, since another node may
+// have reported them. Silence alone does not show that an
 // engine failed: in a burst, prompts wait for seconds at engines that answer the requests of
 // other nodes. The caller checks the upstream and passes the result to [Placer.ResolveSilent].
 func (p *Placer) SilentUpstreams(now time.Time, limit time.Duration) []vane.Upstream {
@@ -16,7 +17,7 @@
 	defer p.mu.Unlock()
 	var out []vane.Upstream
 	for _, u := range p.upstreams {
-		if !now.Before(u.checkAfter) && !now.Before(u.ejectedUntil) && u.silent(now, limit) {
+		if !now.Before(u.checkAfter) && u.silent(now, limit) {
 			u.checkAfter = now.Add(limit)
 			out = append(out, u.Upstream)
 		}
@@ -67,9 +68,42 @@
 			return true
 		}
 	}
+	for t := range u.streams {
+		if now.Sub(t.heard) >= limit {
+			return true
+		}
+	}
 	return false
 }
 
+// WithdrawSilent withdraws the requests at an ejected upstream that may be repeated or
+// resumed and that got nothing for longer than limit, so that they go on elsewhere. Callers
+// give up a stream that pauses for seconds.
+func (p *Placer) WithdrawSilent(now time.Time, name string, limit time.Duration) []Expired {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.upstreams[name]
+	if !ok || !now.Before(u.ejectedUntil) {
+		return nil
+	}
+	var out []Expired
+	withdraw := func(t *Attempt, since time.Time) {
+		if t.withdraw == nil || !t.repeatable || now.Sub(since) < limit {
+			return
+		}
+		t.withdraw()
+		t.withdraw = nil
+		out = append(out, Expired{ID: t.id, Upstream: t.name, Weights: t.weights, Waited: now.Sub(since)})
+	}
+	for t := range u.waiting {
+		withdraw(t, t.sent)
+	}
+	for t := range u.streams {
+		withdraw(t, t.heard)
+	}
+	return out
+}
+
 // lag returns by how much the most delayed request of this node exceeds its estimated time
 // to the first token. Requests of other nodes that this node does not know of yet, and
 // slow machines, show in it.
--- a/sched/silent_test.go
+++ b/sched/silent_test.go
@@ -129,3 +129,55 @@
 	is.True(both <= 20) // those whose hashes are near the share, which moves with the rate
 	is.True(newest > 0 && newest < 200)
 }
+
+// Guards against streams that hang until their callers give up because their engine's host
+// was cut off. The engine of a stream without events is checked, and its requests that may
+// be repeated or resumed are withdrawn when it is ejected; those that may not are left.
+func TestStreamsOfASilentEngineAreWithdrawn(t *testing.T) {
+	is := is.New(t)
+	const limit = 1200 * time.Millisecond
+	p := sched.New("dc0", &cache{})
+	p.Update(view(1, same(1)))
+	withdrawn := map[string]int{}
+	var attempts []*sched.Attempt
+	for i, tt := range []struct {
+		id         string
+		repeatable bool
+		events     time.Duration // time of the last event; negative if there is none
+	}{
+		{"stream", true, 500 * time.Millisecond},
+		{"stream that may not be resumed", false, 500 * time.Millisecond},
+		{"waits", true, -1},
+		{"was sent lately", true, -1},
+	} {
+		q := shortQuery(1, i)
+		q.ID, q.Repeatable = tt.id, tt.repeatable
+		at := begin
+		if i == 3 {
+			at = begin.Add(1500 * time.Millisecond)
+		}
+		c, ok := p.Pick(at, q)
+		is.True(ok)
+		a := p.Begin(at, q, c)
+		p.OnExpire(a, func() { withdrawn[tt.id]++ })
+		if tt.events >= 0 {
+			p.FirstByte(begin.Add(100*time.Millisecond), a)
+			p.Event(begin.Add(tt.events), a)
+		}
+		attempts = append(attempts, a)
+	}
+	at := begin.Add(500 * time.Millisecond)
+	is.Equal(len(p.SilentUpstreams(at.Add(limit-time.Millisecond), limit)), 0) // the event was a sign of life
+	at = at.Add(limit)
+	l := p.SilentUpstreams(at, limit)
+	is.Equal(len(l), 1)
+	is.Equal(len(p.WithdrawSilent(at, "e00", limit)), 0) // not ejected yet
+	is.True(p.ResolveSilent(at, l[0], nil, limit))
+	is.Equal(len(p.WithdrawSilent(at, "e00", limit)), 2)
+	is.Equal(len(p.WithdrawSilent(at, "e00", limit)), 0)
+	is.Equal(withdrawn, map[string]int{"stream": 1, "waits": 1})
+	for _, a := range attempts {
+		p.End(at, a)
+	}
+	is.Equal(len(p.InFlight()), 0)
+}
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -26,6 +26,7 @@
 	inFlight    int                   // number of requests that this node has in flight
 	pending     int                   // uncached tokens of this node's requests without a first byte
 	waiting     map[*Attempt]struct{} // this node's requests without a first byte
+	streams     map[*Attempt]struct{} // this node's requests whose answers are streams that have begun
 	load        vane.Load             // last load report
 	loadAt      time.Time             // time of the last load report
 	uncheckedTo time.Time             // the upstream is not asked for its load until then
@@ -85,7 +86,7 @@
 // begin adds an attempt.
 func (u *upstream) begin(t *Attempt) {
 	if u.waiting == nil {
-		u.waiting = make(map[*Attempt]struct{})
+		u.waiting, u.streams = make(map[*Attempt]struct{}), make(map[*Attempt]struct{})
 	}
 	u.inFlight++
 	u.pending += t.tokens
@@ -105,6 +106,7 @@
 	u.inFlight = max(0, u.inFlight-1)
 	u.pending = max(0, u.pending-t.tokens)
 	delete(u.waiting, t)
+	delete(u.streams, t)
 }
 
 // responded records that the upstream sent something. After the probation it resets the
