--- a/front/serve.go
+++ b/front/serve.go
@@ -176,7 +176,7 @@
 	t.resumedAfter = f.LastEventID
 	h.Log.Info("sent", "request_id", t.meta.ID, "route", t.route.Name, "workspace", t.tenancy.Workspace, "upstream", p.Upstream.Name,
 		"weights", p.Weights, "config", t.view.Config.Version, "price", p.Cost, "estimate_ms", p.Estimate.Milliseconds(),
-		"load_age_ms", min(p.LoadAge, time.Hour).Milliseconds(), "fetch", p.FetchFrom, "save", p.SaveTo != "", "missing", p.UncachedTokens,
+		"load_age_ms", min(p.LoadAge, time.Hour).Milliseconds(), "slowdown", p.Slowdown, "fetch", p.FetchFrom, "save", p.SaveTo != "", "missing", p.UncachedTokens,
 		"shared", p.SharedTokens, "stored", p.StoredTokens, "copies", p.Holders, "held", p.HoldsShared, "left_ms", f.TimeLimit.Milliseconds())
 	maxIdle := conns.DefaultMaxIdle
 	if t.route.Idempotent() {
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -40,6 +40,7 @@
 	SaveTo         string        // address of the cache store to which the engine saves the shared parts; empty for none
 	Cost           float64       // cost as a fraction of the worth of the request; lower is better
 	Estimate       time.Duration // estimated time until the first token
+	Slowdown       float64       // factor on the time that work at the upstream is expected to take, 1 as usual
 	LoadAge        time.Duration // age of the upstream's last load report
 	UncachedTokens int           // prompt tokens that the engine is expected to compute
 	SharedTokens   int           // prompt tokens that other requests may have in common
@@ -155,8 +156,8 @@
 		expected = v.FirstTokenMS(w.tokens+float64(c.UncachedTokens), w.busy, w.waiting)
 		compared = expected
 	}
-	f := v.factor(now, u)
-	expected, compared = f*expected+c.fetchMS, f*compared+c.fetchMS
+	c.Slowdown = v.factor(now, u)
+	expected, compared = c.Slowdown*expected+c.fetchMS, c.Slowdown*compared+c.fetchMS
 	if u.onProbation(now) {
 		cost += probationCost
 	}
