--- a/rates/rates_test.go
+++ b/rates/rates_test.go
@@ -66,15 +66,15 @@
 		engine    engine
 		tolerance float64 // relative error of the estimated time to the first token of any of the prompts
 	}{
-		{"as assumed", engine{EngineRates: prior, wrong: 0.1}, 0.15},
-		{"slow prefill", engine{EngineRates: with(36.1, 30), wrong: 0.1}, 0.25},
-		{"usual prefill, short base time", engine{EngineRates: with(93.6, 30), wrong: 0.1}, 0.25},
-		{"fast prefill", engine{EngineRates: with(112, 20), wrong: 0.1}, 0.25},
-		{"half of the guesses wrong", engine{EngineRates: with(36.1, 90), wrong: 0.5}, 0.2},
+		{"as assumed", engine{EngineRates: prior, wrong: 0.1}, 0.1},
+		{"slow prefill", engine{EngineRates: with(36.1, 30), wrong: 0.1}, 0.1},
+		{"usual prefill, short base time", engine{EngineRates: with(93.6, 30), wrong: 0.1}, 0.1},
+		{"fast prefill", engine{EngineRates: with(112, 20), wrong: 0.1}, 0.12},
+		{"half of the guesses wrong", engine{EngineRates: with(36.1, 90), wrong: 0.5}, 0.1},
 		{"half of the guesses wrong, as assumed", engine{EngineRates: prior, wrong: 0.5}, 0.2},
-		{"one of twenty samples is nonsense", engine{EngineRates: with(36.1, 90), wrong: 0.2, nonsense: 0.05}, 0.2},
-		{"slow machines that say so", engine{EngineRates: with(36.1, 90), wrong: 0.2, slow: 0.15, stated: true}, 0.2},
-		{"slow machines that do not say so", engine{EngineRates: with(112, 60), wrong: 0.2, slow: 0.15}, 0.25},
+		{"one of twenty samples is nonsense", engine{EngineRates: with(36.1, 90), wrong: 0.2, nonsense: 0.05}, 0.1},
+		{"slow machines that say so", engine{EngineRates: with(36.1, 90), wrong: 0.2, slow: 0.15, stated: true}, 0.1},
+		{"slow machines that do not say so", engine{EngineRates: with(112, 60), wrong: 0.2, slow: 0.15}, 0.12},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			for seed := range uint64(5) {
