--- a/sched/speed_test.go
+++ b/sched/speed_test.go
@@ -119,6 +119,10 @@
 	}
 	is.True(!p.NeedsLoadCheck(begin, c)) // the report is recent
 	later := begin.Add(time.Second)
+	short := c
+	short.Estimate = 8 * time.Millisecond
+	is.True(!p.NeedsLoadCheck(later, short))
+	c, _ = p.Pick(later, plainQuery)
 	n := 0
 	for range 500 {
 		if p.NeedsLoadCheck(later, c) {
