--- a/sched/pick.go
+++ b/sched/pick.go
@@ -42,6 +42,7 @@
 	SaveTo         string        // address of the cache store to which the engine saves the shared parts; empty for none
 	Cost           float64       // cost as a fraction of the worth of the request; lower is better
 	Estimate       time.Duration // estimated time until the first token
+	Slowdown       float64       // factor on the time that work at the upstream is expected to take, 1 as usual
 	LoadAge        time.Duration // age of the upstream's last load report
 	UncachedTokens int           // prompt tokens that the engine is expected to compute
 	SharedTokens   int           // prompt tokens that other requests may have in common
@@ -174,9 +175,9 @@
 		expected = v.FirstTokenMS(w.tokens+float64(c.UncachedTokens), w.busy, w.waiting)
 		compared = expected
 	}
-	f := v.factor(now, u)
+	c.Slowdown = v.factor(now, u)
 	late := float64(u.lag(now)) / float64(time.Millisecond)
-	expected, compared = f*expected+c.fetchMS+late, f*compared+c.fetchMS+late
+	expected, compared = c.Slowdown*expected+c.fetchMS+late, c.Slowdown*compared+c.fetchMS+late
 	if u.onProbation(now) {
 		cost += probationCost
 	}
