rates: prompts of which some parts are cached, and the first fit, count in full

What callers saw: with engines that read 29 tokens/ms beside their streams, prompts went to engines that could not meet the objective; the learned rate was 59 to 105 after half a minute. Cause: the fit expected that all shared parts were cached or none, while most prompts share their first part only; and the first fit moved the rates only half of the way. Change: the case that the guess is right has a weight that depends on the guess, and the first fit replaces the prior.

--- a/rates/fit.go
+++ b/rates/fit.go
@@ -9,7 +9,9 @@
 	queueErrorShare = 0.25 // further error as a share of the delay that the prior expects for other requests, whose number is old news
 	rightGuess      = 0.85 // expected share of right guesses about the cache
 	guessEvidence   = 10.0 // samples that the expected share counts for
-	partlyCached    = 0.1  // weight of the case that the guessed tokens are right, as with prompts of which some parts were cached
+	partlyCached    = 0.1  // weight of the case that the guessed tokens are right if the guess is that all shared parts were cached, or none
+	partlyExpected  = 0.9  // the same if the guess is that half of the shared tokens were cached
+	hitDeviation    = 0.15 // expected share of missed tokens with the guess that all were cached
 	slowWeight      = 0.25 // weight of a sample of an upstream that was slow or fast, since the slowdown may have changed during the request
 	usualSlowdown   = 1.25 // slowdown up to which a sample has full weight
 	minEvidence     = 3.0  // log-likelihood ratio from which on a fit replaces the prior: 20 to 1
@@ -89,8 +91,8 @@
 func (s *engineSample) likelihoods(r candidate) (p, z2 [cases]float64) {
 	rest := s.ms - r.BaseMS - r.RunningMS*s.busy - r.WaitingMS*s.waiting
 	perToken, perErr := 1/r.PrefillPerMS, 1/s.err
-	missed := (1-s.missed)*r.hit + s.missed*r.miss
-	p = [cases]float64{(1 - partlyCached) * (1 - missed), partlyCached, (1 - partlyCached) * missed}
+	missed, partly := (1-s.missed)*r.hit+s.missed*r.miss, s.partly()
+	p = [cases]float64{(1 - partly) * (1 - missed), partly, (1 - partly) * missed}
 	for k := range cases {
 		z := (rest - s.tokens[k]*perToken) * perErr
 		z2[k] = z * z
@@ -100,6 +102,13 @@
 	return p, z2
 }
 
+// partly returns the weight of the case that the guessed tokens are right. Prompts often
+// share their first parts only, so that neither all nor none of the shared tokens are cached.
+func (s *engineSample) partly() float64 {
+	middle := (min(s.missed, 1-s.missed) - hitDeviation) / (0.5 - hitDeviation)
+	return partlyCached + (partlyExpected-partlyCached)*min(1, max(0, 2*middle))
+}
+
 // freedom is the number of degrees of freedom of the error's distribution. The exponent of
 // the density is (freedom+1)/2 = 2.
 const freedom = 3.0
--- a/rates/rates.go
+++ b/rates/rates.go
@@ -234,7 +234,11 @@
 		slices.Sort(sorted)
 		s.own.WorkMS, s.fitted = sorted[len(sorted)/2], true
 	case !x.Plain && len(s.engine) >= minEngineSamples:
-		s.own.EngineRates, s.fitted = midway(s.own.EngineRates, fitEngine(e.prior.EngineRates, s.engine)), true
+		fit := fitEngine(e.prior.EngineRates, s.engine)
+		if s.fitted {
+			fit = midway(s.own.EngineRates, fit) // the first fit replaces the prior, which may be wrong by a factor
+		}
+		s.own.EngineRates, s.fitted = fit, true
 	}
 	s.own, _ = bounded(s.own)
 	e.combine(name, s)
@@ -249,7 +253,7 @@
 	return ring
 }
 
-// midway returns the rates between two, so that a single fit moves the rates only by half.
+// midway returns the rates between two, so that a single fit moves learned rates only by half.
 func midway(a, b EngineRates) EngineRates {
 	return EngineRates{
 		PrefillPerMS: math.Sqrt(a.PrefillPerMS * b.PrefillPerMS), BaseMS: (a.BaseMS + b.BaseMS) / 2,
