batch, sched: engines are divided by what long and short prompts need

Cause: engines were reserved by the number of running short prompts alone, at least four or none, as a hard pool; peers' prompts counted 8 ms for each request in flight. Placer.Pick prefers, at a small cost, the engines of the kind of prompt, divided by the engines that each kind needs (prefill or slots, whichever is more). Nodes tell each other their outstanding prompt tokens by engine (mesh.Extension.Prefill), which count less what the engine has computed since. Services with one kind of prompts are served as before. The line "sent" has added_pause_ms, and vane_front_pause_seconds counts the longest pause of each stream.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -127,6 +127,7 @@
 func (n *Node) compose(now time.Time, m *mesh.Message) {
 	m.Ready, m.Leaving = n.isReady(), n.isLeaving()
 	m.InFlight = n.placer.InFlight()
+	m.Extension.Prefill = n.placer.Prefill()
 	m.QuotaSpent, m.QuotaLevels = n.quota.publish(now)
 	if n.mesh.IsPromptWatcher() {
 		m.WeightsAges = n.weightsAges()
@@ -164,7 +165,7 @@
 // receive applies a message from another node.
 func (n *Node) receive(now time.Time, m *mesh.Message) {
 	at := clock.BootTime() // the clock of the placer
-	n.placer.SetPeerInFlight(m.Name, m.InFlight)
+	n.placer.SetPeerLoad(at, m.Name, m.InFlight, m.Extension.Prefill)
 	n.placer.ApplyCacheUpdates(m.PromptParts)
 	n.quota.receive(now, m)
 	n.rollouts.receive(now, m)
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -15,6 +15,7 @@
 	answers           *prometheus.CounterVec
 	responseSeconds   *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
+	pauseSeconds      *prometheus.HistogramVec
 }
 
 // NewMetrics registers the collectors with r.
@@ -38,8 +39,13 @@
 			Help:    "Time until the first event of streams and the whole of other answers, by route.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"route"}),
+		pauseSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "vane_front_pause_seconds",
+			Help:    "Longest time between two events of whole streams, by route.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"route"}),
 	}
-	r.MustRegister(m.refusals, m.answers, m.responseSeconds, m.firstEventSeconds)
+	r.MustRegister(m.refusals, m.answers, m.responseSeconds, m.firstEventSeconds, m.pauseSeconds)
 	return m
 }
 
@@ -60,3 +66,8 @@
 	m.responseSeconds.WithLabelValues(route).Observe(d.Seconds())
 	m.firstEventSeconds.WithLabelValues(route).Observe(first.Seconds())
 }
+
+// observePause records the longest time between two events of a stream.
+func (m *Metrics) observePause(route string, d time.Duration) {
+	m.pauseSeconds.WithLabelValues(route).Observe(d.Seconds())
+}
--- a/front/serve.go
+++ b/front/serve.go
@@ -174,7 +174,7 @@
 	}
 	t.resumedAfter = f.LastEventID
 	h.Log.Info("sent", "request_id", t.meta.ID, "route", t.route.Name, "workspace", t.tenancy.Workspace, "upstream", p.Upstream.Name,
-		"weights", p.Weights, "config", t.view.Config.Version, "price", p.Cost, "estimate_ms", p.Estimate.Milliseconds(),
+		"weights", p.Weights, "config", t.view.Config.Version, "price", p.Cost, "estimate_ms", p.Estimate.Milliseconds(), "added_pause_ms", p.AddedPause.Milliseconds(),
 		"load_age_ms", min(p.LoadAge, time.Hour).Milliseconds(), "fetch", p.FetchFrom, "save", p.SaveTo != "", "missing", p.UncachedTokens,
 		"shared", p.SharedTokens, "stored", p.StoredTokens, "copies", p.Holders, "held", p.HoldsShared, "left_ms", f.TimeLimit.Milliseconds())
 	maxIdle := conns.DefaultMaxIdle
@@ -388,6 +388,9 @@
 		first, events, pause = t.relay.firstAt.Sub(t.start), t.relay.eventCount, t.relay.maxGap
 	}
 	h.Metrics.observeServed(t.route.Name, d, first)
+	if events > 1 {
+		h.Metrics.observePause(t.route.Name, pause)
+	}
 	h.Metrics.countAnswer(t.route.Name, resp.Framing)
 	h.Log.Info("answered", "request_id", t.meta.ID, "route", t.route.Name, "upstream", p.Upstream.Name, "incarnation", p.Upstream.Incarnation, "status", resp.Status, "framing", resp.Framing.String(), "request_write", resp.Written().String(),
 		"attempts", t.sends, "events", events, "first_ms", first.Milliseconds(), "pause_ms", pause.Milliseconds(), "elapsed_ms", d.Milliseconds())
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -33,6 +33,7 @@
 		Engines: []EngineUpdate{{Upstream: "e", Weights: 3, LoadingMS: -1}}, Crashes: []CrashReport{{Workspace: "ws", Fingerprint: 1 << 63, Upstream: "e", Incarnation: 2}},
 		StoreOK: true, UpstreamVersion: 8, Unresponsive: []string{"x"}, PromptParts: map[string][]uint64{"e": {1 << 62}},
 	}
+	in.Prefill = map[string]int{"e": 9}
 	b, err := encodeMessage(in)
 	is.NoErr(err)
 	out, err := decodeMessage(b)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -47,6 +47,7 @@
 	Convictions    []Conviction    `msgpack:"convictions,omitempty"`     // parts of prompts with which requests are refused
 	StoreFailing   bool            `msgpack:"store_failing,omitempty"`   // the store does not answer the node
 	Leaving        []UpstreamStart `msgpack:"leaving,omitempty"`         // upstreams that said that they are leaving
+	Prefill        map[string]int  `msgpack:"prefill,omitempty"`         // uncached prompt tokens of the node's requests without a first token, in units of 1,024, by engine; engines with none are left out
 }
 
 // UpstreamStart identifies one start of an upstream.
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -48,10 +48,10 @@
 
 // findHolders returns the holders of the prompt's shared parts, by the number of the
 // weights that they serve, or nil if the prompt has no shared parts. Engines whose rank
-// is at most reservedRank can be the preferred engine of short prompts only, the others
-// of long prompts only. A negative reservedRank means that no engines are reserved. An
-// engine that f excludes is not preferred.
-func (p *Placer) findHolders(now time.Time, q Query, reservedRank float64, f releaseFilter) map[uint64]*partHolders {
+// is at most shortRank can be the preferred engine of short prompts only, the others of
+// long prompts only, unless shortRank is negative. An engine that f excludes is not
+// preferred.
+func (p *Placer) findHolders(now time.Time, q Query, shortRank float64, f releaseFilter) map[uint64]*partHolders {
 	shared := q.Shared()
 	if len(shared) == 0 {
 		return nil
@@ -73,7 +73,7 @@
 				h.complete++
 			}
 		}
-		if a := rendezvousHash(last, u.Name); u.usable(now) && !f.excludes(u) && (reservedRank < 0 || q.short() == (u.rank <= reservedRank)) && (h.preferred == nil || a < h.lowest) {
+		if a := rendezvousHash(last, u.Name); u.usable(now) && !f.excludes(u) && (shortRank < 0 || q.short() == (u.rank <= shortRank)) && (h.preferred == nil || a < h.lowest) {
 			h.preferred, h.lowest = u, a
 		}
 	}
@@ -86,15 +86,15 @@
 	return out
 }
 
-// prefill estimates the computation of the prompt at u. It returns the milliseconds
-// until the prompt is computed, adds the costs of computing and copying parts to cost,
-// and fills the fields of c that concern caches. h says where the shared parts are; it
-// may be nil if the prompt has none.
-func (p *Placer) prefill(now time.Time, q Query, u *upstream, c *Pick, cost *float64, h *partHolders) float64 {
+// cachedParts estimates what u must compute of the prompt. It returns the milliseconds
+// until the engine has fetched cached parts, adds the costs of computing and copying parts
+// to cost, and fills the fields of c that concern caches. h says where the shared parts
+// are; it may be nil if the prompt has none.
+func (p *Placer) cachedParts(now time.Time, q Query, u *upstream, c *Pick, cost *float64, h *partHolders) float64 {
 	shared := q.Shared()
 	if len(shared) == 0 {
 		c.UncachedTokens = q.PromptTokens
-		return float64(c.UncachedTokens) / prefillTokensPerMS
+		return 0
 	}
 	sum := make([]float64, len(shared)+1) // sum[i] is the number of tokens of the first i parts
 	stored := 0                           // number of leading parts that the cache store holds
@@ -134,5 +134,5 @@
 		*cost += recomputeTokenCost * (tokens - cached)
 	}
 	c.UncachedTokens = max(0, q.PromptTokens-int(cached))
-	return ms + float64(c.UncachedTokens)/prefillTokensPerMS
+	return ms
 }
--- /dev/null
+++ b/sched/mixed.go
@@ -0,0 +1,199 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/batch"
+)
+
+// Limits for services that get long and short prompts. An engine computes prompts between
+// the tokens of its streams, so that a stream pauses while the engine computes a long
+// prompt, and a short prompt waits until it is computed.
+const (
+	shortPromptTokens = 2048             // length up to which a prompt is short: half a chunk, so that it pauses the streams of an engine for half a chunk at most
+	mixedWindow       = 10 * time.Second // time since the last prompt of a kind during which a service gets that kind; at two of a kind in a second, a node of a large site sees no gap as long
+	workTime          = 10 * time.Second // time constant of the averages of computed prompt tokens; nodes that see two prompts in a second then agree on the shares of the kinds to about a quarter
+	runningTime       = 4 * time.Second  // time constant of the averages of running requests
+	minGroup          = 4                // smallest number of engines that a kind prefers; with fewer, the failure of one would break too many of its streams
+	otherGroupCost    = 0.08             // cost of an engine that the other kind prefers, as much as waiting for the whole objective: the preference only decides while neither is late
+	orderHashKey      = "short prompts"  // hashed with an engine's name to give its rank in the order in which short prompts prefer engines
+)
+
+// short reports whether the request has a short prompt. A prompt of unknown length
+// (PromptTokens is zero) is not short.
+func (q Query) short() bool { return q.PromptTokens > 0 && q.PromptTokens <= shortPromptTokens }
+
+// kindLoad is the load that this node's requests of one kind cause at a service.
+type kindLoad struct {
+	at      time.Time      // time of the last request
+	running runningAverage // requests in flight
+	work    workAverage    // uncached prompt tokens
+}
+
+// engines returns the number of engines that all requests of this node need, if each
+// computes prompts at the given rate and has so many slots: as many as compute the
+// prompts, or have a slot for each request, whichever is more.
+func (k *kindLoad) engines(now time.Time, perMS, slots float64) float64 {
+	k.running.advance(now)
+	k.work.advance(now)
+	return max(k.work.perMS/perMS, k.running.mean/slots)
+}
+
+// recent reports whether the service still gets requests of the kind.
+func (k *kindLoad) recent(now time.Time) bool {
+	return !k.at.IsZero() && now.Sub(k.at) < mixedWindow
+}
+
+// mix is the load of a service by kind.
+type mix struct{ long, short kindLoad }
+
+// mixed reports whether the service gets long and short prompts.
+func (m *mix) mixed(now time.Time) bool {
+	return m != nil && m.long.recent(now) && m.short.recent(now)
+}
+
+// kindOf returns the load of the kind of the request, or nil if the length of its prompt is
+// not known. The caller must hold p.mu.
+func (p *Placer) kindOf(service string, hasPrompt, short bool) *kindLoad {
+	if !hasPrompt {
+		return nil
+	}
+	m := p.mixes[service]
+	if m == nil {
+		m = &mix{}
+		p.mixes[service] = m
+	}
+	if short {
+		return &m.short
+	}
+	return &m.long
+}
+
+// runningAverage is an exponentially weighted average of the number of running requests.
+type runningAverage struct {
+	running   int
+	mean      float64
+	updatedAt time.Time // time to which mean applies
+}
+
+// advance updates the average to now.
+func (a *runningAverage) advance(now time.Time) {
+	if d := now.Sub(a.updatedAt); !a.updatedAt.IsZero() && d > 0 {
+		keep := math.Exp(-float64(d) / float64(runningTime))
+		a.mean = keep*a.mean + (1-keep)*float64(a.running)
+	}
+	a.updatedAt = now
+}
+
+// add changes the number of running requests by n, which is negative if requests end.
+func (a *runningAverage) add(now time.Time, n int) {
+	a.advance(now)
+	a.running += n
+}
+
+// workAverage is an exponentially weighted rate of prompt tokens.
+type workAverage struct {
+	perMS     float64
+	updatedAt time.Time // time to which perMS applies
+}
+
+// advance updates the rate to now.
+func (a *workAverage) advance(now time.Time) {
+	if d := now.Sub(a.updatedAt); !a.updatedAt.IsZero() && d > 0 {
+		a.perMS *= math.Exp(-float64(d) / float64(workTime))
+	}
+	a.updatedAt = now
+}
+
+// add records tokens.
+func (a *workAverage) add(now time.Time, tokens int) {
+	a.advance(now)
+	a.perMS += float64(tokens) / float64(workTime.Milliseconds())
+}
+
+// shortRank returns the highest rank of the usable engines of the service that short
+// prompts prefer; long prompts prefer the others. It returns -1 if there is no preference.
+//
+// The engines are divided in proportion to what the kinds need, so that both groups are
+// equally busy. All nodes see the same mix of requests, and divide the engines in the same
+// order, so that they agree without news of each other. The caller must hold p.mu.
+func (p *Placer) shortRank(now time.Time, q Query) float64 {
+	m := p.mixes[q.Service]
+	if !m.mixed(now) {
+		return -1
+	}
+	usable, slots := 0, 0
+	for _, u := range p.byService[q.Service] {
+		if u.Role == vane.RoleEngine && u.usable(now) {
+			usable, slots = usable+1, slots+u.Slots
+		}
+	}
+	if slots == 0 {
+		return -1
+	}
+	each := float64(slots) / float64(usable)
+	perMS := p.engineRates(q.Service).PrefillPerMS
+	short, long := m.short.engines(now, perMS, each), m.long.engines(now, perMS, each)
+	if short <= 0 || long <= 0 {
+		return -1
+	}
+	n := int(math.Round(float64(usable) * short / (short + long)))
+	if n < minGroup || usable-n < minGroup {
+		return -1
+	}
+	rank := -1.0
+	for _, u := range p.byService[q.Service] {
+		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) {
+			rank, n = u.rank, n-1
+		}
+	}
+	return rank
+}
+
+// engineRates returns the rates of the engines of a service.
+func (p *Placer) engineRates(string) batch.Rates {
+	return batch.Rates{PrefillPerMS: prefillTokensPerMS, BaseMS: idleEngineMS, RunningMS: runningRequestMS, WaitingMS: waitingRequestMS}
+}
+
+// batchOf returns what is known of the requests at an engine. A peer's outstanding prompt
+// tokens are taken as told only where the service gets both kinds of prompts; else they
+// are estimated from the number of its requests. The caller must hold p.mu.
+func (p *Placer) batchOf(now time.Time, u *upstream, mixed bool) batch.Batch {
+	var l vane.Load
+	if now.Sub(u.loadAt) < loadTTL {
+		l = u.load
+	}
+	t := p.peerTotals[u.Name]
+	rates := p.engineRates(u.Service)
+	b := batch.Batch{
+		Rates: rates, Running: float64(max(u.inFlight+t.inFlight, l.Running+l.Waiting)), Waiting: float64(l.Waiting),
+		Streams: float64(u.streams), Prompts: float64(len(u.waiting)), Tokens: float64(u.pending),
+	}
+	untold := t.inFlight
+	if mixed {
+		untold = t.untold
+		left := t.prefillLeft(p.sinceEpoch(now), rates.PrefillPerMS)
+		b.Tokens += left
+		b.Prompts += left / batch.DefaultChunk
+	}
+	b.Tokens += float64(untold) * peerPrefillMS * rates.PrefillPerMS
+	return b
+}
+
+// peerPrefillMS is the mean time in milliseconds that an engine still computes the prompt of
+// a request of another node that does not tell. Most have their first token already.
+const peerPrefillMS = 8.0
+
+// batchEstimates returns the estimated milliseconds until the first token of the query at
+// u, once the engine has fetched cached parts, and fills in the added pause. The caller
+// must hold p.mu.
+func (p *Placer) batchEstimates(now time.Time, q Query, u *upstream, c *Pick) float64 {
+	mixed := p.mixes[q.Service].mixed(now)
+	b := p.batchOf(now, u, mixed)
+	if mixed {
+		c.AddedPause = b.AddedPause(float64(c.UncachedTokens))
+	}
+	return float64(b.FirstToken(float64(c.UncachedTokens))) / float64(time.Millisecond)
+}
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -40,6 +40,7 @@
 	SaveTo         string        // address of the cache store to which the engine saves the shared parts; empty for none
 	Cost           float64       // cost as a fraction of the worth of the request; lower is better
 	Estimate       time.Duration // estimated time until the first token
+	AddedPause     time.Duration // estimated time by which the request lengthens a pause of the streams at the engine; zero unless the service gets long and short prompts
 	LoadAge        time.Duration // age of the upstream's last load report
 	UncachedTokens int           // prompt tokens that the engine is expected to compute
 	SharedTokens   int           // prompt tokens that other requests may have in common
@@ -60,12 +61,12 @@
 		q.Objective = defaultObjective
 	}
 	target := p.view.Weights[q.Model]
-	reservedRank := -1.0
+	shortRank := -1.0
 	if q.PromptTokens > 0 {
-		reservedRank = p.reservedRank(now, q)
+		shortRank = p.shortRank(now, q)
 	}
 	filter := p.releaseFilter(now, q, target)
-	holders := p.findHolders(now, q, reservedRank, filter)
+	holders := p.findHolders(now, q, shortRank, filter)
 	skipNewest := p.skipNewest(now, q, target)
 	var best Pick
 	found := false
@@ -77,8 +78,8 @@
 		if p.beginsOutdated(now, c, target) {
 			continue
 		}
-		if reservedRank >= 0 && q.short() != (u.rank <= reservedRank) {
-			c.Cost += wrongPoolCost
+		if shortRank >= 0 && q.short() != (u.rank <= shortRank) {
+			c.Cost += otherGroupCost
 		}
 		if !found || c.Cost < best.Cost {
 			best, found = c, true
@@ -124,7 +125,7 @@
 	if p.storeLink.nodes > manyNodes {
 		share = newestShareManyNodes
 	}
-	allowed := share * float64(newest) * prefillTokensPerMS / (p.prefillRate.perMS(now) * p.storeLink.nodes)
+	allowed := share * float64(newest) * p.engineRates(q.Service).PrefillPerMS / (p.prefillRate.perMS(now) * p.storeLink.nodes)
 	return rendezvousHash(q.ID, "newest weights") > allowed
 }
 
@@ -141,13 +142,16 @@
 	if u.DataCentre != p.dataCentre {
 		cost += remoteByteCost * float64(q.Bytes)
 	}
-	ms := u.queueMS(now, p.peerInFlight(u.Name))
-	if u.Role == vane.RoleEngine {
+	var ms float64
+	if u.Role != vane.RoleEngine {
+		ms = u.queueMS(p.peerInFlight(u.Name))
+	} else {
 		if target.OutdatedFor(now, u.Weights) > oldWeightsGrace {
 			cost += oldWeightsCost
 		}
 		c.Salt = salt(q, u.Weights)
-		ms += idleEngineMS + p.prefill(now, q, u, &c, &cost, h)
+		ms = p.cachedParts(now, q, u, &c, &cost, h)
+		ms += p.batchEstimates(now, q, u, &c)
 	}
 	if u.onProbation(now) {
 		cost += probationCost
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -13,16 +13,18 @@
 // Attempt is a request that was sent to an upstream. It is created by [Placer.Begin] and
 // passed to the methods that report its progress.
 type Attempt struct {
-	id       string // ID of the request
-	name     string // name of the upstream
-	model    string
-	weights  uint64    // number of the engine's weights when the request was sent; zero for plain services
-	short    bool      // the prompt is short
-	tokens   int       // prompt tokens still to be computed
-	sent     time.Time // time at which the request was sent
-	started  bool      // the first bytes of the answer have arrived
-	ended    bool      // End was called
-	withdraw func()    // set by OnExpire; nil if there is none
+	id        string // ID of the request
+	name      string // name of the upstream
+	model     string
+	weights   uint64 // number of the engine's weights when the request was sent; zero for plain services
+	service   string
+	hasPrompt bool      // the length of the prompt is known
+	short     bool      // the prompt is short
+	tokens    int       // prompt tokens still to be computed
+	sent      time.Time // time at which the request was sent
+	started   bool      // the first bytes of the answer have arrived
+	ended     bool      // End was called
+	withdraw  func()    // set by OnExpire; nil if there is none
 }
 
 // Placer chooses upstreams. It is safe for concurrent use. The times that its methods
@@ -33,20 +35,21 @@
 	weightsLimit time.Duration // time from the announcement of new weights until engines with older ones get no requests
 	cache        StoreIndex
 
-	mu           sync.Mutex
-	view         *mirror.View
-	upstreams    map[string]*upstream      // upstreams by name
-	byService    map[string][]*upstream    // upstreams by service, sorted by rank
-	waiting      map[*Attempt]struct{}     // requests at engines without a first byte, also at engines whose entries are gone
-	peers        map[string]map[string]int // requests in flight by node and upstream
-	peerTotals   map[string]int            // sums of peers by upstream
-	releases     map[string]ReleaseShare   // limits by service
-	saves        *saveLog
-	updates      map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
-	storeLink    storeLink
-	prefillRate  tokenRate      // rate of the uncached prompt tokens of all requests of this node
-	longPrefill  tokenRate      // rate of the uncached prompt tokens of the requests whose prompts are not short
-	shortRunning runningAverage // running requests of this node with short prompts
+	mu          sync.Mutex
+	view        *mirror.View
+	upstreams   map[string]*upstream    // upstreams by name
+	byService   map[string][]*upstream  // upstreams by service, in an order that all nodes share
+	waiting     map[*Attempt]struct{}   // requests at engines without a first byte, also at engines whose entries are gone
+	peers       map[string]peerLoad     // loads that other nodes cause, by node
+	peerTotals  map[string]peerTotal    // sums of peers by upstream
+	telling     map[string]struct{}     // nodes that tell their outstanding prompts
+	mixes       map[string]*mix         // kinds of prompts seen, by service
+	epoch       time.Time               // time of the first message of another node
+	releases    map[string]ReleaseShare // limits by service
+	saves       *saveLog
+	updates     map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
+	storeLink   storeLink
+	prefillRate tokenRate // rate of the uncached prompt tokens of all requests of this node
 }
 
 // StoreIndex tells what the cache store holds. Its methods are called with the placer
@@ -69,7 +72,7 @@
 func New(dataCentre string, c StoreIndex, opts ...Option) *Placer {
 	p := &Placer{
 		dataCentre: dataCentre, weightsLimit: defaultWeightsLimit, cache: c, view: &mirror.View{}, upstreams: make(map[string]*upstream),
-		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), saves: newSaveLog(), updates: make(map[string][]uint64),
+		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]peerLoad), peerTotals: make(map[string]peerTotal), mixes: make(map[string]*mix), telling: make(map[string]struct{}), saves: newSaveLog(), updates: make(map[string][]uint64),
 	}
 	for _, o := range opts {
 		o(p)
@@ -94,7 +97,7 @@
 		u := v.Upstreams[name]
 		s, ok := p.upstreams[name]
 		if !ok || s.Incarnation != u.Incarnation {
-			s = &upstream{parts: newPartSet(v, u), rank: rendezvousHash(reservationHashKey, name)}
+			s = &upstream{parts: newPartSet(v, u), rank: rendezvousHash(orderHashKey, name)}
 			p.upstreams[name] = s
 		}
 		s.update(u)
@@ -111,11 +114,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prefillRate.add(now, c.UncachedTokens)
-	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now}
-	if t.short {
-		p.shortRunning.add(now, 1)
-	} else {
-		p.longPrefill.add(now, c.UncachedTokens)
+	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), service: q.Service, hasPrompt: q.PromptTokens > 0, tokens: c.UncachedTokens, sent: now}
+	if k := p.kindOf(t.service, t.hasPrompt, t.short); k != nil {
+		k.at = now
+		k.running.add(now, 1)
+		k.work.add(now, c.UncachedTokens)
 	}
 	if t.weights != 0 {
 		p.waiting[t] = struct{}{}
@@ -159,44 +162,8 @@
 	if u, ok := p.upstreams[t.name]; ok {
 		u.end(t)
 	}
-	if t.short {
-		p.shortRunning.add(now, -1)
-	}
-}
-
-// SetPeerInFlight replaces the numbers of requests that another node has in flight, by
-// upstream. The placer keeps the map. An empty map removes the node.
-func (p *Placer) SetPeerInFlight(node string, inFlight map[string]int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name, n := range p.peers[node] {
-		if p.peerTotals[name] -= n; p.peerTotals[name] == 0 {
-			delete(p.peerTotals, name)
-		}
-	}
-	for name, n := range inFlight {
-		p.peerTotals[name] += n
-	}
-	if len(inFlight) == 0 {
-		delete(p.peers, node)
-		return
-	}
-	p.peers[node] = inFlight
-}
-
-// KeepPeersInFlight removes the nodes for which keep returns false, such as those that are
-// down, from the requests in flight.
-func (p *Placer) KeepPeersInFlight(keep func(node string) bool) {
-	p.mu.Lock()
-	var gone []string
-	for node := range p.peers {
-		if !keep(node) {
-			gone = append(gone, node)
-		}
-	}
-	p.mu.Unlock()
-	for _, node := range gone {
-		p.SetPeerInFlight(node, nil)
+	if k := p.kindOf(t.service, t.hasPrompt, t.short); k != nil {
+		k.running.add(now, -1)
 	}
 }
 
@@ -213,7 +180,3 @@
 	}
 	return out
 }
-
-// peerInFlight returns the number of requests that the other nodes have in flight at an
-// upstream. The caller must hold p.mu.
-func (p *Placer) peerInFlight(name string) int { return p.peerTotals[name] }
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -21,10 +21,11 @@
 type upstream struct {
 	vane.Upstream
 	parts *partSet // parts that the engine is believed to hold
-	rank  float64  // position in the order in which engines are reserved for short prompts, lowest first
+	rank  float64  // position in the order in which short prompts prefer engines, lowest first
 
 	inFlight    int                   // number of requests that this node has in flight
 	pending     int                   // uncached tokens of this node's requests without a first byte
+	streams     int                   // this node's requests with short prompts that have a first byte
 	waiting     map[*Attempt]struct{} // this node's requests without a first byte
 	load        vane.Load             // last load report
 	loadAt      time.Time             // time of the last load report
@@ -79,26 +80,15 @@
 	return u.ejection > 0 && now.Before(u.ejectedUntil.Add(probation))
 }
 
-// queueMS estimates the milliseconds until a new request begins. peers is the number of
-// requests that the other nodes have in flight here.
-func (u *upstream) queueMS(now time.Time, peers int) float64 {
+// queueMS estimates the milliseconds until a new request to a plain service begins. peers
+// is the number of requests that the other nodes have in flight here.
+func (u *upstream) queueMS(peers int) float64 {
 	own := u.inFlight + peers
-	if u.Role == vane.RoleEngine {
-		var l vane.Load
-		if now.Sub(u.loadAt) < loadTTL {
-			l = u.load
-		}
-		busy := max(own, l.Running+l.Waiting)
-		return float64(u.pending)/prefillTokensPerMS + runningRequestMS*float64(busy) + waitingRequestMS*float64(l.Waiting) + float64(peers)*peerPrefillMS
-	}
 	return plainRequestMS * float64(own) / float64(max(1, u.Slots)) * float64(1+own/max(1, u.Slots))
 }
 
-// Estimates of queueing times.
-const (
-	peerPrefillMS  = 8.0  // mean remaining prefill time of a request of another node; most have their first token already
-	plainRequestMS = 30.0 // service time of a request to a plain service
-)
+// plainRequestMS is the service time of a request to a plain service.
+const plainRequestMS = 30.0
 
 // begin adds an attempt.
 func (u *upstream) begin(t *Attempt) {
@@ -114,6 +104,9 @@
 func (u *upstream) firstByte(now time.Time, t *Attempt) {
 	u.pending -= t.tokens
 	t.tokens = 0
+	if t.short && !t.ended {
+		u.streams++
+	}
 	delete(u.waiting, t)
 	u.responded(now)
 }
@@ -122,6 +115,9 @@
 func (u *upstream) end(t *Attempt) {
 	u.inFlight = max(0, u.inFlight-1)
 	u.pending = max(0, u.pending-t.tokens)
+	if t.short && t.started {
+		u.streams = max(0, u.streams-1)
+	}
 	delete(u.waiting, t)
 }
 
