--- a/batch/batch.go
+++ b/batch/batch.go
@@ -27,7 +27,6 @@
 	Rates    Rates
 	Running  float64 // requests in the batch
 	Waiting  float64 // requests that wait for a slot
-	Streams  float64 // running requests whose callers notice a pause between two tokens
 	Prompts  float64 // requests whose prompts are not computed yet
 	Tokens   float64 // prompt tokens that are not computed yet, of all requests
 	Chunk    int     // tokens of one prompt computed in a step; DefaultChunk if zero or less
@@ -37,8 +36,8 @@
 // FirstToken estimates the time until the first token of a new request with that many
 // prompt tokens to compute. All outstanding prompts are assumed to be computed before it.
 func (b Batch) FirstToken(tokens float64) time.Duration {
-	ms := b.Rates.BaseMS + b.slowdown()*(b.Rates.RunningMS*amount(b.Running)+b.Rates.WaitingMS*amount(b.Waiting)+b.prefillMS(amount(b.Tokens)+amount(tokens)))
-	return duration(ms)
+	r := b.Rates
+	return duration(b.slowdown() * (r.BaseMS + r.RunningMS*amount(b.Running) + r.WaitingMS*amount(b.Waiting) + b.prefillMS(amount(b.Tokens)+amount(tokens))))
 }
 
 // Pause estimates the longest time between two tokens of a running stream because of the
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -32,7 +32,7 @@
 		{"a prompt of several chunks", batch.Batch{Chunk: 1024}, 9190, 101900 * time.Microsecond, 0, 10240 * time.Microsecond},
 		{"unknown chunk size", batch.Batch{Chunk: 0}, 9190, 101900 * time.Microsecond, 0, 40960 * time.Microsecond},
 		{"a second long prompt", batch.Batch{Chunk: 1024, Prompts: 1, Tokens: 9190}, 9190, 193800 * time.Microsecond, 10240 * time.Microsecond, 10240 * time.Microsecond},
-		{"slow engine", batch.Batch{Prompts: 1, Tokens: 1000, Slowdown: 2.5}, 1000, 60 * ms, 25 * ms, 25 * ms},
+		{"slow engine", batch.Batch{Prompts: 1, Tokens: 1000, Slowdown: 2.5}, 1000, 75 * ms, 25 * ms, 25 * ms},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
--- a/batch/doc.go
+++ b/batch/doc.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	b := batch.Batch{Rates: rates, Running: 5, Streams: 3, Prompts: 1, Tokens: 2890}
+//	b := batch.Batch{Rates: rates, Running: 5, Prompts: 1, Tokens: 2890}
 //	first := b.FirstToken(9190)
 //	added := b.AddedPause(9190)
 package batch
--- a/dialect.go
+++ b/dialect.go
@@ -57,8 +57,8 @@
 	NotRun        bool   // the upstream states that the request did not run
 	WrongUpstream bool   // the request reached another upstream than the one it names
 	Load          Load   // valid if HasLoad is set
-	Slots         int    // requests that the upstream batches at once; valid if HasLoad is set
-	HasLoad       bool   // the response states Load and Slots
+	Slots         int    // requests that the upstream batches at once; zero if not stated
+	HasLoad       bool   // the response states at least one value of Load; the others are zero
 	Weights       uint64 // version of the weights that served the request; zero if not stated
 	Leaving       bool   // the upstream states that it is about to stop
 	// RetryAfter is the time for which an upstream that refused the request wants no
@@ -130,6 +130,15 @@
 	Events []CacheEvent
 }
 
+// ColdProber asks upstreams whether they are cold. The interface is optional for an
+// [EngineControl].
+type ColdProber interface {
+	// ColdLeft returns how much longer the upstream stays cold, by its health check. It returns
+	// false if the response does not state it or is that of another upstream. The error says
+	// that there was no response.
+	ColdLeft(ctx context.Context, u Upstream, healthPath string) (time.Duration, bool, error)
+}
+
 // EngineControl is the management interface of engines and caches.
 type EngineControl interface {
 	// Order sends an order to load weights. After an error it is not known whether
@@ -141,6 +150,9 @@
 	// none. The state is ProcessReplaced if another upstream answers. healthPath is the path
 	// of the health check of a plain service.
 	Process(ctx context.Context, u Upstream, healthPath string) (uint64, ProcessState)
+	// Load asks an upstream for its load, with a request for the path of its health check. It
+	// returns false if the upstream does not state it.
+	Load(ctx context.Context, u Upstream, healthPath string) (Load, bool)
 	// CacheContents returns all parts that a cache holds, each as an event that adds it.
 	CacheContents(ctx context.Context, addr string) (CacheChanges, error)
 	// CacheChanges waits for changes of a cache after the position since.
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -140,8 +140,10 @@
 	m.PromptParts = n.placer.TakeCacheUpdates()
 	m.StoreOK, m.Extension.StoreFailing = n.mirror.Reachable() && n.mesh.IsPromptWatcher(), n.mirror.Failing()
 	n.rollouts.fill(m)
+	n.composeRates(m)
 	n.pendingUpdates.fill(now, m)
 	n.composeConvictions(now, m)
+	n.coldStarts.fill(clock.BootTime(), m)
 }
 
 // maxWeightsAges is the number of newest weights of a model whose ages are sent. Engines
@@ -167,6 +169,7 @@
 	at := clock.BootTime() // the clock of the placer
 	n.placer.SetPeerLoad(at, m.Name, m.InFlight, m.Extension.Prefill)
 	n.placer.ApplyCacheUpdates(m.PromptParts)
+	n.receiveRates(m)
 	n.quota.receive(now, m)
 	n.rollouts.receive(now, m)
 	for _, e := range m.Engines {
@@ -194,6 +197,7 @@
 		n.crash.Add(crash.Report{Request: crash.RequestKey{Workspace: c.Workspace, Fingerprint: c.Fingerprint}, Upstream: c.Upstream, Incarnation: c.Incarnation})
 	}
 	n.receiveParts(now, m)
+	n.coldStarts.receive(at, m)
 }
 
 // wantsLease reports whether this node should hold the lease on weight orders. The
--- a/edge/node.go
+++ b/edge/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -35,8 +36,10 @@
 	largeSiteWait  = 6 * time.Second         // how long the store holds a watch of a large site; a lost connection shows earlier by its probes
 	relaxedBatch   = 4 * time.Second         // the same for nodes of a large site that learn of changes from other nodes first
 	tickPeriod     = 100 * time.Millisecond  // period of the checks for silent upstreams, and of the waits while draining
-	silentTimeout  = 1200 * time.Millisecond // an upstream that keeps requests waiting for this long is set aside
-	leasePrefix    = "vane-leases"           // key prefix of the leases in the store
+	silentTimeout  = 1200 * time.Millisecond // an upstream that keeps requests waiting for this long is checked, or set aside
+
+	silentCheckTimeout = 400 * time.Millisecond // a running engine answers a check within milliseconds; connecting may need a second packet
+	leasePrefix        = "vane-leases"          // key prefix of the leases in the store
 )
 
 // Directory encodes the answers to callers that ask which nodes to use.
@@ -87,6 +90,7 @@
 	leases         *lease.Manager
 	loader         *loader
 	rollouts       *rollouts
+	coldStarts     *coldStarts
 	handler        *front.Handler
 	pendingUpdates *pendingUpdates
 	rejoin         chan struct{} // requests that the node's record is written again; holds one request
@@ -111,12 +115,19 @@
 	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)),
 		store.WithRestoreFunc(n.handleRestore))
 	n.cache = newCacheWatcher(adapter.Control, log, func() bool { return n.mesh.IsPromptWatcher() })
-	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit))
+	n.coldStarts = newColdStarts(n)
+	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit), sched.WithColdLimiter(n.coldStarts), sched.WithRegions(settings.Regions), sched.WithStallLimit(settings.EvacuationLimit/2), sched.WithMetrics(sched.NewMetrics(n.registry)))
 	n.quota = newLimiter(settings.Node, settings.LinkMbps, func() { n.mesh.SendSoon() }, n.registry, log)
-	n.mirror = mirror.NewService(n.storeClient, adapter.Decoder, mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy),
-		mirror.WithMalformedFunc(malformedCounter(n.registry).Inc))
+	opts := []mirror.Option{mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy), mirror.WithMalformedFunc(malformedCounter(n.registry).Inc)}
+	evacuations, ok := adapter.Decoder.(mirror.EvacuationDecoder)
+	followsEvacuations := ok && settings.EvacuationLimit > 0
+	if followsEvacuations {
+		opts = append(opts, mirror.WithEvacuations(evacuations))
+	}
+	n.mirror = mirror.NewService(n.storeClient, adapter.Decoder, opts...)
 	n.mesh = mesh.New(n.record(), mesh.Deps{
 		Compose: n.compose, Receive: n.receive, Versions: n.mirror.Versions, Export: n.mirror.Export, Import: n.mirror.Import, Answer: n.quota.answer, Log: log,
+		Evacuations: followsEvacuations,
 	})
 	n.quota.ask, n.quota.nodes, n.quota.leaving = n.mesh.Ask, n.mesh.Peers, n.isLeaving
 	n.crash = crash.NewRegistry(recorder{log}, crash.WithBroadcast(n.pendingUpdates.addCrash, func(crash.RequestKey) {}))
@@ -134,7 +145,7 @@
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash, Parts: n.parts,
-		RetryBudget: n.retryWindow, Draining: n.isLeaving, Closing: n.closing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, Process: n.processOf, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
+		RetryBudget: n.retryWindow, Draining: n.isLeaving, Closing: n.closing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, Process: n.processOf, UpstreamLoad: n.adapter.Control.Load, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
 	})
 	return n, n.register()
 }
@@ -260,8 +271,12 @@
 	n.placer.Update(v)
 	n.mesh.SetPeers(v.Peers)
 	n.quota.update(v, n.settings.Node)
+	n.coldStarts.handleViewChange(old, v)
 	n.cache.update(v)
-	if v.Config != old.Config || len(v.Rollouts) > len(old.Rollouts) {
+	switch {
+	case !maps.Equal(v.Evacuated, old.Evacuated):
+		n.mesh.SendNow() // for nodes that the store does not reach, or that follow it with delay
+	case v.Config != old.Config || len(v.Rollouts) > len(old.Rollouts):
 		n.mesh.SendSoon()
 	}
 	n.mu.Lock()
@@ -283,7 +298,11 @@
 	}
 	for name, u := range v.Upstreams {
 		if o, ok := old.Upstreams[name]; !ok || o != u {
-			n.log.Info("upstream", "upstream", name, "addr", u.Addr, "service", u.Service, "state", u.State.String(), "release", u.Release, "weights", u.Weights, "incarnation", u.Incarnation)
+			args := []any{"upstream", name, "addr", u.Addr, "service", u.Service, "state", u.State.String(), "release", u.Release, "weights", u.Weights, "incarnation", u.Incarnation}
+			if !u.ColdUntil.IsZero() {
+				args = append(args, "cold_left_ms", u.ColdUntil.Sub(clock.BootTime()).Milliseconds())
+			}
+			n.log.Info("upstream", args...)
 		}
 	}
 	for name := range old.Upstreams {
@@ -291,6 +310,16 @@
 			n.log.Info("upstream gone", "upstream", name)
 		}
 	}
+	for dc := range v.Evacuated {
+		if _, ok := old.Evacuated[dc]; !ok {
+			n.log.Warn("data centre evacuated", "evacuated", dc)
+		}
+	}
+	for dc := range old.Evacuated {
+		if _, ok := v.Evacuated[dc]; !ok {
+			n.log.Info("evacuation of a data centre ended", "evacuated", dc)
+		}
+	}
 	for model, w := range v.Weights {
 		if old.Weights[model].Version != w.Version {
 			n.log.Info("weights named", "model", model, "weights", w.Version)
@@ -340,10 +369,34 @@
 	n.placer.KeepPeersInFlight(n.mesh.IsAlive)
 }
 
+// checkSilent asks an engine that keeps requests waiting for its load. The upstream is set
+// aside, and the other nodes are told, if it does not answer or is not an engine. Slow
+// engines that were set aside by all nodes once left the whole load to the others, which
+// then were as slow.
+func (n *Node) checkSilent(ctx context.Context, u vane.Upstream) {
+	var load *vane.Load
+	if u.Role == vane.RoleEngine {
+		ctx, cancel := context.WithTimeout(ctx, silentCheckTimeout)
+		defer cancel()
+		if r, err := n.adapter.Control.Report(ctx, u); err == nil {
+			load = &r.Load
+		}
+	}
+	if n.placer.ResolveSilent(clock.BootTime(), u, load, silentTimeout) {
+		n.pendingUpdates.addUnresponsive(u.Name)
+		n.mesh.SendNow()
+		n.log.Warn("upstream set aside", "upstream", u.Name, "cause", "silent", "reported", load != nil, "limit_ms", silentTimeout.Milliseconds())
+	} else if load != nil {
+		n.log.Info("silent upstream is busy", "upstream", u.Name, "running", load.Running, "waiting", load.Waiting)
+	}
+}
+
 // watchSilentUpstreams sets aside upstreams that keep requests waiting for too long, and
 // withdraws requests that would begin on outdated weights.
 func (n *Node) watchSilentUpstreams(ctx context.Context, ready func()) error {
 	ready()
+	var checks sync.WaitGroup
+	defer checks.Wait()
 	failing := false
 	for clock.Sleep(ctx, tickPeriod) {
 		if now := n.mirror.Failing(); now != failing {
@@ -353,10 +406,13 @@
 		}
 		n.quota.tick()
 		n.forgetDeadPeers()
-		for _, name := range n.placer.EjectSilent(clock.BootTime(), silentTimeout) {
-			n.pendingUpdates.addUnresponsive(name)
-			n.mesh.SendNow()
-			n.log.Warn("upstream set aside", "upstream", name, "cause", "silent", "limit_ms", silentTimeout.Milliseconds())
+		n.placer.Tick(clock.BootTime())
+		n.coldStarts.tick(ctx, clock.BootTime())
+		for _, u := range n.placer.SilentUpstreams(clock.BootTime(), silentTimeout) {
+			checks.Go(func() { n.checkSilent(ctx, u) })
+		}
+		for _, x := range n.placer.WithdrawEvacuated(clock.BootTime()) {
+			n.log.Info("request withdrawn", "request_id", x.ID, "upstream", x.Upstream, "cause", "data centre evacuated", "waited_ms", x.Waited.Milliseconds())
 		}
 		for _, x := range n.placer.ExpireWaiting(clock.BootTime()) {
 			n.log.Info("request withdrawn", "request_id", x.ID, "upstream", x.Upstream, "cause", "weights outdated", "weights", x.Weights,
--- a/front/handler.go
+++ b/front/handler.go
@@ -69,6 +69,7 @@
 	UpstreamMismatch func(u vane.Upstream)                                                                     // called when a response shows that another upstream has the address
 	UpstreamFailed   func(u vane.Upstream)                                                                     // called when an upstream can't be reached or its connection fails before a response
 	Process          func(ctx context.Context, u vane.Upstream, healthPath string) (uint64, vane.ProcessState) // returns the incarnation of an upstream's process, if one runs
+	UpstreamLoad     func(ctx context.Context, u vane.Upstream, healthPath string) (vane.Load, bool)           // asks an upstream for its load; false if it does not state it in time
 	UpstreamLeaving  func(u vane.Upstream)                                                                     // called when a response shows that an upstream is leaving
 	RecordResult     func(u vane.Upstream, service string, s canary.Sample)                                    // called with the result of each attempt that ran
 	Log              *slog.Logger
@@ -167,6 +168,9 @@
 	if until, ok := h.Closing(); ok && (route.Kind == vane.RouteStream || c.deadline.After(until)) {
 		return vane.Refuse(vane.ReasonNodeLeaving, "this node is stopping; use another node").WithRetryAfter(minRetryAfter)
 	}
+	if sched.RegionsOf(route.Regions, c.tenancy.Regions).Empty() {
+		return vane.Refuse(vane.ReasonNoUpstream, "route %s allows the regions %v and workspace %s the regions %v; no region is in both", route.Name, route.Regions, c.tenancy.Workspace, c.tenancy.Regions)
+	}
 	c.service = chooseService(route.Services, c.meta.ID)
 	if ref := readBody(w, r, c, cfg.Limits.BodyBytes); ref != nil {
 		return ref
@@ -313,7 +317,7 @@
 func (c *request) placementQuery(avoid []string) sched.Query {
 	q := sched.Query{
 		ID: c.meta.ID, Service: c.service, Model: c.meta.Model, Parts: c.meta.Parts, PromptTokens: c.meta.PromptTokens,
-		Bytes: len(c.body), Objective: c.route.LatencyTarget, Avoid: avoid,
+		Bytes: len(c.body), Objective: c.route.LatencyTarget, Avoid: avoid, Regions: sched.RegionsOf(c.route.Regions, c.tenancy.Regions),
 	}
 	if c.tenancy.Isolated {
 		q.CacheScope = c.tenancy.Workspace
--- a/front/serve.go
+++ b/front/serve.go
@@ -52,9 +52,10 @@
 	for {
 		pick, ok := h.Placer.Pick(clock.BootTime(), c.placementQuery(t.avoid))
 		if !ok {
-			h.finishRefused(w, t, t.withExecution(vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s accepts requests now", c.service).WithRetryAfter(h.retryAfter(c.service))))
+			h.finishRefused(w, t, t.withExecution(h.noUpstream(c)))
 			return
 		}
+		pick = h.checkLoads(ctx, t, pick)
 		t.result = h.newResult(t, pick)
 		ref := h.attempt(ctx, w, r, t, pick)
 		t.result.end(time.Now(), ref)
@@ -163,6 +164,7 @@
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick) *vane.Refusal {
 	t.answering = false
 	q := t.placementQuery(nil)
+	q.Repeatable = t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && t.sends+1 < maxSends
 	att := h.Placer.Begin(clock.BootTime(), q, p)
 	defer func() { h.Placer.End(clock.BootTime(), att) }()
 	f := vane.Forward{
@@ -256,6 +258,7 @@
 	if h.Placer.Observe(clock.BootTime(), p.Upstream.Name, m) {
 		h.WeightsChanged(p.Upstream.Name, m.Weights)
 	}
+	h.observeSpeed(t, att, resp, m)
 	h.observeWishes(t, p, resp, m)
 	if m.NotRun {
 		h.handleNotRun(t, p, resp, m)
@@ -311,6 +314,15 @@
 	return nil
 }
 
+// observeSpeed takes what a response states about the speed of its upstream's machine. A
+// response that is no answer does not show how long the work takes.
+func (h *Handler) observeSpeed(t *attempts, att *sched.Attempt, resp *conns.Response, m vane.ResponseMeta) {
+	t.result.slowdown = m.Load.Slowdown
+	if resp.Status >= http.StatusMultipleChoices {
+		h.Placer.SkipSample(att)
+	}
+}
+
 // relayRest relays the rest of a response that is too long to be held until its end.
 func (h *Handler) relayRest(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, resp *conns.Response) *vane.Refusal {
 	t.begun = true
--- a/sched/mixed.go
+++ b/sched/mixed.go
@@ -5,7 +5,6 @@
 	"time"
 
 	vane "mustardvane.org/vane"
-	"mustardvane.org/vane/batch"
 )
 
 // Limits for services that get long and short prompts. An engine computes prompts between
@@ -16,6 +15,7 @@
 	mixedWindow       = 10 * time.Second // time since the last prompt of a kind during which a service gets that kind; at two of a kind in a second, a node of a large site sees no gap as long
 	workTime          = 10 * time.Second // time constant of the averages of computed prompt tokens; nodes that see two prompts in a second then agree on the shares of the kinds to about a quarter
 	runningTime       = 4 * time.Second  // time constant of the averages of running requests
+	slotWeight        = 0.8              // weight of the need for slots, since requests that wait for their prompts hold slots that no other needs meanwhile; with 1, long prompts of engines with 16 slots are crowded, with 0.6 short ones of engines with 128
 	minGroup          = 4                // smallest number of engines that a kind prefers; with fewer, the failure of one would break too many of its streams
 	otherGroupCost    = 0.08             // cost of an engine that the other kind prefers, as much as waiting for the whole objective: the preference only decides while neither is late
 	orderHashKey      = "short prompts"  // hashed with an engine's name to give its rank in the order in which short prompts prefer engines
@@ -34,11 +34,11 @@
 
 // engines returns the number of engines that all requests of this node need, if each
 // computes prompts at the given rate and has so many slots: as many as compute the
-// prompts, or have a slot for each request, whichever is more.
+// prompts, or have a slot for most of the requests, whichever is more.
 func (k *kindLoad) engines(now time.Time, perMS, slots float64) float64 {
 	k.running.advance(now)
 	k.work.advance(now)
-	return max(k.work.perMS/perMS, k.running.mean/slots)
+	return max(k.work.perMS/perMS, slotWeight*k.running.mean/slots)
 }
 
 // recent reports whether the service still gets requests of the kind.
@@ -126,7 +126,7 @@
 	}
 	usable, slots := 0, 0
 	for _, u := range p.byService[q.Service] {
-		if u.Role == vane.RoleEngine && u.usable(now) {
+		if u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
 			usable, slots = usable+1, slots+u.Slots
 		}
 	}
@@ -134,7 +134,7 @@
 		return -1
 	}
 	each := float64(slots) / float64(usable)
-	perMS := p.engineRates(q.Service).PrefillPerMS
+	perMS := p.rates.Engine(q.Service).PrefillPerMS
 	short, long := m.short.engines(now, perMS, each), m.long.engines(now, perMS, each)
 	if short <= 0 || long <= 0 {
 		return -1
@@ -145,55 +145,9 @@
 	}
 	rank := -1.0
 	for _, u := range p.byService[q.Service] {
-		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) {
+		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
 			rank, n = u.rank, n-1
 		}
 	}
 	return rank
 }
-
-// engineRates returns the rates of the engines of a service.
-func (p *Placer) engineRates(string) batch.Rates {
-	return batch.Rates{PrefillPerMS: prefillTokensPerMS, BaseMS: idleEngineMS, RunningMS: runningRequestMS, WaitingMS: waitingRequestMS}
-}
-
-// batchOf returns what is known of the requests at an engine. A peer's outstanding prompt
-// tokens are taken as told only where the service gets both kinds of prompts; else they
-// are estimated from the number of its requests. The caller must hold p.mu.
-func (p *Placer) batchOf(now time.Time, u *upstream, mixed bool) batch.Batch {
-	var l vane.Load
-	if now.Sub(u.loadAt) < loadTTL {
-		l = u.load
-	}
-	t := p.peerTotals[u.Name]
-	rates := p.engineRates(u.Service)
-	b := batch.Batch{
-		Rates: rates, Running: float64(max(u.inFlight+t.inFlight, l.Running+l.Waiting)), Waiting: float64(l.Waiting),
-		Streams: float64(u.streams), Prompts: float64(len(u.waiting)), Tokens: float64(u.pending),
-	}
-	untold := t.inFlight
-	if mixed {
-		untold = t.untold
-		left := t.prefillLeft(p.sinceEpoch(now), rates.PrefillPerMS)
-		b.Tokens += left
-		b.Prompts += left / batch.DefaultChunk
-	}
-	b.Tokens += float64(untold) * peerPrefillMS * rates.PrefillPerMS
-	return b
-}
-
-// peerPrefillMS is the mean time in milliseconds that an engine still computes the prompt of
-// a request of another node that does not tell. Most have their first token already.
-const peerPrefillMS = 8.0
-
-// batchEstimates returns the estimated milliseconds until the first token of the query at
-// u, once the engine has fetched cached parts, and fills in the added pause. The caller
-// must hold p.mu.
-func (p *Placer) batchEstimates(now time.Time, q Query, u *upstream, c *Pick) float64 {
-	mixed := p.mixes[q.Service].mixed(now)
-	b := p.batchOf(now, u, mixed)
-	if mixed {
-		c.AddedPause = b.AddedPause(float64(c.UncachedTokens))
-	}
-	return float64(b.FirstToken(float64(c.UncachedTokens))) / float64(time.Millisecond)
-}
--- a/sched/peers.go
+++ b/sched/peers.go
@@ -116,9 +116,10 @@
 const maxPeerPrefill = 1 << 14
 
 // KeepPeersInFlight removes the nodes for which keep returns false, such as those that are
-// down, from the requests in flight.
+// down, from the requests in flight and from the learned rates.
 func (p *Placer) KeepPeersInFlight(keep func(node string) bool) {
 	p.mu.Lock()
+	p.rates.KeepPeers(keep)
 	var gone []string
 	for node := range p.peers {
 		if !keep(node) {
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -20,6 +20,8 @@
 	Bytes        int           // size of the request
 	Objective    time.Duration // time within which the first token should arrive; zero or less for the default
 	Avoid        []string      // names of upstreams that must not be chosen
+	Regions      Regions       // regions to which the request may be sent
+	Repeatable   bool          // if the attempt fails, the request may be sent to another upstream
 }
 
 // Shared returns the parts that other prompts can have in common with this one: all but
@@ -48,18 +50,22 @@
 	Holders        int           // engines that are believed to hold all shared parts
 	HoldsShared    bool          // the chosen engine is one of the holders
 
-	fetchesFromStore bool // the engine fetches parts from the cache store that it does not hold
+	fetchesFromStore bool    // the engine fetches parts from the cache store that it does not hold
+	fetchMS          float64 // estimated milliseconds for fetching parts
 }
 
 // Pick returns the upstream with the lowest cost. It returns false if no upstream can
-// take the request now. Pick records nothing; [Placer.Begin] does when the request is
-// sent.
+// take the request now. Pick records nothing but the request to a cold upstream, so that
+// concurrent calls do not exceed its share; [Placer.Begin] does when the request is sent.
 func (p *Placer) Pick(now time.Time, q Query) (Pick, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if q.Objective <= 0 {
 		q.Objective = defaultObjective
 	}
+	if p.settles(now) {
+		return Pick{}, false
+	}
 	target := p.view.Weights[q.Model]
 	shortRank := -1.0
 	if q.PromptTokens > 0 {
@@ -68,13 +74,14 @@
 	filter := p.releaseFilter(now, q, target)
 	holders := p.findHolders(now, q, shortRank, filter)
 	skipNewest := p.skipNewest(now, q, target)
+	v := p.speed(q.Service)
 	var best Pick
 	found := false
 	for _, u := range p.byService[q.Service] {
-		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
+		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.excludesDataCentre(q, u.DataCentre) || p.excludesCold(now, u) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
 			continue
 		}
-		c := p.evaluate(now, q, u, target, holders[u.Weights])
+		c := p.evaluate(now, q, u, target, holders[u.Weights], v)
 		if p.beginsOutdated(now, c, target) {
 			continue
 		}
@@ -85,6 +92,9 @@
 			best, found = c, true
 		}
 	}
+	if found {
+		p.spendCold(now, best.Upstream.Name)
+	}
 	return best, found
 }
 
@@ -106,12 +116,14 @@
 // weights, because they are too few for all requests. All nodes prefer these engines and
 // would overload them before any node sees the requests of the others. Each node
 // therefore uses only its share of their prefill rate. Requests are selected by a hash
-// of their ID, so that all attempts of a request give the same result.
+// of their last shared part, so that the parts are computed and kept with one number of
+// weights only, and all attempts of a request give the same result. Requests without
+// shared parts are selected by a hash of their ID.
 func (p *Placer) skipNewest(now time.Time, q Query, target mirror.Weights) bool {
 	newest, older := 0, 0
 	for _, u := range p.byService[q.Service] {
 		switch {
-		case u.Role != vane.RoleEngine || !u.usable(now) || slices.Contains(q.Avoid, u.Name):
+		case u.Role != vane.RoleEngine || !u.usable(now) || u.isCold(now) || p.excludesDataCentre(q, u.DataCentre) || slices.Contains(q.Avoid, u.Name):
 		case u.Weights >= target.Version:
 			newest++
 		case !p.outdated(now, u, target):
@@ -125,39 +137,57 @@
 	if p.storeLink.nodes > manyNodes {
 		share = newestShareManyNodes
 	}
-	allowed := share * float64(newest) * p.engineRates(q.Service).PrefillPerMS / (p.prefillRate.perMS(now) * p.storeLink.nodes)
-	return rendezvousHash(q.ID, "newest weights") > allowed
+	allowed := share * float64(newest) * p.rates.Engine(q.Service).PrefillPerMS / (p.prefillRate.perMS(now) * p.storeLink.nodes)
+	key := q.ID
+	if shared := q.Shared(); len(shared) > 0 {
+		key = shared[len(shared)-1].ID
+	}
+	return rendezvousHash(key, "newest weights") > allowed
 }
 
 // salt returns the cache salt of the prompt's parts at engines with the given weights.
-// Requests share cached parts only within the same scope, model and weights.
+// Requests share cached parts only within the same scope, model and weights, and the same
+// allowed regions, so that a request that may go anywhere does not copy parts of one that may
+// not.
 func salt(q Query, weights uint64) string {
+	if q.Regions.restricted {
+		return q.CacheScope + "@" + q.Regions.String() + "|" + q.Model + "|" + strconv.FormatUint(weights, 10)
+	}
 	return q.CacheScope + "|" + q.Model + "|" + strconv.FormatUint(weights, 10)
 }
 
-// evaluate returns the pick of u for the query, with its cost and the estimated time.
-func (p *Placer) evaluate(now time.Time, q Query, u *upstream, target mirror.Weights, h *partHolders) Pick {
+// evaluate returns the pick of u for the query, with its cost and the estimated time. v is the
+// speed of the service.
+func (p *Placer) evaluate(now time.Time, q Query, u *upstream, target mirror.Weights, h *partHolders, v speed) Pick {
 	c := Pick{Upstream: u.Upstream, Weights: u.Weights, LoadAge: now.Sub(u.loadAt)}
 	cost := 0.0
 	if u.DataCentre != p.dataCentre {
 		cost += remoteByteCost * float64(q.Bytes)
 	}
-	var ms float64
-	if u.Role != vane.RoleEngine {
-		ms = u.queueMS(p.peerInFlight(u.Name))
-	} else {
+	w := p.ahead(now, u, v.PrefillPerMS)
+	f := v.factor(now, u)
+	expected, compared := v.plainMS(w, u.Slots)
+	expected, compared = f*expected, f*compared
+	if u.Role == vane.RoleEngine {
 		if target.OutdatedFor(now, u.Weights) > oldWeightsGrace {
 			cost += oldWeightsCost
 		}
 		c.Salt = salt(q, u.Weights)
-		ms = p.cachedParts(now, q, u, &c, &cost, h)
-		ms += p.batchEstimates(now, q, u, &c)
+		p.prefill(now, q, u, &c, &cost, h)
+		b := w.batch(v.EngineRates, f)
+		expected = float64(b.FirstToken(float64(c.UncachedTokens))) / float64(time.Millisecond)
+		compared = expected
+		if w.mixed {
+			c.AddedPause = b.AddedPause(float64(c.UncachedTokens))
+		}
 	}
+	late := float64(u.lag(now)) / float64(time.Millisecond)
+	expected, compared = expected+c.fetchMS+late, compared+c.fetchMS+late
 	if u.onProbation(now) {
 		cost += probationCost
 	}
-	x := ms / float64(q.Objective.Milliseconds())
+	x := compared / float64(q.Objective.Milliseconds())
 	cost += lateCost*lateProbability(x) + waitCost*x
-	c.Cost, c.Estimate = cost, time.Duration(ms*float64(time.Millisecond))
+	c.Cost, c.Estimate = cost, time.Duration(expected*float64(time.Millisecond))
 	return c
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/mirror"
+	"mustardvane.org/vane/rates"
 )
 
 // Attempt is a request that was sent to an upstream. It is created by [Placer.Begin] and
@@ -16,15 +18,22 @@
 	id        string // ID of the request
 	name      string // name of the upstream
 	model     string
-	weights   uint64 // number of the engine's weights when the request was sent; zero for plain services
-	service   string
+	weights   uint64    // number of the engine's weights when the request was sent; zero for plain services
 	hasPrompt bool      // the length of the prompt is known
 	short     bool      // the prompt is short
 	tokens    int       // prompt tokens still to be computed
 	sent      time.Time // time at which the request was sent
 	started   bool      // the first bytes of the answer have arrived
 	ended     bool      // End was called
-	withdraw  func()    // set by OnExpire; nil if there is none
+	service   string
+	sample    rates.Sample // what is known about the time to the first token when the request is sent
+
+	estimate, objective time.Duration // of the time to the first token
+	fetchMS             float64       // part of the estimate for fetching parts, in milliseconds
+	checked             bool          // the upstream was asked for its load just before
+	unmeasured          bool          // the attempt does not count for the rates
+	repeatable          bool          // the request may be sent to another upstream
+	withdraw            func()        // set by OnExpire; nil if there is none
 }
 
 // Placer chooses upstreams. It is safe for concurrent use. The times that its methods
@@ -34,22 +43,29 @@
 	dataCentre   string
 	weightsLimit time.Duration // time from the announcement of new weights until engines with older ones get no requests
 	cache        StoreIndex
+	cold         ColdLimiter       // nil if there is none
+	regions      map[string]string // region by data centre
+	stall        stall
 
 	mu          sync.Mutex
 	view        *mirror.View
 	upstreams   map[string]*upstream    // upstreams by name
-	byService   map[string][]*upstream  // upstreams by service, in an order that all nodes share
+	byService   map[string][]*upstream  // upstreams by service, sorted by rank
 	waiting     map[*Attempt]struct{}   // requests at engines without a first byte, also at engines whose entries are gone
-	peers       map[string]peerLoad     // loads that other nodes cause, by node
+	peers       map[string]peerLoad     // what other nodes told of their requests, by node
 	peerTotals  map[string]peerTotal    // sums of peers by upstream
-	telling     map[string]struct{}     // nodes that tell their outstanding prompts
-	mixes       map[string]*mix         // kinds of prompts seen, by service
-	epoch       time.Time               // time of the first message of another node
 	releases    map[string]ReleaseShare // limits by service
 	saves       *saveLog
 	updates     map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
 	storeLink   storeLink
-	prefillRate tokenRate // rate of the uncached prompt tokens of all requests of this node
+	prefillRate tokenRate           // rate of the uncached prompt tokens of all requests of this node
+	telling     map[string]struct{} // nodes that tell their outstanding prompts
+	mixes       map[string]*mix     // loads by service
+	epoch       time.Time           // time of the first message of another node
+	rates       *rates.Estimator
+	ratesTaken  time.Time // time of the last TakeRates that returned any
+	loadChecks  loadChecks
+	metrics     *Metrics
 }
 
 // StoreIndex tells what the cache store holds. Its methods are called with the placer
@@ -72,7 +88,8 @@
 func New(dataCentre string, c StoreIndex, opts ...Option) *Placer {
 	p := &Placer{
 		dataCentre: dataCentre, weightsLimit: defaultWeightsLimit, cache: c, view: &mirror.View{}, upstreams: make(map[string]*upstream),
-		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]peerLoad), peerTotals: make(map[string]peerTotal), mixes: make(map[string]*mix), telling: make(map[string]struct{}), saves: newSaveLog(), updates: make(map[string][]uint64),
+		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]peerLoad), peerTotals: make(map[string]peerTotal), telling: make(map[string]struct{}), mixes: make(map[string]*mix),
+		saves: newSaveLog(), updates: make(map[string][]uint64), rates: rates.New(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -103,18 +120,38 @@
 		s.update(u)
 		p.byService[u.Service] = append(p.byService[u.Service], s)
 	}
+	p.rates.Keep(p.knowsService)
+	p.configureCold()
 	for _, l := range p.byService {
 		slices.SortFunc(l, func(a, b *upstream) int { return cmp.Compare(a.rank, b.rank) })
 	}
 }
 
+// knowsService reports whether a service has upstreams or is configured. The caller must
+// hold p.mu.
+func (p *Placer) knowsService(name string) bool {
+	if len(p.byService[name]) > 0 || p.view.Config == nil {
+		return true
+	}
+	_, ok := p.view.Config.Service(name)
+	return ok
+}
+
 // Begin records that a request is sent to the picked upstream. The caller must pass the
 // returned attempt to [Placer.End] when the exchange is over.
 func (p *Placer) Begin(now time.Time, q Query, c Pick) *Attempt {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prefillRate.add(now, c.UncachedTokens)
-	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), service: q.Service, hasPrompt: q.PromptTokens > 0, tokens: c.UncachedTokens, sent: now}
+	t := &Attempt{
+		id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), hasPrompt: q.PromptTokens > 0, tokens: c.UncachedTokens, sent: now, service: q.Service,
+		estimate: c.Estimate, objective: q.Objective, fetchMS: c.fetchMS, repeatable: q.Repeatable,
+	}
+	if t.objective <= 0 {
+		t.objective = defaultObjective
+	}
+	// The computed tokens of a prompt of unknown length are unknown too.
+	t.unmeasured = c.Upstream.Role == vane.RoleEngine && q.PromptTokens == 0
 	if k := p.kindOf(t.service, t.hasPrompt, t.short); k != nil {
 		k.at = now
 		k.running.add(now, 1)
@@ -124,6 +161,8 @@
 		p.waiting[t] = struct{}{}
 	}
 	if u, ok := p.upstreams[t.name]; ok {
+		t.checked = now.Sub(u.loadAt) <= maxCheckedAge
+		t.sample = newSample(q, c, p.ahead(now, u, p.rates.Engine(u.Service).PrefillPerMS))
 		u.begin(t)
 		p.recordParts(u, q, c)
 		if c.fetchesFromStore {
@@ -144,6 +183,7 @@
 	defer p.mu.Unlock()
 	if u, ok := p.upstreams[t.name]; ok && !t.started {
 		u.firstByte(now, t)
+		p.learn(now, u, t)
 	}
 	t.started = true
 	delete(p.waiting, t)
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -25,11 +25,12 @@
 
 	inFlight    int                   // number of requests that this node has in flight
 	pending     int                   // uncached tokens of this node's requests without a first byte
-	streams     int                   // this node's requests with short prompts that have a first byte
 	waiting     map[*Attempt]struct{} // this node's requests without a first byte
 	load        vane.Load             // last load report
 	loadAt      time.Time             // time of the last load report
+	uncheckedTo time.Time             // the upstream is not asked for its load until then
 	respondedAt time.Time             // time of the last bytes of an answer
+	checkAfter  time.Time             // time before which the upstream is not checked again for being silent
 
 	loadingUntil time.Time     // end of the time during which the engine loads weights
 	ejectedUntil time.Time     // end of the last ejection
@@ -37,6 +38,7 @@
 	fullUntil    time.Time     // end of the pause after a refusal for lack of capacity
 	leaving      bool          // the upstream said that it is leaving
 	refusal      refusal       // the upstream asked for no requests
+	cold         coldState
 }
 
 // update replaces the upstream's entry from the view. Entries are delayed, so that an
@@ -80,16 +82,6 @@
 	return u.ejection > 0 && now.Before(u.ejectedUntil.Add(probation))
 }
 
-// queueMS estimates the milliseconds until a new request to a plain service begins. peers
-// is the number of requests that the other nodes have in flight here.
-func (u *upstream) queueMS(peers int) float64 {
-	own := u.inFlight + peers
-	return plainRequestMS * float64(own) / float64(max(1, u.Slots)) * float64(1+own/max(1, u.Slots))
-}
-
-// plainRequestMS is the service time of a request to a plain service.
-const plainRequestMS = 30.0
-
 // begin adds an attempt.
 func (u *upstream) begin(t *Attempt) {
 	if u.waiting == nil {
@@ -104,9 +96,6 @@
 func (u *upstream) firstByte(now time.Time, t *Attempt) {
 	u.pending -= t.tokens
 	t.tokens = 0
-	if t.short && !t.ended {
-		u.streams++
-	}
 	delete(u.waiting, t)
 	u.responded(now)
 }
@@ -115,9 +104,6 @@
 func (u *upstream) end(t *Attempt) {
 	u.inFlight = max(0, u.inFlight-1)
 	u.pending = max(0, u.pending-t.tokens)
-	if t.short && t.started {
-		u.streams = max(0, u.streams-1)
-	}
 	delete(u.waiting, t)
 }
 
@@ -144,17 +130,3 @@
 	u.ejectedUntil = now.Add(u.ejection)
 	return u.ejection
 }
-
-// silent reports whether an attempt has been waiting for longer than limit while the
-// upstream sent nothing for at least as long.
-func (u *upstream) silent(now time.Time, limit time.Duration) bool {
-	if now.Sub(u.respondedAt) < limit {
-		return false
-	}
-	for t := range u.waiting {
-		if now.Sub(t.sent) > limit {
-			return true
-		}
-	}
-	return false
-}
--- a/site.go
+++ b/site.go
@@ -34,6 +34,7 @@
 	Public        bool              // no API key is required
 	HasPrompts    bool              // requests carry prompts with shared parts
 	Services      []WeightedService // at least one
+	Regions       []string          // regions to whose upstreams requests may be sent; empty for all
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -54,6 +55,9 @@
 	LinkMbps        float64  // bandwidth of one engine's link or of the cache store's, in Mbit/s
 	TokenBytes      float64  // size of one cached token in bytes
 	MaxCacheWatches int      // pending calls for cache changes that one cache accepts at once
+
+	ColdStart time.Duration // time for which an upstream is cold after its start; zero if upstreams do not start cold
+	ColdRate  float64       // requests a second that a cold upstream tolerates
 }
 
 // Quota limits a workspace's traffic over all nodes. A unit is a request or a
@@ -81,6 +85,7 @@
 	HasPriority bool     // the configuration states Priority
 	Isolated    bool     // cached prompt parts are not shared with other workspaces
 	Quota       Quota
+	Regions     []string // regions to whose upstreams requests may be sent; empty for all
 }
 
 // CallerLimits limits what callers may send. Sizes are in bytes.
