--- a/sched/doc.go
+++ b/sched/doc.go
@@ -27,11 +27,13 @@
 // several times larger than the engines' memory. An idle engine that holds the parts is therefore preferred to a copy
 // on another engine, which would evict other parts.
 //
-// # Short prompts
+// # Long and short prompts
 //
-// Engines compute prompts between the tokens of their streams, which pause meanwhile.
-// If there are enough short prompts to keep several engines busy, some engines are
-// reserved for them.
+// Engines compute prompts between the tokens of their streams, which pause meanwhile, and
+// a short prompt waits until the long ones before it are computed. At a service that gets
+// both kinds, each kind prefers some of the engines, in proportion to what it needs. Nodes
+// tell each other the outstanding prompt tokens of their requests, with [Placer.Prefill]
+// and [Placer.SetPeerLoad].
 //
 // # Data centres
 //
--- a/sched/mixed.go
+++ b/sched/mixed.go
@@ -32,6 +32,13 @@
 	work    workAverage    // uncached prompt tokens
 }
 
+// begin records that a request with that many uncached prompt tokens is sent.
+func (k *kindLoad) begin(now time.Time, tokens int) {
+	k.at = now
+	k.running.add(now, 1)
+	k.work.add(now, tokens)
+}
+
 // engines returns the number of engines that all requests of this node need, if each
 // computes prompts at the given rate and has so many slots: as many as compute the
 // prompts, or have a slot for most of the requests, whichever is more.
@@ -56,16 +63,16 @@
 
 // kindOf returns the load of the kind of the request, or nil if the length of its prompt is
 // not known. The caller must hold p.mu.
-func (p *Placer) kindOf(service string, hasPrompt, short bool) *kindLoad {
-	if !hasPrompt {
+func (p *Placer) kindOf(q Query) *kindLoad {
+	if q.PromptTokens <= 0 {
 		return nil
 	}
-	m := p.mixes[service]
+	m := p.mixes[q.Service]
 	if m == nil {
 		m = &mix{}
-		p.mixes[service] = m
+		p.mixes[q.Service] = m
 	}
-	if short {
+	if q.short() {
 		return &m.short
 	}
 	return &m.long
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -15,18 +15,17 @@
 // Attempt is a request that was sent to an upstream. It is created by [Placer.Begin] and
 // passed to the methods that report its progress.
 type Attempt struct {
-	id        string // ID of the request
-	name      string // name of the upstream
-	model     string
-	weights   uint64    // number of the engine's weights when the request was sent; zero for plain services
-	hasPrompt bool      // the length of the prompt is known
-	short     bool      // the prompt is short
-	tokens    int       // prompt tokens still to be computed
-	sent      time.Time // time at which the request was sent
-	started   bool      // the first bytes of the answer have arrived
-	ended     bool      // End was called
-	service   string
-	sample    rates.Sample // what is known about the time to the first token when the request is sent
+	id      string // ID of the request
+	name    string // name of the upstream
+	model   string
+	weights uint64    // number of the engine's weights when the request was sent; zero for plain services
+	kind    *kindLoad // load of the service's requests with such prompts; nil if the length of the prompt is not known
+	tokens  int       // prompt tokens still to be computed
+	sent    time.Time // time at which the request was sent
+	started bool      // the first bytes of the answer have arrived
+	ended   bool      // End was called
+	service string
+	sample  rates.Sample // what is known about the time to the first token when the request is sent
 
 	estimate, objective time.Duration // of the time to the first token
 	fetchMS             float64       // part of the estimate for fetching parts, in milliseconds
@@ -121,6 +120,7 @@
 		p.byService[u.Service] = append(p.byService[u.Service], s)
 	}
 	p.rates.Keep(p.knowsService)
+	maps.DeleteFunc(p.mixes, func(service string, _ *mix) bool { return !p.knowsService(service) })
 	p.configureCold()
 	for _, l := range p.byService {
 		slices.SortFunc(l, func(a, b *upstream) int { return cmp.Compare(a.rank, b.rank) })
@@ -144,7 +144,7 @@
 	defer p.mu.Unlock()
 	p.prefillRate.add(now, c.UncachedTokens)
 	t := &Attempt{
-		id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), hasPrompt: q.PromptTokens > 0, tokens: c.UncachedTokens, sent: now, service: q.Service,
+		id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, kind: p.kindOf(q), tokens: c.UncachedTokens, sent: now, service: q.Service,
 		estimate: c.Estimate, objective: q.Objective, fetchMS: c.fetchMS, repeatable: q.Repeatable,
 	}
 	if t.objective <= 0 {
@@ -152,10 +152,8 @@
 	}
 	// The computed tokens of a prompt of unknown length are unknown too.
 	t.unmeasured = c.Upstream.Role == vane.RoleEngine && q.PromptTokens == 0
-	if k := p.kindOf(t.service, t.hasPrompt, t.short); k != nil {
-		k.at = now
-		k.running.add(now, 1)
-		k.work.add(now, c.UncachedTokens)
+	if t.kind != nil {
+		t.kind.begin(now, c.UncachedTokens)
 	}
 	if t.weights != 0 {
 		p.waiting[t] = struct{}{}
@@ -202,8 +200,8 @@
 	if u, ok := p.upstreams[t.name]; ok {
 		u.end(t)
 	}
-	if k := p.kindOf(t.service, t.hasPrompt, t.short); k != nil {
-		k.running.add(now, -1)
+	if t.kind != nil {
+		t.kind.running.add(now, -1)
 	}
 }
 
