--- a/front/front_test.go
+++ b/front/front_test.go
@@ -178,6 +178,7 @@
 
 // testFront is an HTTP server with a front.Handler over scripted upstreams.
 type testFront struct {
+	registry *prometheus.Registry // of the handler's metrics
 	url      string
 	server   *httptest.Server
 	handler  *front.Handler
@@ -261,7 +262,7 @@
 // that its retry budget allows.
 func newTestFront(t *testing.T, slack float64, ups ...*scriptedUpstream) *testFront {
 	t.Helper()
-	b := &testFront{quota: &fakeLimiter{}, events: event.NewRing("n", 16), upstreams: ups}
+	b := &testFront{registry: prometheus.NewRegistry(), quota: &fakeLimiter{}, events: event.NewRing("n", 16), upstreams: ups}
 	v := &mirror.View{Upstreams: upstreamsOf(ups)}
 	s := []vane.WeightedService{{Service: "s", Weight: 1}}
 	v.Config = site.New(1, site.WithRoutes(
@@ -281,7 +282,7 @@
 		View: func() *mirror.View { return v }, Dialect: dialect{}, Placer: p, Pool: pool, Quota: b.quota,
 		Crashes: b.crashes, Parts: newParts(&b.partCrashes), RetryBudget: func(string) *retry.Window { return w },
 		Draining: b.stopping.Load, Closing: func() (time.Time, bool) { return b.until, b.stopping.Load() }, WeightsChanged: func(string, uint64) {}, UpstreamMismatch: func(vane.Upstream) {}, UpstreamFailed: func(vane.Upstream) {}, UpstreamLeaving: func(vane.Upstream) {}, Process: processOf(&b.upstreams),
-		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(prometheus.NewRegistry()),
+		Log: slog.New(slog.DiscardHandler), Metrics: front.NewMetrics(b.registry),
 	})
 	b.handler, b.server = h, httptest.NewUnstartedServer(h)
 	b.server.Config.ConnContext = linger.ConnContext
