--- a/sched/pick.go
+++ b/sched/pick.go
@@ -43,6 +43,7 @@
 	Cost           float64       // cost as a fraction of the worth of the request; lower is better
 	Estimate       time.Duration // estimated time until the first token
 	Slowdown       float64       // factor on the time that work at the upstream is expected to take, 1 as usual
+	AddedPause     time.Duration // estimated time by which the request lengthens a pause of the streams at the engine; zero unless the service gets long and short prompts
 	LoadAge        time.Duration // age of the upstream's last load report
 	UncachedTokens int           // prompt tokens that the engine is expected to compute
 	SharedTokens   int           // prompt tokens that other requests may have in common
@@ -67,12 +68,12 @@
 		return Pick{}, false
 	}
 	target := p.view.Weights[q.Model]
-	reservedRank := -1.0
+	shortRank := -1.0
 	if q.PromptTokens > 0 {
-		reservedRank = p.reservedRank(now, q)
+		shortRank = p.shortRank(now, q)
 	}
 	filter := p.releaseFilter(now, q, target)
-	holders := p.findHolders(now, q, reservedRank, filter)
+	holders := p.findHolders(now, q, shortRank, filter)
 	skipNewest := p.skipNewest(now, q, target)
 	v := p.speed(q.Service)
 	var best Pick
@@ -85,8 +86,8 @@
 		if p.beginsOutdated(now, c, target) {
 			continue
 		}
-		if reservedRank >= 0 && q.short() != (u.rank <= reservedRank) {
-			c.Cost += wrongPoolCost
+		if shortRank >= 0 && q.short() != (u.rank <= shortRank) {
+			c.Cost += otherGroupCost
 		}
 		if !found || c.Cost < best.Cost {
 			best, found = c, true
@@ -164,20 +165,25 @@
 	if u.DataCentre != p.dataCentre {
 		cost += remoteByteCost * float64(q.Bytes)
 	}
-	w := u.ahead(now, p.peerInFlight(u.Name))
+	w := p.ahead(now, u, v.PrefillPerMS)
+	c.Slowdown = v.factor(now, u)
 	expected, compared := v.plainMS(w, u.Slots)
+	expected, compared = c.Slowdown*expected, c.Slowdown*compared
 	if u.Role == vane.RoleEngine {
 		if target.OutdatedFor(now, u.Weights) > oldWeightsGrace {
 			cost += oldWeightsCost
 		}
 		c.Salt = salt(q, u.Weights)
 		p.prefill(now, q, u, &c, &cost, h)
-		expected = v.FirstTokenMS(w.tokens+float64(c.UncachedTokens), w.busy, w.waiting)
+		b := w.batch(v.EngineRates, c.Slowdown)
+		expected = float64(b.FirstToken(float64(c.UncachedTokens))) / float64(time.Millisecond)
 		compared = expected
+		if w.mixed {
+			c.AddedPause = b.AddedPause(float64(c.UncachedTokens))
+		}
 	}
-	c.Slowdown = v.factor(now, u)
 	late := float64(u.lag(now)) / float64(time.Millisecond)
-	expected, compared = c.Slowdown*expected+c.fetchMS+late, c.Slowdown*compared+c.fetchMS+late
+	expected, compared = expected+c.fetchMS+late, compared+c.fetchMS+late
 	if u.onProbation(now) {
 		cost += probationCost
 	}
--- a/sched/replay_test.go
+++ b/sched/replay_test.go
@@ -48,7 +48,7 @@
 	begins   []time.Duration // times at which the requests without a first token begin
 	parts    map[string]time.Duration
 	size     int
-	served   int
+	servedMS float64 // time that the requests of the second half take at the usual speed, in milliseconds
 }
 
 // replayed is the result of one request.
@@ -65,6 +65,15 @@
 	return 1
 }
 
+// usualMS returns the milliseconds that the server would compute a request at the usual
+// speed.
+func (r replay) usualMS(s *server, q sched.Query, c sched.Pick, servers map[string]*server) float64 {
+	if r.workMS > 0 {
+		return r.workMS
+	}
+	return float64(q.PromptTokens-s.cached(q, c, servers)) / r.prefill
+}
+
 // work returns the time at which work that takes ms at the usual speed ends.
 func (r replay) work(s *server, from time.Duration, ms float64) time.Duration {
 	left := ms * float64(time.Millisecond)
@@ -218,8 +227,8 @@
 
 const replayTick = time.Millisecond
 
-// run returns the results of the second half, the highest number of requests at one upstream
-// in relation to the mean, and the number of load checks.
+// run returns the results of the second half, the longest time that the requests of one
+// upstream take at the usual speed in relation to the mean, and the number of load checks.
 func (r replay) run() (results []replayed, most float64, checks int) {
 	x := &replayRun{replay: r, rng: rand.New(rand.NewPCG(21, 22)), servers: make(map[string]*server), events: make(map[time.Duration][]replayEvent)}
 	for i := range r.nodes {
@@ -252,11 +261,11 @@
 			x.request(at)
 		}
 	}
-	sum := 0
+	sum := 0.0
 	for _, s := range x.servers {
-		most, sum = max(most, float64(s.served)), sum+s.served
+		most, sum = max(most, s.servedMS), sum+s.servedMS
 	}
-	return x.results[len(x.results)/2:], most * float64(r.upstreams) / float64(sum), x.checks
+	return x.results[len(x.results)/2:], most * float64(r.upstreams) / sum, x.checks
 }
 
 // exchange passes on the messages of the nodes that are due, each half a second.
@@ -291,10 +300,11 @@
 	}
 	a := p.Begin(now, q, c)
 	s := x.servers[c.Upstream.Name]
+	usual := x.usualMS(s, q, c, x.servers)
 	first, end := x.send(s, at, q, c, x.servers)
 	s.running++
 	if at >= x.duration/2 {
-		s.served++
+		s.servedMS += usual
 	}
 	x.results = append(x.results, replayed{
 		estimate: float64(c.Estimate) / float64(time.Millisecond), actual: float64(first-at) / float64(time.Millisecond),
@@ -393,7 +403,7 @@
 			t.Logf("%.0f requests: sent to slow upstreams %.3f, largest load %.2f, load checks %d, mean %.1f ms, late %.4f, error of the estimate %.3f, %.3f",
 				n, slow/n, most, checks, ms/n, late, median, p90)
 			is.True(slow/n < tt.slow)
-			is.True(most < 2.2) // the largest load of an upstream in relation to the mean
+			is.True(most < 2) // the largest load of an upstream in relation to the mean
 			is.Equal(checks > 0, tt.checks)
 		})
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -19,7 +19,7 @@
 	name    string // name of the upstream
 	model   string
 	weights uint64    // number of the engine's weights when the request was sent; zero for plain services
-	short   bool      // the prompt is short
+	kind    *kindLoad // load of the service's requests with such prompts; nil if the length of the prompt is not known
 	tokens  int       // prompt tokens still to be computed
 	sent    time.Time // time at which the request was sent
 	heard   time.Time // time of the last event of the answer; zero unless the answer is a stream that has begun
@@ -47,24 +47,25 @@
 	regions      map[string]string // region by data centre
 	stall        stall
 
-	mu           sync.Mutex
-	view         *mirror.View
-	upstreams    map[string]*upstream      // upstreams by name
-	byService    map[string][]*upstream    // upstreams by service, sorted by rank
-	waiting      map[*Attempt]struct{}     // requests at engines without a first byte, also at engines whose entries are gone
-	peers        map[string]map[string]int // requests in flight by node and upstream
-	peerTotals   map[string]int            // sums of peers by upstream
-	releases     map[string]ReleaseShare   // limits by service
-	saves        *saveLog
-	updates      map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
-	storeLink    storeLink
-	prefillRate  tokenRate      // rate of the uncached prompt tokens of all requests of this node
-	longPrefill  tokenRate      // rate of the uncached prompt tokens of the requests whose prompts are not short
-	shortRunning runningAverage // running requests of this node with short prompts
-	rates        *rates.Estimator
-	ratesTaken   time.Time // time of the last TakeRates that returned any
-	loadChecks   loadChecks
-	metrics      *Metrics
+	mu          sync.Mutex
+	view        *mirror.View
+	upstreams   map[string]*upstream    // upstreams by name
+	byService   map[string][]*upstream  // upstreams by service, sorted by rank
+	waiting     map[*Attempt]struct{}   // requests at engines without a first byte, also at engines whose entries are gone
+	peers       map[string]peerLoad     // what other nodes told of their requests, by node
+	peerTotals  map[string]peerTotal    // sums of peers by upstream
+	releases    map[string]ReleaseShare // limits by service
+	saves       *saveLog
+	updates     map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
+	storeLink   storeLink
+	prefillRate tokenRate           // rate of the uncached prompt tokens of all requests of this node
+	telling     map[string]struct{} // nodes that tell their outstanding prompts
+	mixes       map[string]*mix     // loads by service
+	epoch       time.Time           // time of the first message of another node
+	rates       *rates.Estimator
+	ratesTaken  time.Time // time of the last TakeRates that returned any
+	loadChecks  loadChecks
+	metrics     *Metrics
 }
 
 // StoreIndex tells what the cache store holds. Its methods are called with the placer
@@ -87,7 +88,8 @@
 func New(dataCentre string, c StoreIndex, opts ...Option) *Placer {
 	p := &Placer{
 		dataCentre: dataCentre, weightsLimit: defaultWeightsLimit, cache: c, view: &mirror.View{}, upstreams: make(map[string]*upstream),
-		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), saves: newSaveLog(), updates: make(map[string][]uint64), rates: rates.New(),
+		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]peerLoad), peerTotals: make(map[string]peerTotal), telling: make(map[string]struct{}), mixes: make(map[string]*mix),
+		saves: newSaveLog(), updates: make(map[string][]uint64), rates: rates.New(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -112,13 +114,14 @@
 		u := v.Upstreams[name]
 		s, ok := p.upstreams[name]
 		if !ok || s.Incarnation != u.Incarnation {
-			s = &upstream{parts: newPartSet(v, u), rank: rendezvousHash(reservationHashKey, name)}
+			s = &upstream{parts: newPartSet(v, u), rank: rendezvousHash(orderHashKey, name)}
 			p.upstreams[name] = s
 		}
 		s.update(u)
 		p.byService[u.Service] = append(p.byService[u.Service], s)
 	}
 	p.rates.Keep(p.knowsService)
+	maps.DeleteFunc(p.mixes, func(service string, _ *mix) bool { return !p.knowsService(service) })
 	p.configureCold()
 	for _, l := range p.byService {
 		slices.SortFunc(l, func(a, b *upstream) int { return cmp.Compare(a.rank, b.rank) })
@@ -141,23 +144,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prefillRate.add(now, c.UncachedTokens)
-	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now, service: q.Service, estimate: c.Estimate, objective: q.Objective, fetchMS: c.fetchMS, repeatable: q.Repeatable}
+	t := &Attempt{
+		id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, kind: p.kindOf(q), tokens: c.UncachedTokens, sent: now, service: q.Service,
+		estimate: c.Estimate, objective: q.Objective, fetchMS: c.fetchMS, repeatable: q.Repeatable,
+	}
 	if t.objective <= 0 {
 		t.objective = defaultObjective
 	}
 	// The computed tokens of a prompt of unknown length are unknown too.
 	t.unmeasured = c.Upstream.Role == vane.RoleEngine && q.PromptTokens == 0
-	if t.short {
-		p.shortRunning.add(now, 1)
-	} else {
-		p.longPrefill.add(now, c.UncachedTokens)
+	if t.kind != nil {
+		t.kind.begin(now, c.UncachedTokens)
 	}
 	if t.weights != 0 {
 		p.waiting[t] = struct{}{}
 	}
 	if u, ok := p.upstreams[t.name]; ok {
 		t.checked = now.Sub(u.loadAt) <= maxCheckedAge
-		t.sample = newSample(q, c, u.ahead(now, p.peerInFlight(u.Name)))
+		t.sample = newSample(q, c, p.ahead(now, u, p.rates.Engine(u.Service).PrefillPerMS))
 		u.begin(t)
 		p.recordParts(u, q, c)
 		if c.fetchesFromStore {
@@ -209,45 +213,8 @@
 	if u, ok := p.upstreams[t.name]; ok {
 		u.end(t)
 	}
-	if t.short {
-		p.shortRunning.add(now, -1)
-	}
-}
-
-// SetPeerInFlight replaces the numbers of requests that another node has in flight, by
-// upstream. The placer keeps the map. An empty map removes the node.
-func (p *Placer) SetPeerInFlight(node string, inFlight map[string]int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name, n := range p.peers[node] {
-		if p.peerTotals[name] -= n; p.peerTotals[name] == 0 {
-			delete(p.peerTotals, name)
-		}
-	}
-	for name, n := range inFlight {
-		p.peerTotals[name] += n
-	}
-	if len(inFlight) == 0 {
-		delete(p.peers, node)
-		return
-	}
-	p.peers[node] = inFlight
-}
-
-// KeepPeersInFlight removes the nodes for which keep returns false, such as those that are
-// down, from the requests in flight and from the learned rates.
-func (p *Placer) KeepPeersInFlight(keep func(node string) bool) {
-	p.mu.Lock()
-	p.rates.KeepPeers(keep)
-	var gone []string
-	for node := range p.peers {
-		if !keep(node) {
-			gone = append(gone, node)
-		}
-	}
-	p.mu.Unlock()
-	for _, node := range gone {
-		p.SetPeerInFlight(node, nil)
+	if t.kind != nil {
+		t.kind.running.add(now, -1)
 	}
 }
 
@@ -264,7 +231,3 @@
 	}
 	return out
 }
-
-// peerInFlight returns the number of requests that the other nodes have in flight at an
-// upstream. The caller must hold p.mu.
-func (p *Placer) peerInFlight(name string) int { return p.peerTotals[name] }
--- a/sched/speed.go
+++ b/sched/speed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/batch"
 	"mustardvane.org/vane/rates"
 )
 
@@ -53,14 +54,30 @@
 // work is the work that an upstream has to do before a new request.
 type work struct {
 	tokens  float64 // prompt tokens
+	prompts float64 // prompts that they belong to
 	busy    float64 // requests at the upstream
 	waiting float64 // requests in its queue
+	mixed   bool    // the service gets long and short prompts
 }
 
-// ahead estimates the work before a new request. peers is the number of requests that the
-// other nodes have in flight at the upstream.
-func (u *upstream) ahead(now time.Time, peers int) work {
-	w := work{tokens: float64(u.pending) + peerTokens*float64(peers), busy: float64(u.inFlight + peers)}
+// ahead estimates the work before a new request at u. Where the service gets long and short
+// prompts, the peers' outstanding prompts are taken as told; else, and for peers that do
+// not tell, they are estimated from the number of requests. perMS is the rate at which the
+// engine computes prompt tokens. The caller must hold p.mu.
+func (p *Placer) ahead(now time.Time, u *upstream, perMS float64) work {
+	peers := p.peerTotals[u.Name]
+	w := work{
+		tokens: float64(u.pending), prompts: float64(len(u.waiting)), busy: float64(u.inFlight + peers.inFlight),
+		mixed: p.mixes[u.Service].mixed(now),
+	}
+	untold := peers.inFlight
+	if w.mixed {
+		untold = peers.untold
+		left := peers.prefillLeft(p.sinceEpoch(now), perMS)
+		w.tokens += left
+		w.prompts += left / batch.DefaultChunk
+	}
+	w.tokens += peerTokens * float64(untold)
 	if now.Sub(u.loadAt) < loadTTL {
 		w.busy = max(w.busy, float64(u.load.Running+u.load.Waiting))
 		w.waiting = float64(u.load.Waiting)
@@ -68,6 +85,11 @@
 	return w
 }
 
+// batch returns the work as that of an engine with the given rates and slowdown.
+func (w work) batch(r rates.EngineRates, slowdown float64) batch.Batch {
+	return batch.Batch{Rates: batch.Rates(r), Running: w.busy, Waiting: w.waiting, Prompts: w.prompts, Tokens: w.tokens, Slowdown: slowdown}
+}
+
 // plainMS returns the milliseconds that a plain service with so many slots is expected to
 // take, and those by which upstreams are compared. The latter rise with each request, so
 // that requests spread over upstreams that have free slots.
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -21,7 +21,7 @@
 type upstream struct {
 	vane.Upstream
 	parts *partSet // parts that the engine is believed to hold
-	rank  float64  // position in the order in which engines are reserved for short prompts, lowest first
+	rank  float64  // position in the order in which short prompts prefer engines, lowest first
 
 	inFlight    int                   // number of requests that this node has in flight
 	pending     int                   // uncached tokens of this node's requests without a first byte
