site: the search for a route does not depend on their number

A request to a host with 10,000 routes compared its path with each of them. The routes of a host are indexed by their path prefix; the search tries the prefixes of the path that end with a slash, up to the longest one of the host.

--- a/site/config.go
+++ b/site/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"slices"
 	"strings"
 
 	vane "mustardvane.org/vane"
@@ -11,9 +10,9 @@
 // Config is one version of the configuration. It is immutable and safe for
 // concurrent use.
 type Config struct {
-	Version          uint64                  // version of the configuration, as passed to New
-	Limits           vane.CallerLimits       // limits on what callers may send
-	routesByHost     map[string][]vane.Route // by lower-case host, longest path prefix first
+	Version          uint64                 // version of the configuration, as passed to New
+	Limits           vane.CallerLimits      // limits on what callers may send
+	routesByHost     map[string]*hostRoutes // by lower-case host
 	servicesByName   map[string]vane.Service
 	workspacesByKey  map[string]vane.WorkspaceConfig
 	workspacesByName map[string]vane.WorkspaceConfig
@@ -28,7 +27,10 @@
 	return func(c *Config) {
 		for _, r := range routes {
 			h := strings.ToLower(r.Host)
-			c.routesByHost[h] = append(c.routesByHost[h], r)
+			if c.routesByHost[h] == nil {
+				c.routesByHost[h] = &hostRoutes{bySlash: make(map[string]vane.Route)}
+			}
+			c.routesByHost[h].add(r)
 		}
 	}
 }
@@ -63,15 +65,12 @@
 // New returns a configuration with the given version and parts.
 func New(version uint64, opts ...Option) *Config {
 	c := &Config{
-		Version: version, routesByHost: make(map[string][]vane.Route), servicesByName: make(map[string]vane.Service),
+		Version: version, routesByHost: make(map[string]*hostRoutes), servicesByName: make(map[string]vane.Service),
 		workspacesByKey: make(map[string]vane.WorkspaceConfig), workspacesByName: make(map[string]vane.WorkspaceConfig),
 	}
 	for _, o := range opts {
 		o(c)
 	}
-	for _, rs := range c.routesByHost {
-		slices.SortStableFunc(rs, func(a, b vane.Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
-	}
 	return c
 }
 
@@ -81,12 +80,11 @@
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	for _, r := range c.routesByHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.PathPrefix) {
-			return r, true
-		}
+	h, ok := c.routesByHost[strings.ToLower(host)]
+	if !ok {
+		return vane.Route{}, false
 	}
-	return vane.Route{}, false
+	return h.match(path)
 }
 
 // Service returns the service with the given name, and false if there is none.
