--- a/edge/cold_internal_test.go
+++ b/edge/cold_internal_test.go
@@ -40,7 +40,7 @@
 	return site.New(1, site.WithServices(vane.Service{Name: "llm", HealthPath: "/ok", ColdStart: 3 * time.Second, ColdRate: 10})), true
 }
 
-func (configDecoder) Upstream(o vane.Object) (vane.Upstream, bool) {
+func (configDecoder) Upstream(vane.Object) (vane.Upstream, bool) {
 	return vane.Upstream{Name: "i-1", Service: "llm", Role: vane.RoleService, Incarnation: 1, Slots: 6, DataCentre: "dc0"}, true
 }
 
--- a/ramp/ramp_test.go
+++ b/ramp/ramp_test.go
@@ -142,79 +142,116 @@
 	at      time.Time
 }
 
-// Guards against more requests than allowed in any second when nodes join, leave, are
-// removed while they run, can't reach the store, hear nothing, or stand still. All nodes
-// want to send without pause.
+// model is a site in which nodes join, leave, are removed while they run, can't reach the
+// store, hear nothing, or stand still. All nodes want to send without pause.
+type model struct {
+	rng   *rand.Rand
+	all   []string
+	store []set
+	nodes map[string]*node
+	sent  []time.Time // within the last second
+}
+
+// newModel returns a model of seven nodes of which five are registered.
+func newModel(seed uint64) *model {
+	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), all: names(7), nodes: make(map[string]*node)}
+	m.store = []set{{m.all[:5], 1, begin}}
+	for _, name := range m.all {
+		m.nodes[name] = &node{name: name, r: ramp.New(name, bounds)}
+	}
+	return m
+}
+
+// step plays the moment now. It returns the number of requests within the last second.
+func (m *model) step(now time.Time) int {
+	if m.rng.IntN(160) == 0 {
+		m.changeMembers(now)
+	}
+	for _, name := range m.all {
+		n := m.nodes[name]
+		m.disturb(now, n)
+		if now.Before(n.frozenTill) {
+			continue
+		}
+		if n.late > 0 {
+			m.sent, n.late = append(m.sent, now), 0
+		}
+		if !now.Before(n.cutUntil) && m.rng.IntN(20) == 0 {
+			m.read(now, n)
+		}
+		if m.rng.IntN(10) == 0 {
+			m.tell(now, n)
+		}
+		for n.r.Allows(now, "u", perS) {
+			n.r.Spend(now, "u")
+			m.sent = append(m.sent, now)
+		}
+	}
+	for len(m.sent) > 0 && now.Sub(m.sent[0]) >= time.Second {
+		m.sent = m.sent[1:]
+	}
+	return len(m.sent)
+}
+
+// changeMembers lets a node join, or removes its record.
+func (m *model) changeMembers(now time.Time) {
+	last := m.store[len(m.store)-1]
+	name := m.all[m.rng.IntN(len(m.all))]
+	next := slices.DeleteFunc(slices.Clone(last.names), func(n string) bool { return n == name })
+	if len(next) == len(last.names) {
+		next = append(next, name)
+	}
+	m.store = append(m.store, set{next, last.version + 1, now})
+}
+
+// disturb cuts a node off, or freezes it, now and then. A request may be sent late because of
+// that.
+func (m *model) disturb(now time.Time, n *node) {
+	span := time.Duration(m.rng.IntN(25000)) * time.Millisecond
+	switch m.rng.IntN(1200) {
+	case 0:
+		n.cutUntil = now.Add(3 * span)
+	case 1:
+		n.frozenTill = now.Add(span)
+		if n.r.Allows(now, "u", perS) {
+			n.r.Spend(now, "u")
+			n.late = 1
+		}
+	case 2:
+		n.deafUntil = now.Add(span)
+	}
+}
+
+// read gives a node an answer that the store gave up to 2 s ago.
+func (m *model) read(now time.Time, n *node) {
+	asOf := now.Add(-time.Duration(m.rng.IntN(2000)) * time.Millisecond)
+	for _, s := range slices.Backward(m.store) {
+		if !s.at.After(asOf) {
+			if s.version >= n.r.Version() {
+				n.r.SetMembers(now, ramp.Members{Names: s.names, Version: s.version, AsOf: asOf, MaxAge: maxAge})
+			}
+			return
+		}
+	}
+}
+
+// tell sends a message of a node to all others that hear it.
+func (m *model) tell(now time.Time, n *node) {
+	for _, other := range m.nodes {
+		if !now.Before(other.deafUntil) && !now.Before(n.deafUntil) {
+			other.r.SetKnown(now, n.name, n.r.Version())
+		}
+	}
+}
+
+// Guards against more requests than allowed in any second, whatever happens to the nodes.
 func TestBoundInAllSchedules(t *testing.T) {
 	used := 0
 	for seed := range uint64(100) {
-		rng := rand.New(rand.NewPCG(seed, 1))
-		all := names(7)
-		store := []set{{all[:5], 1, begin}}
-		nodes := make(map[string]*node)
-		for _, name := range all {
-			nodes[name] = &node{name: name, r: ramp.New(name, bounds)}
-		}
-		var sent []time.Time
+		m := newModel(seed)
 		most := 0
 		for now := begin; now.Before(begin.Add(90 * time.Second)); now = now.Add(25 * time.Millisecond) {
-			if rng.IntN(160) == 0 { // a node joins, or its record is removed
-				last := store[len(store)-1]
-				name := all[rng.IntN(len(all))]
-				next := slices.DeleteFunc(slices.Clone(last.names), func(n string) bool { return n == name })
-				if len(next) == len(last.names) {
-					next = append(next, name)
-				}
-				store = append(store, set{next, last.version + 1, now})
-			}
-			for _, name := range all {
-				n := nodes[name]
-				span := time.Duration(rng.IntN(25000)) * time.Millisecond
-				switch rng.IntN(1200) {
-				case 0:
-					n.cutUntil = now.Add(3 * span)
-				case 1:
-					n.frozenTill = now.Add(span)
-					if n.r.Allows(now, "u", perS) {
-						n.r.Spend(now, "u")
-						n.late = 1
-					}
-				case 2:
-					n.deafUntil = now.Add(span)
-				}
-				if now.Before(n.frozenTill) {
-					continue
-				}
-				if n.late > 0 {
-					sent, n.late = append(sent, now), 0
-				}
-				if !now.Before(n.cutUntil) && rng.IntN(20) == 0 { // an answer that the store gave up to 2 s ago
-					asOf := now.Add(-time.Duration(rng.IntN(2000)) * time.Millisecond)
-					for _, s := range slices.Backward(store) {
-						if !s.at.After(asOf) {
-							if s.version >= n.r.Version() {
-								n.r.SetMembers(now, ramp.Members{Names: s.names, Version: s.version, AsOf: asOf, MaxAge: maxAge})
-							}
-							break
-						}
-					}
-				}
-				if rng.IntN(10) == 0 { // a message to all
-					for _, other := range nodes {
-						if !now.Before(other.deafUntil) && !now.Before(n.deafUntil) {
-							other.r.SetKnown(now, name, n.r.Version())
-						}
-					}
-				}
-				for n.r.Allows(now, "u", perS) {
-					n.r.Spend(now, "u")
-					sent = append(sent, now)
-				}
-			}
-			for len(sent) > 0 && now.Sub(sent[0]) >= time.Second {
-				sent = sent[1:]
-			}
-			most = max(most, len(sent))
+			most = max(most, m.step(now))
 		}
 		if most > limit {
 			t.Fatalf("seed %d: %d requests in a second, allowed %d", seed, most, int(limit))
--- a/sched/cold.go
+++ b/sched/cold.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// excludes reports whether a request must not be sent to the upstream now, because of its data
+// centre or because it is cold. The caller must hold p.mu.
+func (p *Placer) excludes(now time.Time, q Query, u *upstream) bool {
+	return p.excludesDataCentre(q, u.DataCentre) || p.excludesCold(now, u)
+}
+
+// isLimited reports whether the upstream must not be counted on for the request: it gets none,
+// or only a few while it is cold. The caller must hold p.mu.
+func (p *Placer) isLimited(now time.Time, q Query, u *upstream) bool {
+	return u.isCold(now) || p.excludesDataCentre(q, u.DataCentre)
+}
+
 // excludesCold reports whether a request must not be sent to the upstream because it is cold
 // and this node may send it none at the moment. The caller must hold p.mu.
 func (p *Placer) excludesCold(now time.Time, u *upstream) bool {
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -73,7 +73,7 @@
 				h.complete++
 			}
 		}
-		if a := rendezvousHash(last, u.Name); u.usable(now) && !u.isCold(now) && !f.excludes(u) && (reservedRank < 0 || q.short() == (u.rank <= reservedRank)) && (h.preferred == nil || a < h.lowest) {
+		if a := rendezvousHash(last, u.Name); u.usable(now) && !p.isLimited(now, q, u) && !f.excludes(u) && (reservedRank < 0 || q.short() == (u.rank <= reservedRank)) && (h.preferred == nil || a < h.lowest) {
 			h.preferred, h.lowest = u, a
 		}
 	}
--- a/sched/light.go
+++ b/sched/light.go
@@ -56,7 +56,7 @@
 	p.shortRunning.advance(now)
 	usable, slots := 0, 0
 	for _, u := range p.byService[q.Service] {
-		if u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
+		if u.Role == vane.RoleEngine && u.usable(now) && !p.isLimited(now, q, u) {
 			usable, slots = usable+1, slots+u.Slots
 		}
 	}
@@ -72,7 +72,7 @@
 	}
 	rank := -1.0
 	for _, u := range p.byService[q.Service] {
-		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
+		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) && !p.isLimited(now, q, u) {
 			rank, n = u.rank, n-1
 		}
 	}
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -75,7 +75,7 @@
 	var best Pick
 	found := false
 	for _, u := range p.byService[q.Service] {
-		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.excludesDataCentre(q, u.DataCentre) || p.excludesCold(now, u) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
+		if slices.Contains(q.Avoid, u.Name) || !u.usable(now) || p.excludes(now, q, u) || filter.excludes(u) || p.outdated(now, u, target) || skipNewest && u.Weights == target.Version {
 			continue
 		}
 		c := p.evaluate(now, q, u, target, holders[u.Weights])
@@ -118,7 +118,7 @@
 	newest, older := 0, 0
 	for _, u := range p.byService[q.Service] {
 		switch {
-		case u.Role != vane.RoleEngine || !u.usable(now) || u.isCold(now) || p.excludesDataCentre(q, u.DataCentre) || slices.Contains(q.Avoid, u.Name):
+		case u.Role != vane.RoleEngine || !u.usable(now) || p.isLimited(now, q, u) || slices.Contains(q.Avoid, u.Name):
 		case u.Weights >= target.Version:
 			newest++
 		case !p.outdated(now, u, target):
--- a/sched/release.go
+++ b/sched/release.go
@@ -48,7 +48,7 @@
 	draw := rendezvousHash(q.ID, s.Release) < s.Share
 	f := releaseFilter{release: s.Release, only: draw, never: !draw}
 	for _, u := range p.byService[q.Service] {
-		if !f.excludes(u) && u.inService(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) && !p.outdated(now, u, target) {
+		if !f.excludes(u) && u.inService(now) && !p.isLimited(now, q, u) && !p.outdated(now, u, target) {
 			return f
 		}
 	}
--- a/soak/cold.go
+++ b/soak/cold.go
@@ -242,6 +242,18 @@
 	b.violations = append(b.violations, coldViolations(runs, zones, b.cold, b.evac, b.stalls)...)
 }
 
+// beganDuring returns when runs at the upstream of a span began during it, in order.
+func beganDuring(s span, runs []stand.Run) []time.Time {
+	var at []time.Time
+	for _, r := range runs {
+		if r.Server == s.what && r.Began.After(s.from) && r.Began.Before(s.until) {
+			at = append(at, r.Began)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	return at
+}
+
 // coldViolations returns the seconds in which a cold upstream began more requests than allowed,
 // and the runs in evacuated data centres. A second in which the upstreams stood still is left
 // out, since what was sent over some time may begin at once after it.
@@ -252,13 +264,7 @@
 		return slices.ContainsFunc(stalls, func(s span) bool { return s.from.Before(until) && s.until.After(from) })
 	}
 	for _, c := range cold {
-		var at []time.Time
-		for _, r := range runs {
-			if r.Server == c.what && r.Began.After(c.from) && r.Began.Before(c.until) {
-				at = append(at, r.Began)
-			}
-		}
-		slices.SortFunc(at, time.Time.Compare)
+		at := beganDuring(c, runs)
 		for i := range at {
 			n := 0
 			for n < len(at)-i && at[i+n].Sub(at[i]) < time.Second {
