ramp: a version that rises all the time does not keep a new owner waiting

A new owner waits until a displaced node has known of the change for a window. The versions of the last window are kept apart. TestVersionsThatRise fails on the code before.

--- a/ramp/ramp.go
+++ b/ramp/ramp.go
@@ -59,7 +59,7 @@
 	mu      sync.Mutex
 	members Members
 	past    []memberSet          // sets of members, oldest first; the last one is the present one
-	known   map[string]known     // what the other nodes said to know, by node
+	known   map[string]*known    // what the other nodes said to know, by node
 	owned   map[string]ownership // by upstream; cleared when the members change
 	granted map[string]time.Time // by upstream: ownership.since of the ownership that waits no longer
 	spent   map[string]*sends    // by upstream
@@ -73,10 +73,24 @@
 	from    time.Time
 }
 
-// known is the newest version of the members that another node said to act on.
+// known are the versions of the members that another node said to act on.
 type known struct {
+	settled uint64   // newest version of which the node has known for a window
+	recent  []notice // newer versions, oldest first
+}
+
+// notice is the first message that stated a version.
+type notice struct {
 	version uint64
-	at      time.Time // time of the first message that said so
+	at      time.Time
+}
+
+// settle returns the newest version of which the node has known for a window.
+func (k *known) settle(now time.Time) uint64 {
+	for len(k.recent) > 0 && now.Sub(k.recent[0].at) >= Window {
+		k.settled, k.recent = k.recent[0].version, k.recent[1:]
+	}
+	return k.settled
 }
 
 // ownership says since when this node has been an owner of an upstream.
@@ -94,7 +108,7 @@
 // New returns a ramp for the node with the given name. It allows nothing before the first
 // call of SetMembers.
 func New(self string, b Bounds) *Ramp {
-	return &Ramp{self: self, bounds: b, known: make(map[string]known), owned: make(map[string]ownership), granted: make(map[string]time.Time), spent: make(map[string]*sends)}
+	return &Ramp{self: self, bounds: b, known: make(map[string]*known), owned: make(map[string]ownership), granted: make(map[string]time.Time), spent: make(map[string]*sends)}
 }
 
 // SetMembers replaces the members.
@@ -131,8 +145,17 @@
 func (r *Ramp) SetKnown(now time.Time, node string, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version > r.known[node].version {
-		r.known[node] = known{version, now}
+	k, ok := r.known[node]
+	if !ok {
+		k = &known{}
+		r.known[node] = k
+	}
+	newest := k.settle(now)
+	if n := len(k.recent); n > 0 {
+		newest = k.recent[n-1].version
+	}
+	if version > newest {
+		k.recent = append(k.recent, notice{version, now})
 	}
 }
 
@@ -237,8 +260,8 @@
 // gaveUp reports whether a node has known the version of the members for a window, so that
 // what it sent before counts no more. The caller must hold mu.
 func (r *Ramp) gaveUp(now time.Time, node string, version uint64) bool {
-	k := r.known[node]
-	return k.version >= version && now.Sub(k.at) >= Window
+	k, ok := r.known[node]
+	return ok && k.settle(now) >= version
 }
 
 // Allows reports whether a request may be sent now to a cold upstream that tolerates perS
--- a/ramp/ramp_test.go
+++ b/ramp/ramp_test.go
@@ -100,6 +100,20 @@
 	is.True(!r.Owns(end, upstream))
 }
 
+// Guards against a new owner that waits for long in a large site, where the version of the
+// records rises all the time.
+func TestVersionsThatRise(t *testing.T) {
+	is := is.New(t)
+	r := ramp.New("a", bounds)
+	r.SetMembers(begin, ramp.Members{Names: []string{"a", "b", "c"}, Version: 5, AsOf: begin, MaxAge: time.Hour})
+	for i := range 14 {
+		now := begin.Add(time.Duration(i) * 100 * time.Millisecond)
+		r.SetKnown(now, "b", uint64(5+i))
+		r.SetKnown(now, "c", uint64(5+i))
+		is.Equal(r.Owns(now, "2"), i == 13) // a window after version 5
+	}
+}
+
 // Guards against a successor that spends beside an owner whose record another node removed,
 // since that owner can't say that it knows of it.
 func TestSuccessorOfARemovedNodeWaits(t *testing.T) {
