--- a/sched/mixed.go
+++ b/sched/mixed.go
@@ -133,7 +133,7 @@
 	}
 	usable, slots := 0, 0
 	for _, u := range p.byService[q.Service] {
-		if u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
+		if u.Role == vane.RoleEngine && u.usable(now) && !p.isLimited(now, q, u) {
 			usable, slots = usable+1, slots+u.Slots
 		}
 	}
@@ -152,7 +152,7 @@
 	}
 	rank := -1.0
 	for _, u := range p.byService[q.Service] {
-		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
+		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) && !p.isLimited(now, q, u) {
 			rank, n = u.rank, n-1
 		}
 	}
