mesh, mirror, edge: clock jumps change neither the order of starts nor ages

A node whose wall clock was set back between two starts looked older to the other nodes than its former self, which ignored it for up to twelve seconds in a large site. A lease holder whose clock was set forward just after its start removed the records of nodes that it had not heard yet. A node whose clock was an hour ahead took the weights of all engines for outdated, since the lease data and the weights records hold wall times of other hosts, and a later step of the clock changed ages that it already knew.

A node now raises its boot number above the one in its own record, both when it lists the records, which is before its first message, and when it replaces the record. The uptime is read from the boot clock. A time from a record is converted once, and a measured age replaces a higher one from a record. Messages of earlier builds lack the wall time and are read as before.

go test ./mirror ./mesh ./edge passes.

--- a/edge/loader.go
+++ b/edge/loader.go
@@ -39,6 +39,7 @@
 	planners        map[string]*weight.Planner // by model
 	recorded        map[string]uint64          // by model: highest weights number for which a record has been written
 	lastCheck       map[string]time.Time       // by upstream: when its weights were last checked
+	previous        *lease.Record              // record of the previous holder that boundAges is yet to evaluate; nil if there is none
 	ordersNotBefore time.Time                  // value of clock.BootTime before which no order is sent; zero for no limit
 }
 
@@ -56,17 +57,18 @@
 		l.ordersNotBefore = clock.BootTime().Add(l.node.settings.FencePause + fenceMargin)
 	}
 	l.node.log.Info("lease taken", "fence", t.Fence, "before", t.Previous.Holder, "released", t.Previous.Released, "uncertain", t.Uncertain)
-	l.boundAges(t.Previous)
+	l.previous = &t.Previous
+	l.boundPending()
 }
 
 // leaseData is what a holder adds to its lease record.
 type leaseData struct {
-	WrittenMS int64 `json:"written_ms"` // time of the write, in Unix milliseconds on the holder's clock
+	WrittenMS int64 `json:"written_ms"` // wall time of the write in Unix milliseconds, on which the holder and most nodes agreed
 }
 
 // leaseData returns the data for a write of the lease record.
 func (l *loader) leaseData() json.RawMessage {
-	b, err := json.Marshal(leaseData{WrittenMS: time.Now().UnixMilli()})
+	b, err := json.Marshal(leaseData{WrittenMS: clock.BootTime().Add(l.wallOffset()).UnixMilli()})
 	if err != nil {
 		l.node.log.Error("lease data not encoded", "err", err.Error())
 		return nil
@@ -74,6 +76,25 @@
 	return b
 }
 
+// wallOffset returns the wall time minus the reading of clock.BootTime.
+func (l *loader) wallOffset() time.Duration {
+	offset, _ := l.node.mirror.WallOffset()
+	return offset
+}
+
+// boundPending evaluates the record of the previous holder once the wall clock is confirmed. A
+// clock that was an hour ahead made the weights of all engines look outdated. The caller must
+// hold l.mu.
+func (l *loader) boundPending() {
+	if l.previous == nil {
+		return
+	}
+	if _, confirmed := l.node.mirror.WallOffset(); confirmed {
+		l.boundAges(*l.previous)
+		l.previous = nil
+	}
+}
+
 // boundAges corrects the ages of weights that were named while no node ran. A holder
 // records new weights at once, so that unrecorded ones, which this node found at its
 // start, were named after the previous holder's last write.
@@ -86,7 +107,7 @@
 		l.node.log.Warn("lease data of the previous holder not usable", "holder", previous.Holder)
 		return
 	}
-	age := time.Since(time.UnixMilli(d.WrittenMS))
+	age := clock.BootTime().Add(l.wallOffset()).Sub(time.UnixMilli(d.WrittenMS))
 	for model, w := range l.node.mirror.View().Weights {
 		if !w.Since.Before(l.node.startedAt) && w.Since.Sub(l.node.startedAt) < startWindow && w.OutdatedFor(clock.BootTime(), w.Version-1) < age {
 			l.node.log.Info("weights named while no node ran", "model", model, "weights", w.Version, "age_ms", age.Milliseconds())
@@ -100,6 +121,9 @@
 	ready()
 	var wg sync.WaitGroup
 	for clock.Sleep(ctx, loadInterval) {
+		l.mu.Lock()
+		l.boundPending()
+		l.mu.Unlock()
 		if w, ok := l.nextUnrecorded(); ok {
 			wg.Go(func() { l.writeWeightsRecord(ctx, w) })
 		}
@@ -112,11 +136,15 @@
 }
 
 // nextUnrecorded returns target weights for which this node, as the lease holder, has
-// yet to write a record, and marks them as recorded.
+// yet to write a record, and marks them as recorded. There are none until other nodes have
+// confirmed the wall clock, whose times a record holds.
 func (l *loader) nextUnrecorded() (mirror.Weights, bool) {
 	if _, ok := l.node.leases.Holds(0); !ok {
 		return mirror.Weights{}, false
 	}
+	if _, confirmed := l.node.mirror.WallOffset(); !confirmed {
+		return mirror.Weights{}, false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for model, w := range l.node.mirror.View().Weights {
@@ -140,7 +168,7 @@
 // later know. After a failure the weights count as unrecorded again.
 func (l *loader) writeWeightsRecord(ctx context.Context, w mirror.Weights) {
 	key := mirror.WeightsRecordKey(w.Model)
-	value, err := json.Marshal(w.Record(clock.WallOffset()))
+	value, err := json.Marshal(w.Record(l.wallOffset()))
 	if err == nil {
 		err = l.node.overwrite(ctx, key, value)
 	}
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -138,6 +138,7 @@
 	}
 	m.PromptParts = n.placer.TakeCacheUpdates()
 	m.StoreOK, m.Extension.StoreFailing = n.mirror.Reachable() && n.mesh.IsPromptWatcher(), n.mirror.Failing()
+	m.Extension.WallMS = time.Now().UnixMilli()
 	n.rollouts.fill(m)
 	n.composeRates(m)
 	n.pendingUpdates.fill(now, m)
@@ -149,13 +150,16 @@
 // seldom serve older ones.
 const maxWeightsAges = 4
 
-// weightsAges returns how long ago this node learned of the newest weights.
+// weightsAges returns how long ago this node learned of the newest weights. It leaves out ages
+// from records until other nodes have confirmed the wall clock, since a lower age does not
+// replace one that is too high.
 func (n *Node) weightsAges() []mesh.WeightsAge {
 	var out []mesh.WeightsAge
 	now := clock.BootTime()
+	_, confirmed := n.mirror.WallOffset()
 	for model, w := range n.mirror.View().Weights {
 		for _, h := range w.History[max(0, len(w.History)-maxWeightsAges):] {
-			if !h.Bound {
+			if !h.Bound && (confirmed || !h.Record) {
 				out = append(out, mesh.WeightsAge{Model: model, Weights: h.Number, AgeMS: now.Sub(h.Since).Milliseconds(), Seen: h.Seen})
 			}
 		}
@@ -227,12 +231,7 @@
 // removed. It also removes the records of nodes that have been silent for long.
 func (n *Node) maintainRecord(ctx context.Context, ready func()) error {
 	ready()
-	key := mirror.PeerKey(n.settings.Node)
-	value, err := json.Marshal(n.record())
-	if err != nil {
-		return vane.Errorf(vane.KindInternal, "edge.join", "report this as a bug", "can't encode the node record").WithCause(err)
-	}
-	if !n.writeRecord(ctx, key, value) {
+	if !n.writeRecord(ctx) {
 		return nil
 	}
 	for {
@@ -246,7 +245,7 @@
 		case <-ctx.Done():
 			return nil
 		}
-		if (lost && !n.isLeaving() || n.recordMissing()) && !n.writeRecord(ctx, key, value) {
+		if (lost && !n.isLeaving() || n.recordMissing()) && !n.writeRecord(ctx) {
 			return nil
 		}
 	}
@@ -254,11 +253,11 @@
 
 // writeRecord writes the node's record and retries until it succeeds. It returns false
 // if ctx ends first.
-func (n *Node) writeRecord(ctx context.Context, key string, value []byte) bool {
+func (n *Node) writeRecord(ctx context.Context) bool {
 	for {
-		err := n.overwrite(ctx, key, value)
+		err := n.putRecord(ctx)
 		if err == nil {
-			n.log.Info("joined", "boot", n.boot)
+			n.log.Info("joined", "boot", n.mesh.Boot())
 			n.mesh.SendNow()
 			return true
 		}
@@ -269,6 +268,39 @@
 	}
 }
 
+// putRecord writes the node's record. It replaces one of an earlier start, whose boot number
+// stays below that of this start.
+func (n *Node) putRecord(ctx context.Context) error {
+	return putRecord(ctx, n.storeClient, n.mesh, n.record)
+}
+
+// putRecord writes the record that record returns for the boot number of m. See [Node.putRecord].
+func putRecord(ctx context.Context, st vane.Store, m *mesh.Mesh, record func(boot uint64) vane.PeerRecord) error {
+	key := mirror.PeerKey(record(0).Name)
+	put := func(version, boot uint64) error {
+		value, err := json.Marshal(record(boot))
+		if err != nil {
+			return vane.Errorf(vane.KindInternal, "edge.join", "report this as a bug", "can't encode the node record").WithCause(err)
+		}
+		_, err = st.Put(ctx, key, version, value)
+		return err
+	}
+	err := put(0, m.Boot())
+	if vane.KindOf(err) != vane.KindConflict {
+		return err
+	}
+	o, err := st.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	boot := m.Boot()
+	var old vane.PeerRecord
+	if err := json.Unmarshal(o.Value, &old); err == nil && old.Boot > boot { // a malformed record is replaced
+		boot = m.RaiseBoot(old.Boot)
+	}
+	return put(o.Version, boot)
+}
+
 // recordMissing reports whether the record of this running node is gone. That happens
 // when the node was cut off for so long that another node removed the record.
 func (n *Node) recordMissing() bool {
@@ -299,15 +331,26 @@
 	if _, ok := n.leases.Holds(0); !ok {
 		return
 	}
-	now := time.Now()
-	if now.Sub(time.UnixMilli(int64(n.boot))) < peerSilenceLimit {
-		return
+	for _, name := range silentPeers(time.Now(), clock.BootTime().Sub(n.startedAt), n.mesh.Peers()) {
+		n.removeRecord(ctx, name)
 	}
-	for _, p := range n.mesh.Peers() {
+}
+
+// silentPeers returns the names of the nodes that have been silent for long. It returns none if
+// this node has not run for long enough to have heard them. The uptime must not be taken from
+// the wall clock: when that was set forward, a node that had just started removed the records
+// of all nodes that it had not heard yet.
+func silentPeers(now time.Time, uptime time.Duration, peers []mesh.Peer) []string {
+	if uptime < peerSilenceLimit {
+		return nil
+	}
+	var out []string
+	for _, p := range peers {
 		if now.Sub(p.LastHeard) > peerSilenceLimit {
-			n.removeRecord(ctx, p.Name)
+			out = append(out, p.Name)
 		}
 	}
+	return out
 }
 
 // removeOwnRecord removes this node's record.
--- a/edge/node.go
+++ b/edge/node.go
@@ -76,7 +76,6 @@
 	log            *slog.Logger
 	registry       *prometheus.Registry
 	kernel         *kernel.Kernel
-	boot           uint64    // time of New in milliseconds since the Unix epoch
 	startedAt      time.Time // time of New as a reading of clock.BootTime
 	storeClient    *store.Client
 	mirror         *mirror.Service
@@ -109,7 +108,7 @@
 		return nil, err
 	}
 	n := &Node{
-		settings: settings, adapter: adapter, log: log, registry: prometheus.NewRegistry(), kernel: kernel.New(), boot: uint64(time.Now().UnixMilli()), startedAt: clock.BootTime(),
+		settings: settings, adapter: adapter, log: log, registry: prometheus.NewRegistry(), kernel: kernel.New(), startedAt: clock.BootTime(),
 		pool: conns.NewPool(), retries: make(map[string]*retry.Window), pendingUpdates: newPendingUpdates(), rejoin: make(chan struct{}, 1),
 	}
 	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)),
@@ -118,14 +117,15 @@
 	n.coldStarts = newColdStarts(n)
 	n.placer = sched.New(settings.DataCentre, n.cache, sched.WithWeightsLimit(settings.WeightsLimit), sched.WithColdLimiter(n.coldStarts), sched.WithRegions(settings.Regions), sched.WithStallLimit(settings.EvacuationLimit/2), sched.WithMetrics(sched.NewMetrics(n.registry)))
 	n.quota = newLimiter(settings.Node, settings.LinkMbps, func() { n.mesh.SendSoon() }, n.registry, log)
-	opts := []mirror.Option{mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy), mirror.WithMalformedFunc(malformedCounter(n.registry).Inc)}
+	opts := []mirror.Option{mirror.WithLogger(log), mirror.WithChangeFunc(n.handleViewChange), mirror.WithWatchPolicy(n.watchPolicy), mirror.WithMalformedFunc(malformedCounter(n.registry).Inc),
+		mirror.WithWallOffset(func() (time.Duration, bool) { return n.mesh.WallOffset() })}
 	evacuations, ok := adapter.Decoder.(mirror.EvacuationDecoder)
 	followsEvacuations := ok && settings.EvacuationLimit > 0
 	if followsEvacuations {
 		opts = append(opts, mirror.WithEvacuations(evacuations))
 	}
 	n.mirror = mirror.NewService(n.storeClient, adapter.Decoder, opts...)
-	n.mesh = mesh.New(n.record(), mesh.Deps{
+	n.mesh = mesh.New(n.record(uint64(time.Now().UnixMilli())), mesh.Deps{
 		Compose: n.compose, Receive: n.receive, Versions: n.mirror.Versions, Export: n.mirror.Export, Import: n.mirror.Import, Answer: n.quota.answer, Log: log,
 		Evacuations: followsEvacuations,
 	})
@@ -179,9 +179,10 @@
 // Run implements kernel.Service.
 func (f serviceFunc) Run(ctx context.Context, ready func()) error { return f(ctx, ready) }
 
-// record returns the record under which the node registers in the store.
-func (n *Node) record() vane.PeerRecord {
-	return vane.PeerRecord{Name: n.settings.Node, Mesh: n.settings.mesh(), Callers: n.settings.CallerAddr, DataCentre: n.settings.DataCentre, Boot: n.boot, LinkMbps: n.settings.LinkMbps}
+// record returns the record under which the start of the node with the boot number registers in
+// the store.
+func (n *Node) record(boot uint64) vane.PeerRecord {
+	return vane.PeerRecord{Name: n.settings.Node, Mesh: n.settings.mesh(), Callers: n.settings.CallerAddr, DataCentre: n.settings.DataCentre, Boot: boot, LinkMbps: n.settings.LinkMbps}
 }
 
 // Run serves until ctx ends, and then drains: it returns once callers have been sent to
@@ -206,7 +207,7 @@
 			return err
 		}
 	}
-	n.log.Info("started", "boot", n.boot, "callers", n.settings.CallerAddr, "data_centre", n.settings.DataCentre)
+	n.log.Info("started", "boot", n.mesh.Boot(), "callers", n.settings.CallerAddr, "data_centre", n.settings.DataCentre)
 	select {
 	case <-ctx.Done():
 	case err := <-n.kernel.Failed():
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -9,6 +9,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/mirror"
 )
 
@@ -48,25 +49,30 @@
 // Peer is the known state of another node.
 type Peer struct {
 	vane.PeerRecord
-	LastHeard           time.Time // time of the last message; zero if there was none
-	Ready               bool      // callers may be sent to the peer
-	Leaving             bool      // the peer is stopping
-	Fence               uint64    // fencing number of the lease on weight orders; zero if the peer does not hold it
-	StoreOK             bool      // the peer reaches the store and watches it without delay
-	StoreFailing        bool      // the store does not answer the peer
-	Alive               bool      // a message arrived recently; set by Peers
-	seq                 uint64    // sequence number of the last message
-	knownSince          time.Time // time at which this node learned of the peer's latest start
-	lastRelayed         time.Time // time at which the peer last relayed messages to this node
-	aheadSince          time.Time // time since which the peer has known a newer configuration or weights; zero if it does not
-	upstreamsAheadSince time.Time // time since which the peer has known newer upstreams; zero if it does not
+	LastHeard           time.Time     // time of the last message; zero if there was none
+	Ready               bool          // callers may be sent to the peer
+	Leaving             bool          // the peer is stopping
+	Fence               uint64        // fencing number of the lease on weight orders; zero if the peer does not hold it
+	StoreOK             bool          // the peer reaches the store and watches it without delay
+	StoreFailing        bool          // the store does not answer the peer
+	Alive               bool          // a message arrived recently; set by Peers
+	wallOffset          time.Duration // wall time of the peer minus the reading of this host's clock.BootTime
+	hasWall             bool          // the peer has told its wall time
+	seq                 uint64        // sequence number of the last message
+	knownSince          time.Time     // time at which this node learned of the peer's latest start
+	lastRelayed         time.Time     // time at which the peer last relayed messages to this node
+	aheadSince          time.Time     // time since which the peer has known a newer configuration or weights; zero if it does not
+	upstreamsAheadSince time.Time     // time since which the peer has known newer upstreams; zero if it does not
 }
 
 // Mesh exchanges messages with the other nodes. It is safe for concurrent use.
 type Mesh struct {
 	self vane.PeerRecord
 	Deps
-	now func() time.Time
+	now       func() time.Time
+	bootTime  func() time.Time     // clock.BootTime
+	ownOffset func() time.Duration // clock.WallOffset
+	startedAt time.Time            // time of New
 
 	mu           sync.Mutex
 	peers        map[string]*Peer // other nodes by name
@@ -79,6 +85,7 @@
 	wake         chan struct{}    // signals that the next message is to be sent at once
 	flushRelay   chan struct{}    // signals that urgent messages are queued
 	fetchNow     chan struct{}    // signals that a peer knows a newer configuration or weights
+	wall         wallClocks
 	questions    *questions
 	conn         net.PacketConn
 	http         *http.Client
@@ -87,19 +94,50 @@
 // New returns the mesh of the node with the record self. It opens no socket.
 func New(self vane.PeerRecord, d Deps) *Mesh {
 	return &Mesh{
-		self: self, Deps: d, now: time.Now, peers: make(map[string]*Peer), byAddr: make(map[string]*Peer), questions: newQuestions(), wake: make(chan struct{}, 1),
+		self: self, Deps: d, now: time.Now, bootTime: clock.BootTime, ownOffset: clock.WallOffset, startedAt: time.Now(), peers: make(map[string]*Peer), byAddr: make(map[string]*Peer), questions: newQuestions(), wake: make(chan struct{}, 1),
 		flushRelay: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}, Timeout: snapshotTimeout},
 	}
 }
 
-// SetPeers takes the records of all nodes. It ignores the node's own record. Nodes
-// without a record are dropped once they are no longer alive.
+// Boot returns the number that identifies this start of the node.
+func (m *Mesh) Boot() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self.Boot
+}
+
+// RaiseBoot makes the number of this start higher than that of an earlier start of the same
+// node, and returns it. The other nodes ignore messages with a lower number while they take the
+// earlier start for alive, and the wall clock from which numbers are taken may have been set
+// back in between.
+func (m *Mesh) RaiseBoot(earlier uint64) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.raiseBootLocked(earlier)
+	return m.self.Boot
+}
+
+// raiseBootLocked is RaiseBoot for callers that hold m.mu.
+func (m *Mesh) raiseBootLocked(earlier uint64) {
+	if earlier < m.self.Boot {
+		return
+	}
+	m.Log.Warn("boot number raised: the wall clock was set back since an earlier start", "boot", m.self.Boot, "earlier", earlier)
+	m.self.Boot = earlier + 1
+}
+
+// SetPeers takes the records of all nodes. It uses the node's own record only to make its boot
+// number higher than that of an earlier start, before the first message is sent. Nodes without
+// a record are dropped once they are no longer alive.
 func (m *Mesh) SetPeers(records map[string]vane.PeerRecord) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, r := range records {
 		if name == m.self.Name {
+			if r.Boot > m.self.Boot { // written by an earlier start, since this one writes no higher number
+				m.raiseBootLocked(r.Boot)
+			}
 			continue
 		}
 		p, ok := m.peers[name]
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -355,3 +355,20 @@
 		is.True(!first[name])
 	}
 }
+
+// The wall clock from which boot numbers are taken may be set back between two starts. The other
+// nodes ignored the messages of the later start for up to twelve seconds in a large site.
+func TestBootNumberBelowThatOfAnEarlierStart(t *testing.T) {
+	is := is.New(t)
+	m, other := newSite(2), newSite(2)
+	is.True(other.recordSender(begin, &Message{Name: "n1", Boot: 10, Seq: 70}))
+	m.self = vane.PeerRecord{Name: "n1", Boot: 4}
+	records := map[string]vane.PeerRecord{"n1": {Name: "n1", Mesh: "n1:1", Boot: 10}, "n2": {Name: "n2", Mesh: "n2:1", Boot: 1}}
+	m.SetPeers(records) // before the first message, which needs the addresses
+	is.Equal(m.self.Boot, uint64(11))
+	other.now = func() time.Time { return begin }
+	is.True(other.recordSender(begin, &Message{Name: "n1", Boot: m.self.Boot, Seq: 1}))
+	records["n1"] = m.self
+	m.SetPeers(records) // its own record
+	is.Equal(m.self.Boot, uint64(11))
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -50,6 +50,7 @@
 	Rates          []ServiceRates  `msgpack:"rates,omitempty"`           // learned rates; nil in most messages
 	Evacuations    uint64          `msgpack:"evacuations,omitempty"`     // newest known version of any evacuation
 	NodesVersion   uint64          `msgpack:"nodes_version,omitempty"`   // version of the list of nodes by which the node decides which cold upstreams it owns; zero if there are none
+	WallMS         int64           `msgpack:"wall_ms,omitempty"`         // wall time of the sender in Unix milliseconds; zero if the build does not tell it
 	Cold           []ColdReport    `msgpack:"cold,omitempty"`            // upstreams that are cold, or were found warm after a failure
 }
 
--- a/mesh/post.go
+++ b/mesh/post.go
@@ -29,7 +29,7 @@
 // the data centre in a large one.
 func (m *Mesh) send() {
 	now := m.now()
-	msg := &Message{Name: m.self.Name, Boot: m.self.Boot, Callers: m.self.Callers}
+	msg := &Message{Name: m.self.Name, Boot: m.Boot(), Callers: m.self.Callers}
 	known := m.Versions()
 	msg.UpstreamVersion, msg.ConfigVersion, msg.WeightsVersion = known.Upstreams, known.Config, known.Weights
 	msg.RolloutVersion, msg.Extension.Evacuations = known.Rollouts, known.Evacuations
@@ -242,6 +242,9 @@
 		m.Log.Info("node heard", "peer", msg.Name, "boot", msg.Boot, "silent_ms", silent.Milliseconds())
 	}
 	p.seq, p.LastHeard, p.Ready, p.Leaving = msg.Seq, now, msg.Ready, msg.Leaving
+	if w := msg.Extension.WallMS; w != 0 {
+		p.wallOffset, p.hasWall = time.UnixMilli(w).Sub(m.bootTime()), true
+	}
 	p.Fence, p.StoreOK, p.StoreFailing, p.Callers = msg.Fence, msg.StoreOK, msg.Extension.StoreFailing, msg.Callers
 	ahead := msg.ConfigVersion > known.Config || msg.WeightsVersion > known.Weights || msg.RolloutVersion > known.Rollouts || m.Evacuations && msg.Extension.Evacuations > known.Evacuations
 	trackSince(&p.aheadSince, now, ahead)
--- a/mirror/service.go
+++ b/mirror/service.go
@@ -41,6 +41,7 @@
 	log         *slog.Logger
 	onChange    func(old, v *View)
 	onMalformed func()
+	wallOffset  func() (offset time.Duration, confirmed bool)
 
 	mu           sync.Mutex
 	state        *State
@@ -86,6 +87,13 @@
 	return func(s *Service) { s.state.FollowEvacuations(d) }
 }
 
+// WithWallOffset sets the function that returns the wall time minus the reading of
+// [clock.BootTime], and whether other nodes have confirmed it. It is called under the service's
+// lock and must not call its methods. The default is [clock.WallOffset], for a node without others.
+func WithWallOffset(f func() (offset time.Duration, confirmed bool)) Option {
+	return func(s *Service) { s.wallOffset = f }
+}
+
 // WithLogger sets the logger. Without it nothing is logged.
 func WithLogger(l *slog.Logger) Option { return func(s *Service) { s.log = l } }
 
@@ -93,7 +101,7 @@
 func NewService(st Store, dec Decoder, opts ...Option) *Service {
 	s := &Service{
 		store: st, state: NewState(dec), log: slog.New(slog.DiscardHandler), onChange: func(_, _ *View) {}, onMalformed: func() {}, watchPolicy: func(string) WatchPolicy { return defaultWatchPolicy },
-		failingSince: make(map[string]time.Time), contact: newContact(), complete: make(completeAt), returned: make(chan struct{}), answered: make(chan struct{}),
+		wallOffset: func() (time.Duration, bool) { return clock.WallOffset(), true }, failingSince: make(map[string]time.Time), contact: newContact(), complete: make(completeAt), returned: make(chan struct{}), answered: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(s)
@@ -147,6 +155,10 @@
 	s.updateSince(until, func(now time.Time) bool { return s.state.Import(now, objs) })
 }
 
+// WallOffset returns the wall time minus the reading of [clock.BootTime], and whether other
+// nodes have confirmed it. See [WithWallOffset].
+func (s *Service) WallOffset() (offset time.Duration, confirmed bool) { return s.wallOffset() }
+
 // MergeAge is [State.MergeAge] at the present time.
 func (s *Service) MergeAge(model string, number uint64, age time.Duration, seen bool) {
 	s.update(func(now time.Time) bool { return s.state.MergeAge(now, model, number, age, seen) })
@@ -157,8 +169,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.state.View()
-	s.state.SetWallOffset(clock.WallOffset())
-	if f(clock.BootTime()) {
+	now := clock.BootTime()
+	offset, confirmed := s.wallOffset()
+	changed := false
+	if confirmed {
+		changed = s.state.ConfirmWallOffset(offset)
+	} else {
+		s.state.SetWallOffset(offset)
+	}
+	if f(now) || changed {
 		s.onChange(old, s.state.View())
 	}
 	for _, o := range s.state.TakeIgnored() {
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -66,6 +66,7 @@
 	ignored         []IgnoredObject // since the last call of TakeIgnored
 	malformed       []vane.Object   // since the last call of TakeMalformed
 	wallOffset      time.Duration   // wall time minus the time of the clock
+	unconfirmed     bool            // wallOffset has not been confirmed by other nodes
 	completeUntil   time.Time       // time at which no change was missing; zero if none is now
 	followsWeights  bool            // the target weights have been listed, so that further ones are new
 	listsUpstreams  bool            // the upstreams have been listed, so that further starts are seen
@@ -93,7 +94,25 @@
 
 // SetWallOffset sets the wall time minus the time of the clock. It converts the times of
 // records, which are shared between hosts. The default is zero.
-func (s *State) SetWallOffset(d time.Duration) { s.wallOffset = d }
+func (s *State) SetWallOffset(d time.Duration) { s.wallOffset, s.unconfirmed = d, true }
+
+// ConfirmWallOffset is [State.SetWallOffset] with an offset on which most nodes agree. It
+// converts the times of the records again if the unconfirmed offset used until then was wrong,
+// and reports whether the view changed.
+func (s *State) ConfirmWallOffset(d time.Duration) bool {
+	wrong := s.unconfirmed && (d-s.wallOffset).Abs() > recordTolerance
+	s.wallOffset, s.unconfirmed = d, false
+	if !wrong {
+		return false
+	}
+	v := *s.view
+	v.Weights = make(map[string]Weights, len(s.view.Weights))
+	for model, w := range s.view.Weights {
+		v.Weights[model] = w.reconvert(d)
+	}
+	s.view = &v
+	return true
+}
 
 // SetCompleteUntil sets the time until which the state was complete, for changes that are
 // applied after an interruption. The designation of weights then counts from that time,
--- a/mirror/wallclock_internal_test.go
+++ b/mirror/wallclock_internal_test.go
@@ -79,3 +79,71 @@
 		})
 	}
 }
+
+// A step of the wall clock of a node that knows an age from a record changed the age with the
+// next change in the store, and made the weights look outdated.
+func TestStepOfTheWallClockDoesNotChangeAges(t *testing.T) {
+	for _, step := range []time.Duration{2 * time.Second, 10 * time.Second, time.Hour, -time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(7000, 0)
+			s := newRestartedState(now)
+			is.Equal(s.View().Weights["m"].OutdatedFor(now, 1), 5*time.Second)
+			s.SetWallOffset(step)
+			s.Apply(now, []vane.Object{{Key: "u/e", Value: []byte("x"), Version: 4}})
+			is.Equal(s.View().Weights["m"].OutdatedFor(now, 1), 5*time.Second)
+		})
+	}
+}
+
+// newRestartedState returns the state of a node that started at now, five seconds after weights
+// were designated, and has read their record with a wall offset of zero.
+func newRestartedState(now time.Time) *State {
+	s := NewState(weightsDecoder{})
+	s.SetWallOffset(0)
+	s.Replace(now, "w/", vane.Batch{Revision: 2, Objects: []vane.Object{{Key: "w/m", Value: []byte("12"), Version: 2}}})
+	s.Apply(now, []vane.Object{{Key: WeightsRecordKey("m"), Value: []byte(`{"model":"m","numbers":[2],"at_ms":[6995000]}`), Version: 3}})
+	return s
+}
+
+// An age from a record that is too high, since one of two wall clocks was wrong, stayed although
+// another node had measured a lower one.
+func TestMeasuredAgeReplacesAHighOneFromARecord(t *testing.T) {
+	now := time.Unix(7000, 0)
+	for _, tt := range []struct {
+		name             string
+		ahead, age, want time.Duration
+		seen             bool
+	}{
+		{"right clock, delayed message", 0, 3500 * time.Millisecond, 5 * time.Second, true},
+		{"ten seconds ahead", 10 * time.Second, 5 * time.Second, 5 * time.Second, true},
+		{"an hour ahead", time.Hour, 5 * time.Second, 5 * time.Second, true},
+		{"behind", -4 * time.Second, 5 * time.Second, 5 * time.Second, true},
+		{"age of another record", 10 * time.Second, 5 * time.Second, 15 * time.Second, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewState(weightsDecoder{})
+			s.SetWallOffset(tt.ahead)
+			s.Replace(now, "w/", vane.Batch{Revision: 2, Objects: []vane.Object{{Key: "w/m", Value: []byte("12"), Version: 2}}})
+			s.Apply(now, []vane.Object{{Key: WeightsRecordKey("m"), Value: []byte(`{"model":"m","numbers":[2],"at_ms":[6995000]}`), Version: 3}})
+			s.MergeAge(now, "m", 2, tt.age, tt.seen)
+			is.Equal(s.View().Weights["m"].OutdatedFor(now, 1), tt.want)
+		})
+	}
+}
+
+// A node reads records before other nodes have told it that its wall clock is wrong.
+func TestConfirmedWallOffsetCorrectsAges(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(7000, 0)
+	s := newRestartedState(now)
+	is.True(!s.ConfirmWallOffset(time.Second)) // within the tolerance
+	is.Equal(s.View().Weights["m"].OutdatedFor(now, 1), 5*time.Second)
+	s = newRestartedState(now)
+	is.True(s.ConfirmWallOffset(-4 * time.Second))
+	is.Equal(s.View().Weights["m"].OutdatedFor(now, 1), time.Second)
+	is.True(!s.ConfirmWallOffset(time.Hour)) // ages that are known do not change
+	s.Apply(now, []vane.Object{{Key: "u/e", Value: []byte("x"), Version: 4}})
+	is.Equal(s.View().Weights["m"].OutdatedFor(now, 1), time.Second)
+}
