rollout, edge: the begin of a roll-out is counted on the wall clock of most nodes

The begin of a roll-out is recorded as a wall time. A lease holder that started during a roll-out on a host whose clock was ahead saw the deadline passed and rolled the release back at once; one whose clock was behind kept to the first stages for too long.

go test ./rollout ./mesh ./edge passes.

--- a/edge/clock_internal_test.go
+++ b/edge/clock_internal_test.go
@@ -14,6 +14,8 @@
 	"mustardvane.org/vane/lease"
 	"mustardvane.org/vane/mesh"
 	"mustardvane.org/vane/mirror"
+	"mustardvane.org/vane/rollout"
+	"mustardvane.org/vane/sched"
 )
 
 // oneObject is a store that holds at most one object.
@@ -106,3 +108,28 @@
 		})
 	}
 }
+
+// The begin of a roll-out is recorded as a wall time. A lease holder that started during the
+// roll-out on a clock that was ahead rolled it back, and one on a clock that was behind kept to
+// the first stages for too long.
+func TestBeginOfARolloutOnAWrongClock(t *testing.T) {
+	const duration = 20 * time.Second
+	for _, jump := range []time.Duration{-time.Hour, -10 * time.Second, 10 * time.Second, time.Hour} {
+		t.Run(jump.String(), func(t *testing.T) {
+			is := is.New(t)
+			log := slog.New(slog.DiscardHandler)
+			n := &Node{log: log, placer: sched.New("dc", newCacheWatcher(nil, log, func() bool { return false }))}
+			o := newRollouts(n)
+			wall := time.Now() // of most nodes
+			now := time.Now().Add(jump)
+			began := wall.Add(-duration / 2)
+			r := vane.Rollout{Service: "s", Target: "v2", Duration: duration, Revision: 4}.WithState(vane.RolloutRunning).WithBegan(began)
+			o.update(now, &mirror.View{Rollouts: map[string]vane.Rollout{"s": r}})
+			o.correctBegins(now, wall)
+			right := rollout.New(r.WithBegan(now.Add(-duration/2)), now, rollout.Limits{Share: n.settings.ExposeShare})
+			for d := time.Duration(0); d < duration; d += 100 * time.Millisecond {
+				is.Equal(o.trackers["s"].Decide(now.Add(d), 1), right.Decide(now.Add(d), 1))
+			}
+		})
+	}
+}
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -31,12 +31,13 @@
 
 	mu       sync.Mutex
 	trackers map[string]*rollout.Tracker // by service
+	begins   map[string]time.Time        // by service: recorded begin of a roll-out that began before this node learned of it, until correctBegins uses it
 	writing  map[string]bool             // by service: a state is being written
 	results  []mesh.ReleaseResult        // for the next message
 }
 
 func newRollouts(node *Node) *rollouts {
-	return &rollouts{node: node, trackers: make(map[string]*rollout.Tracker), writing: make(map[string]bool)}
+	return &rollouts{node: node, trackers: make(map[string]*rollout.Tracker), begins: make(map[string]time.Time), writing: make(map[string]bool)}
 }
 
 // orderID identifies the request for a roll-out, whatever its state.
@@ -58,6 +59,7 @@
 	for service := range o.trackers {
 		if _, ok := v.Rollouts[service]; !ok {
 			delete(o.trackers, service)
+			delete(o.begins, service)
 		}
 	}
 	for service, r := range v.Rollouts {
@@ -66,12 +68,26 @@
 			t.SetRollout(now, r)
 			continue
 		}
+		delete(o.begins, service)
+		if !r.Began.IsZero() {
+			o.begins[service] = r.Began
+		}
 		o.trackers[service] = rollout.New(r, now, rollout.Limits{Share: o.node.settings.ExposeShare})
 		o.node.log.Info("rollout", "service", service, "release", r.Target, "state", r.State.String(), "duration_ms", r.Duration.Milliseconds())
 	}
 	o.applyShares(now)
 }
 
+// correctBegins counts the recorded begins of roll-outs from the present wall time on which most
+// nodes agree. On a clock that was an hour ahead, a lease holder that started during a roll-out
+// rolled it back at once. The caller must hold o.mu.
+func (o *rollouts) correctBegins(now, wall time.Time) {
+	for service, began := range o.begins {
+		o.trackers[service].SetAge(now, wall.Sub(began))
+	}
+	clear(o.begins)
+}
+
 // applyShares passes the shares to the placer. The caller must hold o.mu.
 func (o *rollouts) applyShares(now time.Time) {
 	shares := make(map[string]sched.ReleaseShare, len(o.trackers))
@@ -193,6 +209,13 @@
 	if len(o.trackers) == 0 {
 		return nil
 	}
+	offset, confirmed := o.node.mirror.WallOffset()
+	if !confirmed {
+		o.applyShares(now)
+		return nil
+	}
+	wall := clock.BootTime().Add(offset)
+	o.correctBegins(now, wall)
 	var due []vane.Rollout
 	for service, t := range o.trackers {
 		if !holds {
@@ -206,6 +229,9 @@
 			continue
 		}
 		if r, ok := t.Due(now, o.node.placer.InFlightElsewhere(service, t.Rollout().Target)); ok {
+			if t.Rollout().Began.IsZero() {
+				r = r.WithBegan(wall.Add(-now.Sub(r.Began)))
+			}
 			o.writing[service] = true
 			due = append(due, r)
 		}
--- a/mesh/wall.go
+++ b/mesh/wall.go
@@ -17,6 +17,7 @@
 type wallClocks struct {
 	at        time.Time // time of the comparison; zero if there was none
 	offset    time.Duration
+	wrong     bool // the own wall clock differs from that of most nodes
 	confirmed bool
 }
 
@@ -40,7 +41,11 @@
 		}
 	}
 	told := 2*(len(offsets)-1) >= max(1, len(m.peers))
-	*c = wallClocks{now, agreedOffset(offsets, MaxTransit(len(m.peers))), told || now.Sub(m.startedAt) > wallSettleTime}
+	own, agreed := offsets[0], agreedOffset(offsets, MaxTransit(len(m.peers)))
+	if wrong := agreed != own; wrong != c.wrong {
+		m.Log.Warn("wall clock compared with that of the other nodes", "wrong", wrong, "ahead_ms", (own - agreed).Milliseconds(), "nodes", len(offsets)-1)
+	}
+	*c = wallClocks{now, agreed, agreed != own, told || now.Sub(m.startedAt) > wallSettleTime}
 	return c.offset, c.confirmed
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -86,6 +86,11 @@
 	return t
 }
 
+// SetAge sets how long ago the roll-out began. It replaces an age that [New] has taken from the
+// recorded begin and this node's wall clock, which may differ from that of the node that
+// recorded it.
+func (t *Tracker) SetAge(now time.Time, age time.Duration) { t.learned = now.Add(-max(0, age)) }
+
 // Rollout returns the roll-out as last recorded.
 func (t *Tracker) Rollout() vane.Rollout { return t.rollout }
 
