memory: a budget of bytes and connections for callers in platform mode

Callers that sent many large or unfinished bodies or headers, or did not read, made a node hold all of it. Package memory keeps one budget of bytes per process. Bodies, long headers and held responses reserve bytes before they are read; when the budget is exhausted, stalled or less urgent holders are refused. A refusal is sent only before the request is sent on. Senders that make no progress for 10 s get 408. Each listener has a limit of connections, derived from memory and descriptors; one that is over it closes a stalled or idle one. A caller that takes nothing for 30 s is cut off. A long response that does not fit is relayed before its end has arrived.

--- a/cmd/vaned/platform.go
+++ b/cmd/vaned/platform.go
@@ -5,21 +5,16 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"mustardvane.org/vane/edge"
 	"mustardvane.org/vane/jlog"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/platform"
 )
 
-// memoryLimitPercent is the soft memory limit of the Go runtime, in percent of the
-// memory that the settings allow the node. The rest is for socket buffers and
-// short peaks.
-const memoryLimitPercent = 60
-
 // servePlatform runs a node on the users' platform until SIGTERM, SIGINT or a
 // failure. SIGHUP makes it validate the settings file again.
 func servePlatform(ctx context.Context, _ *cli.Command) error {
@@ -32,7 +27,7 @@
 		return cli.Exit(err.Error(), exitSettings)
 	}
 	if set.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(set.MemoryMB) << 20 * memoryLimitPercent / 100)
+		memory.ApplyRuntime(int64(set.MemoryMB) << 20)
 	}
 	w := jlog.NewWriter(os.Stdout)
 	defer w.Close()
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -36,6 +36,8 @@
 type Pool struct {
 	dialer net.Dialer
 
+	maxIdle int // idle connections to all upstreams; zero for no limit
+
 	mu    sync.Mutex
 	idle  map[upstreamKey][]*conn
 	stats Stats
@@ -49,9 +51,16 @@
 	Dialled, Reused, Discarded uint64
 }
 
+// PoolOption configures NewPool.
+type PoolOption func(*Pool)
+
+// WithMaxIdle limits the idle connections to all upstreams together, so that they leave
+// descriptors for others. By default, only those to each upstream are limited.
+func WithMaxIdle(n int) PoolOption { return func(p *Pool) { p.maxIdle = n } }
+
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{
+func NewPool(opts ...PoolOption) *Pool {
+	p := &Pool{
 		idle: make(map[upstreamKey][]*conn),
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
 			var serr error
@@ -64,6 +73,10 @@
 			return err
 		}},
 	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // conn is one connection.
@@ -193,7 +206,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cs := p.idle[c.key]
-	if keep <= 0 || len(cs) >= maxIdlePerUpstream {
+	if keep <= 0 || len(cs) >= maxIdlePerUpstream || p.maxIdle > 0 && p.idleCount() >= p.maxIdle {
 		_ = c.Close()
 		return
 	}
@@ -201,6 +214,15 @@
 	p.idle[c.key] = append(cs, c)
 }
 
+// idleCount returns the number of idle connections. The caller must hold mu.
+func (p *Pool) idleCount() int {
+	n := 0
+	for _, cs := range p.idle {
+		n += len(cs)
+	}
+	return n
+}
+
 // updateStats calls f on the counters, under the lock.
 func (p *Pool) updateStats(f func(*Stats)) {
 	p.mu.Lock()
--- a/edge/node.go
+++ b/edge/node.go
@@ -18,6 +18,7 @@
 	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/kernel"
 	"mustardvane.org/vane/lease"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/mesh"
 	"mustardvane.org/vane/mirror"
 	"mustardvane.org/vane/retry"
@@ -80,6 +81,8 @@
 	mesh           *mesh.Mesh
 	placer         *sched.Placer
 	pool           *conns.Pool
+	limits         memory.Limits
+	memory         *memory.Budget
 	cache          *cacheWatcher
 	quota          *limiter
 	crash          *crash.Registry
@@ -106,8 +109,10 @@
 	}
 	n := &Node{
 		settings: settings, adapter: adapter, log: log, registry: prometheus.NewRegistry(), kernel: kernel.New(), boot: uint64(time.Now().UnixMilli()), startedAt: clock.BootTime(),
-		pool: conns.NewPool(), retries: make(map[string]*retry.Window), pendingUpdates: newPendingUpdates(), rejoin: make(chan struct{}, 1),
+		limits: settings.limits(), retries: make(map[string]*retry.Window), pendingUpdates: newPendingUpdates(), rejoin: make(chan struct{}, 1),
 	}
+	n.pool = conns.NewPool(conns.WithMaxIdle(n.limits.IdleUpstreams))
+	n.memory = memory.New(n.limits.Capacity, memory.WithMetrics(n.registry), memory.WithLog(log.Warn))
 	n.storeClient = store.New("http://"+settings.StoreAddr, store.WithProtocol(adapter.Protocol), store.WithWatchWait(watchTimeout), store.WithMetrics(store.NewMetrics(n.registry)),
 		store.WithRestoreFunc(n.handleRestore))
 	n.cache = newCacheWatcher(adapter.Control, log, func() bool { return n.mesh.IsPromptWatcher() })
@@ -134,7 +139,7 @@
 	})
 	n.handler = front.New(front.Deps{
 		View: n.mirror.View, Dialect: adapter.Dialect, Placer: n.placer, Pool: n.pool, Quota: n.quota, Crashes: n.crash, Parts: n.parts,
-		RetryBudget: n.retryWindow, Draining: n.isLeaving, Closing: n.closing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, Process: n.processOf, RecordResult: n.rollouts.Record, Log: log, Metrics: front.NewMetrics(n.registry),
+		RetryBudget: n.retryWindow, Draining: n.isLeaving, Closing: n.closing, WeightsChanged: n.recordWeights, UpstreamMismatch: n.loader.checkWeights, UpstreamFailed: n.reportUnresponsive, UpstreamLeaving: n.reportLeaving, Process: n.processOf, RecordResult: n.rollouts.Record, Memory: n.memory, Log: log, Metrics: front.NewMetrics(n.registry),
 	})
 	return n, n.register()
 }
@@ -182,20 +187,23 @@
 	if err := n.kernel.Start(sctx); err != nil {
 		return err
 	}
-	callers := newListener(n.settings.CallerAddr, n.handler)
+	mctx, endMemory := context.WithCancel(context.Background())
+	defer endMemory()
+	go n.memory.Run(mctx)
+	callers := newListener("callers", n.settings.CallerAddr, n.handler, n.memory, n.limits.Connections)
 	others := []*httpListener{
-		newListener(n.settings.ReadyAddr, http.HandlerFunc(n.serveReady)),
-		newListener(n.settings.DirectoryAddr, http.HandlerFunc(n.serveDirectory)),
+		newListener("ready", n.settings.ReadyAddr, http.HandlerFunc(n.serveReady), n.memory, n.limits.Auxiliary),
+		newListener("directory", n.settings.DirectoryAddr, http.HandlerFunc(n.serveDirectory), n.memory, n.limits.Auxiliary),
 	}
 	if n.settings.MetricsPort > 0 {
-		others = append(others, newListener(metricsAddr(n.settings), promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
+		others = append(others, newListener("metrics", metricsAddr(n.settings), promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}), n.memory, n.limits.Auxiliary))
 	}
 	for _, w := range append(others, callers) {
 		if err := w.start(); err != nil {
 			return err
 		}
 	}
-	n.log.Info("started", "boot", n.boot, "callers", n.settings.CallerAddr, "data_centre", n.settings.DataCentre)
+	n.log.Info("started", "memory_capacity", n.limits.Capacity, "connections_limit", n.limits.Connections, "boot", n.boot, "callers", n.settings.CallerAddr, "data_centre", n.settings.DataCentre)
 	select {
 	case <-ctx.Done():
 	case err := <-n.kernel.Failed():
@@ -279,6 +287,9 @@
 // logChanges logs the differences between two views.
 func (n *Node) logChanges(old, v *mirror.View) {
 	if v.Config != old.Config && v.Config != nil {
+		if asked := v.Config.Limits.BodyBytes; asked > n.memory.LargestBody() {
+			n.log.Warn("body limit lowered", "configured", asked, "limit", n.memory.LargestBody(), "capacity", n.memory.Capacity())
+		}
 		n.log.Info("configuration in force", "version", v.Config.Version, "restores", vane.RestoresOf(v.ConfigRevision), "revision", vane.RevisionOf(v.ConfigRevision))
 	}
 	for name, u := range v.Upstreams {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -6,6 +6,8 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/front"
+	"mustardvane.org/vane/memory"
 )
 
 // Settings configure a node for routed traffic.
@@ -21,6 +23,7 @@
 	MeshPort    int     // port for messages between nodes
 	MetricsPort int     // port for metrics; zero if they are not served
 	MemoryMB    int     // memory limit of the process; zero for none
+	MaxFDs      int     // descriptors that the process may open; zero if not known
 	LinkMbps    float64 // capacity of the host's network link; zero if not known
 
 	Grace           time.Duration // time from the stop signal until the process is killed
@@ -57,12 +60,25 @@
 			return vane.Errorf(vane.KindInvalid, "edge.settings", "give an address and a port", "field %s is not an address of the form host:port", f.name).WithCause(err)
 		}
 	}
+	if least := 2 * front.DefaultMaxBodyBytes; s.MemoryMB > 0 && s.limits().Capacity < int64(least) {
+		return vane.Errorf(vane.KindInvalid, "edge.settings", "give the node more memory", "a limit of %d MB can't hold a body of %d bytes", s.MemoryMB, front.DefaultMaxBodyBytes)
+	}
 	if s.MeshPort <= 0 {
 		return vane.Errorf(vane.KindInvalid, "edge.settings", "set the port for messages between nodes", "field mesh_port must be a positive port number")
 	}
 	return nil
 }
 
+// limits returns the limits of memory and connections. Without a memory limit, they are those of
+// the host.
+func (s Settings) limits() memory.Limits {
+	bytes := int64(s.MemoryMB) << 20
+	if bytes <= 0 {
+		bytes = memory.HostMemory()
+	}
+	return memory.LimitsFor(bytes, memory.Descriptors(s.MaxFDs))
+}
+
 // mesh returns the address for messages between nodes.
 func (s Settings) mesh() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)) }
 
--- a/edge/web.go
+++ b/edge/web.go
@@ -10,6 +10,7 @@
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/internal/reply"
 	"mustardvane.org/vane/linger"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/mesh"
 )
 
@@ -25,15 +26,20 @@
 type httpListener struct {
 	addr   string
 	server *http.Server
+	name   string // in metrics and log lines
+	memory *memory.Budget
+	limit  int // of connections
 	ln     net.Listener
 }
 
-// newListener returns a listener that is not open yet.
-func newListener(addr string, h http.Handler) *httpListener {
-	return &httpListener{addr: addr, server: &http.Server{
+// newListener returns a listener that is not open yet, for up to limit connections.
+func newListener(name, addr string, h http.Handler, b *memory.Budget, limit int) *httpListener {
+	w := &httpListener{addr: addr, name: name, memory: b, limit: limit, server: &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true, ConnContext: linger.ConnContext,
 	}}
+	memory.Attach(w.server)
+	return w
 }
 
 // start opens the listener and serves it in the background.
@@ -42,6 +48,7 @@
 	if err != nil {
 		return vane.Errorf(vane.KindInvalid, "edge.listen", "free the address or configure another one", "can't listen on %s", w.addr).WithCause(err)
 	}
+	ln = w.memory.Listen(ln, w.name, w.limit)
 	w.ln = ln
 	go func() {
 		// Serve returns an error when the listener is closed, which is expected here.
--- a/edge/web_internal_test.go
+++ b/edge/web_internal_test.go
@@ -8,17 +8,19 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"mustardvane.org/vane/memory"
 )
 
 // A request that arrives just when a stopping node closes its connections is answered.
 func TestRequestAtTheEndOfAPlannedStop(t *testing.T) {
 	is := is.New(t)
 	begun := make(chan struct{})
-	l := newListener("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	l := newListener("callers", "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(begun)
 		time.Sleep(2 * drainMargin / 3)
 		_, _ = io.WriteString(w, "answer")
-	}))
+	}), memory.New(1<<20), 16)
 	is.NoErr(l.start())
 	got := make(chan string, 1)
 	go func() {
@@ -47,10 +49,10 @@
 func TestRequestThatOutlastsAPlannedStop(t *testing.T) {
 	is := is.New(t)
 	begun, end := make(chan struct{}), make(chan struct{})
-	l := newListener("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	l := newListener("callers", "127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		close(begun)
 		<-end
-	}))
+	}), memory.New(1<<20), 16)
 	is.NoErr(l.start())
 	go func() {
 		resp, err := http.Get("http://" + l.ln.Addr().String())
--- a/enums_string.go
+++ b/enums_string.go
@@ -44,11 +44,13 @@
 	_ = x[ReasonVersionSlowFirstToken-33]
 	_ = x[ReasonVersionSlowTokens-34]
 	_ = x[ReasonInternal-35]
+	_ = x[ReasonMemoryFull-36]
+	_ = x[ReasonBodySlow-37]
 }
 
-const _Reason_name = "nonebad_requestbody_too_largekey_missingkey_unknownkey_unconfirmedroute_unknownmethod_not_allowedmodel_unknownlimit_ratelimit_burstlimit_unavailablequeue_deadlinequeue_fullno_upstreamupstream_failedupstream_emptyupstream_crossedupstream_rejectedupstream_slowupstream_fullsuspect_requestclaim_conflictclaim_pendingclaim_unknownclaim_unavailableclaim_key_missingresume_invalidnode_leavingnode_not_readycaller_goneretry_budgetversion_failsversion_slow_first_tokenversion_slow_tokensinternal"
+const _Reason_name = "nonebad_requestbody_too_largekey_missingkey_unknownkey_unconfirmedroute_unknownmethod_not_allowedmodel_unknownlimit_ratelimit_burstlimit_unavailablequeue_deadlinequeue_fullno_upstreamupstream_failedupstream_emptyupstream_crossedupstream_rejectedupstream_slowupstream_fullsuspect_requestclaim_conflictclaim_pendingclaim_unknownclaim_unavailableclaim_key_missingresume_invalidnode_leavingnode_not_readycaller_goneretry_budgetversion_failsversion_slow_first_tokenversion_slow_tokensinternalmemory_fullbody_slow"
 
-var _Reason_index = [...]uint16{0, 4, 15, 29, 40, 51, 66, 79, 97, 110, 120, 131, 148, 162, 172, 183, 198, 212, 228, 245, 258, 271, 286, 300, 313, 326, 343, 360, 374, 386, 400, 411, 423, 436, 460, 479, 487}
+var _Reason_index = [...]uint16{0, 4, 15, 29, 40, 51, 66, 79, 97, 110, 120, 131, 148, 162, 172, 183, 198, 212, 228, 245, 258, 271, 286, 300, 313, 326, 343, 360, 374, 386, 400, 411, 423, 436, 460, 479, 487, 498, 507}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/errors.go
+++ b/errors.go
@@ -113,6 +113,8 @@
 		return http.StatusRequestEntityTooLarge
 	case ReasonLimitRate, ReasonLimitBurst:
 		return http.StatusTooManyRequests
+	case ReasonBodySlow:
+		return http.StatusRequestTimeout
 	case ReasonSuspectRequest:
 		return http.StatusUnprocessableEntity
 	case ReasonUpstreamFailed, ReasonUpstreamEmpty, ReasonUpstreamWrongID:
--- a/front/handler.go
+++ b/front/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -17,6 +16,7 @@
 	"mustardvane.org/vane/canary"
 	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/crash"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/mirror"
 	"mustardvane.org/vane/retry"
 	"mustardvane.org/vane/sched"
@@ -25,7 +25,7 @@
 // Limits of requests, and the Retry-After delays of refusals.
 const (
 	defaultTimeLimit    = 30 * time.Second // used if neither the request nor its route states a limit
-	defaultMaxBodyBytes = 4 << 20
+	DefaultMaxBodyBytes = 4 << 20
 	minRetryAfter       = 50 * time.Millisecond
 	busyRetryAfter      = 300 * time.Millisecond // engines usually free a slot within tenths of a second
 	startupRetryAfter   = 500 * time.Millisecond // a starting node reads its configuration within this time
@@ -52,7 +52,7 @@
 	RecordSuccess(workspace string, fingerprint uint64)
 }
 
-// Deps are the dependencies of a [Handler]. All fields are required, and all
+// Deps are the dependencies of a [Handler]. All fields but Memory are required, and all
 // functions must be safe for concurrent use.
 type Deps struct {
 	View             func() *mirror.View // returns the current configuration and upstreams
@@ -70,6 +70,7 @@
 	UpstreamFailed   func(u vane.Upstream)                                                                     // called when an upstream can't be reached or its connection fails before a response
 	Process          func(ctx context.Context, u vane.Upstream, healthPath string) (uint64, vane.ProcessState) // returns the incarnation of an upstream's process, if one runs
 	UpstreamLeaving  func(u vane.Upstream)                                                                     // called when a response shows that an upstream is leaving
+	Memory           *memory.Budget                                                                            // bytes held for callers; nil for no limit
 	RecordResult     func(u vane.Upstream, service string, s canary.Sample)                                    // called with the result of each attempt that ran
 	Log              *slog.Logger
 	Metrics          *Metrics
@@ -111,6 +112,7 @@
 	view          *mirror.View         // configuration and upstreams at the request's arrival
 	service       string               // service of the route that was chosen for the request
 	body          []byte
+	held          held // memory of the body and of the response
 	start         time.Time
 	deadline      time.Time
 	reserved      float64  // quota units charged and not refunded
@@ -125,6 +127,7 @@
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	c := &request{meta: h.Dialect.ParseRequest(r.Header), start: time.Now(), view: h.View()}
+	defer c.held.close()
 	if ref := h.admit(w, r, c); ref != nil {
 		h.refuse(w, c, ref)
 		return
@@ -168,7 +171,7 @@
 		return vane.Refuse(vane.ReasonNodeLeaving, "this node is stopping; use another node").WithRetryAfter(minRetryAfter)
 	}
 	c.service = chooseService(route.Services, c.meta.ID)
-	if ref := readBody(w, r, c, cfg.Limits.BodyBytes); ref != nil {
+	if ref := h.readBody(w, r, c, cfg.Limits.BodyBytes); ref != nil {
 		return ref
 	}
 	c.fingerprint = fingerprint(r, c)
@@ -191,29 +194,6 @@
 	return nil
 }
 
-// readBody reads the body of a request into c.body. A limit of zero or less stands
-// for defaultMaxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request, c *request, limit int64) *vane.Refusal {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		return vane.Refuse(vane.ReasonBodyTooLarge, "the request body exceeds %d bytes; send a smaller one", limit)
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		c.body = body
-		return nil
-	}
-	if _, ok := err.(*http.MaxBytesError); ok {
-		return vane.Refuse(vane.ReasonBodyTooLarge, "the request body exceeds %d bytes; send a smaller one", limit)
-	}
-	return vane.Refuse(vane.ReasonCallerGone, "the connection failed while the request body was read").WithCause(err)
-}
-
 // chooseService picks one of a route's services in proportion to their weights. The
 // choice is made by a hash of the request id, so that a repeated request goes to the
 // same service. Negative weights count as zero.
--- a/front/relay.go
+++ b/front/relay.go
@@ -51,6 +51,7 @@
 		return notResumed(p, resp)
 	}
 	br := bufio.NewReaderSize(resp.Body, readBufferBytes)
+	room := h.eventMemory(t.request)
 	var block []byte  // lines that have not been relayed
 	size := 0         // bytes since the last event
 	lineStart := true // the next bytes begin a line
@@ -58,7 +59,10 @@
 	resumed := t.resumedAfter != ""
 	for {
 		line, err := br.ReadSlice('\n')
-		block = append(block, line...)
+		var merr error
+		if block, merr = room.append(block, line); merr != nil {
+			return h.responseBroken(ctx, t, p, resp, merr)
+		}
 		if size += len(line); size > maxEventBytes {
 			return h.responseBroken(ctx, t, p, resp, errTooLong)
 		}
@@ -110,7 +114,7 @@
 			h.recordServed(t, p, resp)
 			return nil
 		}
-		if block = block[:0]; inEvent {
+		if block = room.reuse(block); inEvent {
 			size, inEvent = 0, false
 		}
 	}
--- a/front/serve.go
+++ b/front/serve.go
@@ -270,7 +270,7 @@
 	if resp.Length > maxResponseBytes {
 		return h.responseBroken(ctx, t, p, resp, errTooLong)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes))
+	body, err := h.readHeld(t.request, resp.Body)
 	if err != nil {
 		return h.responseBroken(ctx, t, p, resp, err)
 	}
@@ -370,7 +370,7 @@
 		reason = vane.ReasonNodeLeaving
 	case ctx.Err() != nil:
 		reason = vane.ReasonQueueDeadline
-	case err == errNotEvent:
+	case err == errNotEvent, err == errNoMemory:
 	case resp.Ended():
 		h.recordCut(t, p.Upstream)
 	case err != io.EOF:
--- a/reason.go
+++ b/reason.go
@@ -44,6 +44,8 @@
 	ReasonVersionSlowFirstToken               // version_slow_first_token
 	ReasonVersionSlowTokens                   // version_slow_tokens
 	ReasonInternal                            // internal
+	ReasonMemoryFull                          // memory_full
+	ReasonBodySlow                            // body_slow
 )
 
 // Execution says whether a request can have run.
