entry, node, route: the budget of bytes and connections in the own mode

The product's own interface holds bodies, decoded chat requests and whole responses within the same budget as platform mode. The memory limit is the new setting memory.limit_mb, else GOMEMLIMIT, else that of the host. A body limit that the budget can't hold is refused by the settings check. JSON nested more than 128 levels deep is refused. A server reads the rest of a refused body for at most 500 ms, since a caller that does not end it kept the request for ever.

--- a/cmd/vaned/main.go
+++ b/cmd/vaned/main.go
@@ -20,6 +20,7 @@
 	"k8s.io/klog/v2"
 
 	"mustardvane.org/vane/config"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/node"
 	"mustardvane.org/vane/platform"
 )
@@ -103,6 +104,9 @@
 	}
 	logJSON(set.Log.Verbosity)
 	defer klog.Flush()
+	if stated := set.Memory.Stated(); stated > 0 {
+		memory.ApplyRuntime(stated)
+	}
 	n, err := node.New(set)
 	if err != nil {
 		return cli.Exit(err.Error(), exitFailed)
--- a/config/settings.go
+++ b/config/settings.go
@@ -1,12 +1,14 @@
 package config
 
 import (
+	"fmt"
 	"net"
 	"net/url"
 	"os"
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/memory"
 )
 
 // Settings are the settings of one node, read when it starts.
@@ -17,6 +19,7 @@
 	Platform PlatformSettings `yaml:"platform"`
 	Peers    PeerSettings     `yaml:"peers"`
 	Callers  CallerSettings   `yaml:"callers"`
+	Memory   MemorySettings   `yaml:"memory"`
 	Drain    DrainSettings    `yaml:"drain"`
 	Log      LogSettings      `yaml:"log"`
 }
@@ -75,6 +78,38 @@
 	KeyFreshness   time.Duration `yaml:"key_freshness"`    // how long keys are accepted after the platform last confirmed the configuration
 }
 
+// MemorySettings limit what the process holds. Zero stands for the default.
+type MemorySettings struct {
+	LimitMB        int `yaml:"limit_mb"`        // memory that the process may use; by default GOMEMLIMIT, or that of the host if it is not set
+	MaxConnections int `yaml:"max_connections"` // connections of callers; by default as many as memory and descriptors allow
+}
+
+// Stated returns the memory limit of the process in bytes that the settings or GOMEMLIMIT state,
+// or 0 if they state none.
+func (m MemorySettings) Stated() int64 {
+	if m.LimitMB > 0 {
+		return int64(m.LimitMB) << 20
+	}
+	return memory.StatedMemory()
+}
+
+// Limits returns the limits that follow from the settings and the host.
+func (m MemorySettings) Limits() memory.Limits {
+	bytes := m.Stated()
+	if bytes <= 0 {
+		bytes = memory.HostMemory()
+	}
+	l := memory.LimitsFor(bytes, memory.Descriptors(0))
+	if m.MaxConnections > 0 {
+		l.Connections = min(l.Connections, m.MaxConnections)
+	}
+	return l
+}
+
+// BodyFactor is the memory that the body of a chat request needs, as a multiple of its size: it is
+// held as it arrived, decoded and split into parts.
+const BodyFactor = 5
+
 // DrainSettings configure a graceful stop.
 type DrainSettings struct {
 	EntriesTTL time.Duration `yaml:"entries_ttl"` // how long callers may use an answer to GET /v1/entries
@@ -198,6 +233,16 @@
 	if s.Callers.MaxBodyBytes < 1<<10 || s.Callers.MaxBodyBytes > 1<<30 {
 		return d.fieldError("$.callers.max_body_bytes", "must lie between 1024 and 1073741824", "write a size in bytes in that range")
 	}
+	if s.Memory.LimitMB < 0 || s.Memory.LimitMB > 1<<20 {
+		return d.fieldError("$.memory.limit_mb", "must lie between 0 and 1048576", "write a size in megabytes in that range, or 0 for the default")
+	}
+	if s.Memory.MaxConnections < 0 || s.Memory.MaxConnections > 1<<20 {
+		return d.fieldError("$.memory.max_connections", "must lie between 0 and 1048576", "write a number in that range, or 0 for the default")
+	}
+	if least := BodyFactor * s.Callers.MaxBodyBytes; s.Memory.Limits().Capacity < least {
+		return d.fieldError("$.callers.max_body_bytes", fmt.Sprintf("a body of that size needs %d bytes of memory, the limit leaves %d", least, s.Memory.Limits().Capacity),
+			"write a smaller size, or allow the process more memory (memory.limit_mb)")
+	}
 	if s.Callers.MaxHeaderBytes < 1<<10 || s.Callers.MaxHeaderBytes > 1<<20 {
 		return d.fieldError("$.callers.max_header_bytes", "must lie between 1024 and 1048576", "write a size in bytes in that range")
 	}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -25,17 +25,18 @@
 // handleChat serves POST /v1/chat/completions.
 func (s *Server) handleChat(w http.ResponseWriter, r *http.Request) {
 	c := s.newRequest(r)
+	defer c.close()
 	ws, v, err := s.authenticate(c, r)
 	if err != nil {
 		s.refuse(w, c, err)
 		return
 	}
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, c)
 	if err != nil {
 		s.refuse(w, c, err)
 		return
 	}
-	req, err := parseChat(body)
+	req, err := parseHeld(c.body, body)
 	if err != nil {
 		s.refuse(w, c, err)
 		return
@@ -164,7 +165,7 @@
 func (s *Server) newJob(c *request, t *admission, req *chatRequest, prompt vane.Prompt, class config.Class, target time.Duration, resume int) *route.Job {
 	ws := c.workspace
 	return &route.Job{
-		ID: c.id, Workspace: ws, Priority: priority(class, t.permit.FairShareRatio), Prompt: prompt, Model: req.model,
+		ID: c.id, Workspace: ws, Priority: priority(class, t.permit.FairShareRatio), Prompt: prompt, Memory: s.openResponse(c), Model: req.model,
 		StreamToken: s.Signer.Token(c.id, ws, t.fingerprint), ResumeOffset: resume, WantUsage: req.wantUsage,
 		FirstTokenTarget: target, Begin: c.arrived, Fields: req.fields,
 		Callbacks: route.Callbacks{
--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -28,7 +28,7 @@
 			ran := make(chan string, 1)
 			s := &Server{bounds: config.DefaultSettings().Callers}
 			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				b, err := s.readBody(w, r)
+				b, err := s.readBody(w, r, &request{})
 				var ref *vane.Refusal
 				switch {
 				case err == nil:
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -12,6 +12,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/config"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/prefix"
 	"mustardvane.org/vane/route"
 )
@@ -58,16 +59,21 @@
 }
 
 // readBody reads the request body within the limits of size and time.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *request) ([]byte, error) {
 	if r.ContentLength > s.bounds.MaxBodyBytes {
 		return nil, vane.Refuse(vane.ReasonBodyTooLarge, "the request body has %d bytes, the limit is %d; send a smaller one", r.ContentLength, s.bounds.MaxBodyBytes)
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.bounds.BodyTimeout))
 	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.bounds.MaxBodyBytes))
+	c.body = s.Memory.OpenBody(r.Context(), c.class.Priority)
+	c.body.OnEvict(func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
+	b, err := c.body.ReadAll(http.MaxBytesReader(w, r.Body, s.bounds.MaxBodyBytes), r.ContentLength, s.bounds.MaxBodyBytes)
 	var tooLarge *http.MaxBytesError
+	var ref *vane.Refusal
 	switch {
+	case errors.As(err, &ref):
+		return nil, ref
 	case errors.As(err, &tooLarge):
 		return nil, vane.Refuse(vane.ReasonBodyTooLarge, "the request body exceeds %d bytes; send a smaller one", s.bounds.MaxBodyBytes)
 	case err != nil:
@@ -76,12 +82,53 @@
 	return b, nil
 }
 
+// parseHeld parses a body within its hold, which it pins: from here on, the request may run.
+func parseHeld(hold *memory.Hold, body []byte) (*chatRequest, error) {
+	n := int64(len(body))
+	if err := hold.Grow((config.BodyFactor - 1) * n); err != nil {
+		return nil, err
+	}
+	req, err := parseChat(body)
+	if err != nil {
+		return nil, err
+	}
+	hold.Shrink((config.BodyFactor - 2) * n) // the body and its messages are still held
+	return req, hold.Pin()
+}
+
+// maxDepth is the greatest depth of nested objects and arrays in a request.
+const maxDepth = 128
+
+// checkDepth returns a refusal if JSON text is nested more deeply than maxDepth.
+func checkDepth(body []byte) error {
+	depth, inString := 0, false
+	for i := 0; i < len(body); i++ {
+		switch b := body[i]; {
+		case inString && b == '\\':
+			i++
+		case b == '"':
+			inString = !inString
+		case inString:
+		case b == '{' || b == '[':
+			if depth++; depth > maxDepth {
+				return badRequest("the body is nested more than %d levels deep; flatten it", maxDepth)
+			}
+		case b == '}' || b == ']':
+			depth--
+		}
+	}
+	return nil
+}
+
 // parseChat decodes and validates the body of a chat request. Errors are refusals
 // with ReasonBadRequest.
 func parseChat(body []byte) (*chatRequest, error) {
 	if !utf8.Valid(body) {
 		return nil, badRequest("the body is not UTF-8; encode it as UTF-8")
 	}
+	if err := checkDepth(body); err != nil {
+		return nil, err
+	}
 	var obj map[string]json.RawMessage
 	if err := decodeObject(body, &obj); err != nil {
 		return nil, err
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -29,6 +29,7 @@
 // idempotent are claimed by their Idempotency-Key first.
 func (s *Server) handleService(w http.ResponseWriter, r *http.Request) {
 	c := s.newRequest(r)
+	defer c.close()
 	name, path := r.PathValue("service"), "/"+r.PathValue("path")
 	rt, ok := s.View().Fleet.FindRoute(name, r.Method, path)
 	if !ok {
@@ -41,7 +42,10 @@
 			return
 		}
 	}
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, c)
+	if err == nil {
+		err = c.body.Pin()
+	}
 	if err != nil {
 		s.refuse(w, c, err)
 		return
@@ -68,7 +72,7 @@
 	}
 	return route.Call{
 		RequestID: c.requestID(), Workspace: c.workspace, Service: name, Method: r.Method, Path: path,
-		Header: h, Body: body, Idempotent: idempotent, Begin: c.arrived,
+		Header: h, Body: body, Idempotent: idempotent, Begin: c.arrived, Memory: s.openResponse(c),
 	}
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -13,6 +13,7 @@
 	"mustardvane.org/vane/auth"
 	"mustardvane.org/vane/claim"
 	"mustardvane.org/vane/config"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/prefix"
 	"mustardvane.org/vane/queue"
 	"mustardvane.org/vane/route"
@@ -20,8 +21,8 @@
 	"mustardvane.org/vane/target"
 )
 
-// Deps are the dependencies of a [Server]. All fields but Metrics are required; with
-// nil Metrics, the collectors are not registered.
+// Deps are the dependencies of a [Server]. All fields but Metrics and Memory are
+// required; with nil Metrics, the collectors are not registered.
 type Deps struct {
 	View           func() *config.View
 	KeyFreshness   auth.Freshness
@@ -35,6 +36,7 @@
 	EntryAddresses func(workspace string) []Address // returns the addresses for a workspace; the name is empty for callers without a valid key
 	Metrics        prometheus.Registerer
 	Targets        *target.Tracker
+	Memory         *memory.Budget // bytes held for callers; nil for no limit
 }
 
 // CrashTracker records the requests that were running when upstreams crashed.
@@ -188,6 +190,8 @@
 	class      config.Class
 	firstToken time.Duration // time from arrival to the first token; zero before the first token
 	queueWait  time.Duration // time spent in the fair queue
+	body       *memory.Hold  // memory of the request's body; nil if it has none
+	response   *memory.Hold  // memory of a response that is held whole; nil if there is none
 }
 
 // newRequest returns the state of a request that arrives now, with a new id.
@@ -195,6 +199,19 @@
 	return &request{id: uuid.New(), arrived: time.Now()}
 }
 
+// close returns the memory that is held for the request.
+func (c *request) close() {
+	c.body.Close()
+	c.response.Close()
+}
+
+// openResponse opens the hold of the response.
+func (s *Server) openResponse(c *request) *memory.Hold {
+	c.response = s.Memory.Open(memory.Class{Kind: memory.KindResponse, Priority: c.class.Priority})
+	_ = c.response.Pin() // a new hold is not evicted
+	return c.response
+}
+
 // requestID returns the request's id in hexadecimal form.
 func (c *request) requestID() string { return hex.EncodeToString(c.id[:]) }
 
--- a/memory/hold.go
+++ b/memory/hold.go
@@ -55,6 +55,16 @@
 	h.b.add(h, -min(n, h.bytes))
 }
 
+// Bytes returns the reserved bytes.
+func (h *Hold) Bytes() int64 {
+	if h == nil {
+		return 0
+	}
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	return h.bytes
+}
+
 // Arrived records that n bytes have arrived from the sender.
 func (h *Hold) Arrived(n int) {
 	if h == nil || n <= 0 {
--- a/memory/limits.go
+++ b/memory/limits.go
@@ -12,7 +12,7 @@
 // Parts of a host's memory, in percent. The rest is for the program itself, the configuration, the
 // upstreams' state, garbage, and the kernel's socket buffers.
 const (
-	capacityPercent = 25 // of the budget
+	capacityPercent = 20 // of the budget
 	connPercent     = 25 // of the connections
 	runtimePercent  = 60 // soft limit of the Go runtime
 )
--- a/memory/listen.go
+++ b/memory/listen.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -210,6 +211,16 @@
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.serving()
 		}
+		if r.ContentLength != 0 {
+			body := &watchedBody{ReadCloser: r.Body}
+			r.Body = body
+			defer func() {
+				if !body.ended {
+					// Writers without deadlines, as in tests, have no connection to be kept.
+					_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTime))
+				}
+			}()
+		}
 		if headerCount(r.Header) > maxHeaders {
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the request has too many headers; send fewer", http.StatusRequestHeaderFieldsTooLarge)
@@ -219,6 +230,25 @@
 	})
 }
 
+// drainTime is the time for which the server reads the rest of a body that its handler has not read.
+// Without it, a caller that does not end its body would keep a refused request for ever.
+const drainTime = 500 * time.Millisecond
+
+// watchedBody records whether a body was read to its end.
+type watchedBody struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
 // connKey is the key of a connection in the context of its requests.
 type connKey struct{}
 
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"mustardvane.org/vane/kernel"
 	"mustardvane.org/vane/lease"
 	"mustardvane.org/vane/member"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/node/certs"
 	"mustardvane.org/vane/peer"
 	"mustardvane.org/vane/place"
@@ -42,6 +43,7 @@
 
 // Names under which the services are registered with the kernel.
 const (
+	serviceMemory = "memory"
 	serviceConfig = "config"
 	serviceHosts  = "hosts"
 	serviceEntry  = "entry"
@@ -72,6 +74,8 @@
 	limiter     *budget.FleetLimiter
 	moves       *moves
 	targets     *target.Tracker
+	limits      memory.Limits
+	memory      *memory.Budget
 	entry       *entry.Server
 	callerHTTP  *httpService
 	adminHTTP   *httpService
@@ -101,11 +105,12 @@
 func New(set config.Settings, opts ...Option) (*Node, error) {
 	n := &Node{
 		settings: set, kernel: kernel.New(), metrics: prometheus.NewRegistry(), placer: place.New(),
-		incarnation: uint64(time.Now().UnixMilli()), pingPeriod: time.Second, targets: target.NewTracker(),
+		limits: set.Memory.Limits(), incarnation: uint64(time.Now().UnixMilli()), pingPeriod: time.Second, targets: target.NewTracker(),
 	}
 	for _, o := range opts {
 		o(n)
 	}
+	n.memory = memory.New(n.limits.Capacity, memory.WithMetrics(n.metrics), memory.WithLog(logWarning))
 	n.events = event.NewRing(set.Node.Name, eventRingSize)
 	n.store = store.New(set.Platform.URL,
 		store.WithTimeout(set.Platform.Timeout),
@@ -118,7 +123,7 @@
 	n.directory.OnChange(n.updateInFlightLimit)
 	n.moves = newMoves(n)
 	n.config.OnObject(n.moves.ApplyObject)
-	n.router = route.New(n.placer, n.directory, n.events, route.WithSecret(set.Peers.Secret), route.WithVersionPolicy(n.moves))
+	n.router = route.New(n.placer, n.directory, n.events, route.WithSecret(set.Peers.Secret), route.WithVersionPolicy(n.moves), route.WithMaxIdle(n.limits.IdleUpstreams))
 	n.crashes = crash.NewRegistry(n.events, crash.WithBroadcast(n.broadcastCrash, n.broadcastClear))
 	if err := n.newPeerService(); err != nil {
 		return nil, err
@@ -134,6 +139,9 @@
 	return n, n.registerServices()
 }
 
+// logWarning writes a line of package memory.
+func logWarning(msg string, args ...any) { klog.InfoS(msg, args...) }
+
 // newCallerServer builds the server for callers' requests.
 func (n *Node) newCallerServer() *entry.Server {
 	opts := []entry.Option{entry.WithBounds(n.settings.Callers), entry.WithEntriesTTL(n.settings.Drain.EntriesTTL)}
@@ -153,6 +161,7 @@
 		EntryAddresses: n.entryAddresses,
 		Metrics:        n.metrics,
 		Targets:        n.targets,
+		Memory:         n.memory,
 	}, opts...)
 }
 
@@ -193,13 +202,14 @@
 
 // registerServices adds the services and their dependencies to the kernel.
 func (n *Node) registerServices() error {
-	n.callerHTTP = newHTTPService(n.settings.Listen.Callers, n.entry.Handler(), n.settings.Callers, n.settings.TLS.Callers)
-	n.adminHTTP = newHTTPService(n.settings.Listen.Admin, n.adminHandler(), n.settings.Callers, config.CertSettings{})
+	n.callerHTTP = newHTTPService("callers", n.settings.Listen.Callers, n.entry.Handler(), n.settings.Callers, n.settings.TLS.Callers, n.memory, n.limits.Connections)
+	n.adminHTTP = newHTTPService("admin", n.settings.Listen.Admin, n.adminHandler(), n.settings.Callers, config.CertSettings{}, n.memory, n.limits.Auxiliary)
 	for _, s := range []struct {
 		name  string
 		svc   kernel.Service
 		needs []string
 	}{
+		{serviceMemory, memoryService{n.memory}, nil},
 		{serviceConfig, n.config, nil},
 		{serviceHosts, n.directory, nil},
 		{servicePeers, n.peers, nil},
@@ -217,6 +227,16 @@
 	return nil
 }
 
+// memoryService adapts a memory budget to kernel.Service.
+type memoryService struct{ b *memory.Budget }
+
+// Run implements kernel.Service.
+func (s memoryService) Run(ctx context.Context, ready func()) error {
+	ready()
+	s.b.Run(ctx)
+	return nil
+}
+
 // Start starts all services in dependency order. It returns an error if they
 // are not ready within 10 s.
 func (n *Node) Start(ctx context.Context) error {
--- a/node/web.go
+++ b/node/web.go
@@ -12,6 +12,7 @@
 
 	"mustardvane.org/vane/config"
 	"mustardvane.org/vane/linger"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/node/certs"
 )
 
@@ -28,11 +29,15 @@
 	cert config.CertSettings
 	srv  *http.Server
 	lis  net.Listener
+
+	name   string // in metrics and log lines
+	memory *memory.Budget
+	limit  int // of connections
 }
 
-// newHTTPService returns the service of an HTTP listener on addr.
-func newHTTPService(addr string, h http.Handler, limits config.CallerSettings, cert config.CertSettings) *httpService {
-	return &httpService{addr: addr, cert: cert, srv: &http.Server{
+// newHTTPService returns the service of an HTTP listener on addr, for up to limit connections.
+func newHTTPService(name, addr string, h http.Handler, limits config.CallerSettings, cert config.CertSettings, b *memory.Budget, limit int) *httpService {
+	w := &httpService{name: name, addr: addr, cert: cert, memory: b, limit: limit, srv: &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
@@ -40,6 +45,8 @@
 		ConnContext:       linger.ConnContext,
 		ErrorLog:          klog.NewStandardLogger("WARNING"),
 	}}
+	memory.Attach(w.srv)
+	return w
 }
 
 // Addr returns the address that the service listens on, or the configured one
@@ -65,6 +72,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s; free the address or name another one in the settings", w.addr)
 	}
+	lis = w.memory.Listen(lis, w.name, w.limit)
 	w.lis = lis
 	if w.cert.Enabled() {
 		r, err := certs.NewReloader(w.cert.Cert, w.cert.Key)
--- a/route/chat.go
+++ b/route/chat.go
@@ -88,7 +88,7 @@
 		return Response{}, refusal(err)
 	}
 	a.timer.Reset(jobTimeout)
-	body, err := rt.held.readAll(resp.Body, maxResponseBytes)
+	body, err := rt.held.read(a.job.Memory, resp.Body, maxResponseBytes)
 	_ = resp.Body.Close()
 	if err != nil {
 		return Response{}, streamRefusal(a.pick.Upstream, err)
--- a/route/job.go
+++ b/route/job.go
@@ -15,6 +15,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/prefix"
 )
 
@@ -38,6 +39,7 @@
 	ResumeOffset     int           // offset of the first event that the caller needs; zero for a new stream
 	WantUsage        bool          // the caller asked for the usage event at the end of the stream
 	FirstTokenTarget time.Duration // target time to the first token
+	Memory           *memory.Hold  // of a response that is read whole, closed by the caller; nil for no limit
 	Begin            time.Time     // when the request arrived
 	Fields           Fields        // fields of the caller's request body that are passed on
 	Callbacks        Callbacks
--- a/route/plain.go
+++ b/route/plain.go
@@ -11,6 +11,7 @@
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/internal/clock"
+	"mustardvane.org/vane/memory"
 	"mustardvane.org/vane/retry"
 )
 
@@ -32,8 +33,9 @@
 	Path       string // including the query
 	Header     http.Header
 	Body       []byte
-	Idempotent bool      // the call may be sent more than once
-	Begin      time.Time // when the request arrived
+	Idempotent bool         // the call may be sent more than once
+	Begin      time.Time    // when the request arrived
+	Memory     *memory.Hold // of the response, closed by the caller; nil for no limit
 }
 
 // Result is the response of a plain service. It is complete unless its framing is
@@ -98,7 +100,7 @@
 			WithExecution(conn.execution()).WithCause(err)
 	}
 	defer resp.Body.Close()
-	body, err := rt.held.readAll(resp.Body, maxCallResponseBytes)
+	body, err := rt.held.read(c.Memory, resp.Body, maxCallResponseBytes)
 	if err != nil {
 		return Result{}, vane.Refuse(vane.ReasonUpstreamFailed, "the response of instance %s is incomplete or too long", u.Name).
 			WithExecution(vane.MayHaveRun).WithCause(err)
--- a/route/router.go
+++ b/route/router.go
@@ -74,6 +74,12 @@
 // WithVersionPolicy sets the policy that chooses between versions of a model.
 func WithVersionPolicy(v VersionPolicy) Option { return func(r *Router) { r.policy = v } }
 
+// WithMaxIdle limits the idle connections to all upstreams together, so that they leave
+// descriptors for others.
+func WithMaxIdle(n int) Option {
+	return func(r *Router) { r.reused.Transport.(noUpgrade).MaxIdleConns = n }
+}
+
 // New returns a router. Without options it has a default retry budget, no secret, and
 // treats all versions of a model as equal.
 func New(placer vane.Placer, dir *hosts.Directory, rec vane.Recorder, opts ...Option) *Router {
