--- a/memory/conn.go
+++ b/memory/conn.go
@@ -88,9 +88,7 @@
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		if status, rerr := c.arrived(p[:n]); rerr != nil {
-			// The caller may have left, so errors of the write do not matter.
-			_, _ = c.TCPConn.Write(refusalOf(status))
-			_ = c.TCPConn.CloseWrite()
+			answerAndDrain(c.TCPConn, refusalOf(status))
 			return 0, &net.OpError{Op: "read", Net: "tcp", Err: rerr}
 		}
 	}
--- a/memory/listen.go
+++ b/memory/listen.go
@@ -111,7 +111,8 @@
 		case l.refusing <- struct{}{}:
 			go func() {
 				defer func() { <-l.refusing }()
-				refuseConn(tc)
+				answerAndDrain(tc, []byte(busyResponse))
+				_ = tc.Close()
 			}()
 		default:
 			_ = tc.Close()
@@ -174,18 +175,18 @@
 // response before its own bytes reset the connection.
 const refuseTime = 100 * time.Millisecond
 
-// refuseConn answers and closes a connection. The caller may have left, so errors don't matter.
-func refuseConn(c *net.TCPConn) {
+// answerAndDrain sends a response without a request's handler, and reads what the caller still
+// sends. The caller may have left, so errors don't matter.
+func answerAndDrain(c *net.TCPConn, response []byte) {
 	_ = c.SetDeadline(time.Now().Add(refuseTime))
-	if _, err := c.Write([]byte(busyResponse)); err == nil && c.CloseWrite() == nil {
+	if _, err := c.Write(response); err == nil && c.CloseWrite() == nil {
 		buf := make([]byte, 4<<10)
 		for {
 			if _, err := c.Read(buf); err != nil {
-				break
+				return
 			}
 		}
 	}
-	_ = c.Close()
 }
 
 // Attach makes srv track the states of the listener's connections, and limits the number of
