--- a/config/settings.go
+++ b/config/settings.go
@@ -184,6 +184,9 @@
 	if err := s.checkAddrs(d); err != nil {
 		return err
 	}
+	if err := s.checkMemory(d); err != nil {
+		return err
+	}
 	return s.checkBounds(d)
 }
 
@@ -233,6 +236,20 @@
 	if s.Callers.MaxBodyBytes < 1<<10 || s.Callers.MaxBodyBytes > 1<<30 {
 		return d.fieldError("$.callers.max_body_bytes", "must lie between 1024 and 1073741824", "write a size in bytes in that range")
 	}
+	if s.Callers.MaxHeaderBytes < 1<<10 || s.Callers.MaxHeaderBytes > 1<<20 {
+		return d.fieldError("$.callers.max_header_bytes", "must lie between 1024 and 1048576", "write a size in bytes in that range")
+	}
+	if s.TLS.Callers.Enabled() && s.TLS.Callers.Key == "" {
+		return d.fieldError("$.tls.callers.key", "a certificate needs its key", "name the PEM file of the key")
+	}
+	if s.TLS.Peers.Enabled() && (s.TLS.Peers.Key == "" || s.TLS.Peers.CA == "") {
+		return d.fieldError("$.tls.peers", "mutual TLS needs cert, key and ca", "name all three PEM files")
+	}
+	return nil
+}
+
+// checkMemory validates the memory settings, and that the largest body fits into the memory.
+func (s Settings) checkMemory(d *document) error {
 	if s.Memory.LimitMB < 0 || s.Memory.LimitMB > 1<<20 {
 		return d.fieldError("$.memory.limit_mb", "must lie between 0 and 1048576", "write a size in megabytes in that range, or 0 for the default")
 	}
@@ -243,14 +260,5 @@
 		return d.fieldError("$.callers.max_body_bytes", fmt.Sprintf("a body of that size needs %d bytes of memory, the limit leaves %d", least, s.Memory.Limits().Capacity),
 			"write a smaller size, or allow the process more memory (memory.limit_mb)")
 	}
-	if s.Callers.MaxHeaderBytes < 1<<10 || s.Callers.MaxHeaderBytes > 1<<20 {
-		return d.fieldError("$.callers.max_header_bytes", "must lie between 1024 and 1048576", "write a size in bytes in that range")
-	}
-	if s.TLS.Callers.Enabled() && s.TLS.Callers.Key == "" {
-		return d.fieldError("$.tls.callers.key", "a certificate needs its key", "name the PEM file of the key")
-	}
-	if s.TLS.Peers.Enabled() && (s.TLS.Peers.Key == "" || s.TLS.Peers.CA == "") {
-		return d.fieldError("$.tls.peers", "mutual TLS needs cert, key and ca", "name all three PEM files")
-	}
 	return nil
 }
--- a/config/settings_test.go
+++ b/config/settings_test.go
@@ -50,6 +50,7 @@
 		{"bad duration", change("platform:", "drain:\n  max_wait: soon\nplatform:"), 9, "duration"},
 		{"duration out of range", change("platform:", "drain:\n  max_wait: 1ms\nplatform:"), 9, "drain.max_wait"},
 		{"size out of range", change("platform:", "callers:\n  max_body_bytes: 3\nplatform:"), 9, "max_body_bytes"},
+		{"memory can't hold the largest body", change("platform:", "memory:\n  limit_mb: 64\ncallers:\n  max_body_bytes: 8388608\nplatform:"), 11, "max_body_bytes"},
 		{"certificate without key", change("platform:", "tls:\n  callers:\n    cert: a.pem\nplatform:"), 10, "tls.callers"},
 		{"bad seed", change("peers:\n  secret", "peers:\n  seeds: [nowhere]\n  secret"), 11, "peers.seeds"},
 		{"not YAML", "node: [", 1, ""},
--- a/front/held.go
+++ b/front/held.go
@@ -122,7 +122,16 @@
 // eventMemory is the memory of the event that a stream's relay holds.
 type eventMemory struct {
 	hold *memory.Hold
-	size int // reserved bytes
+	size int  // reserved bytes
+	full bool // an event did not fit
+}
+
+// cause returns why an event can't be relayed: it does not fit, or is too long.
+func (m *eventMemory) cause() error {
+	if m.full {
+		return errNoMemory
+	}
+	return errTooLong
 }
 
 // eventMemory returns the memory of the events of a response. Small ones are part of what a
@@ -136,21 +145,23 @@
 	return &eventMemory{hold: c.held.response, size: readBufferBytes}
 }
 
-// append appends a line to the block of an event, and reserves memory before the block grows.
-func (m *eventMemory) append(block, line []byte) ([]byte, error) {
+// append appends a line to the block of an event. It reserves memory before the block grows; if
+// there is none, it sets full and appends nothing.
+func (m *eventMemory) append(block, line []byte) []byte {
 	if need := len(block) + len(line); need > cap(block) {
 		size := max(need, 2*cap(block), readBufferBytes)
 		if size > m.size {
 			// Both blocks are held while one is copied.
 			if m.hold.TryGrow(int64(size)) != nil {
-				return block, errNoMemory
+				m.full = true
+				return block
 			}
 			m.hold.Shrink(int64(m.size))
 			m.size = size
 		}
 		block = append(make([]byte, 0, size), block...)
 	}
-	return append(block, line...), nil
+	return append(block, line...)
 }
 
 // reuse returns the buffer for the next event. It gives up a large one.
--- a/front/relay.go
+++ b/front/relay.go
@@ -51,20 +51,16 @@
 		return notResumed(p, resp)
 	}
 	br := bufio.NewReaderSize(resp.Body, readBufferBytes)
-	room := h.eventMemory(t.request)
-	var block []byte  // lines that have not been relayed
-	size := 0         // bytes since the last event
-	lineStart := true // the next bytes begin a line
-	inEvent := false  // block has a line that is neither empty nor a comment
+	var block []byte                          // lines that have not been relayed
+	room, size := h.eventMemory(t.request), 0 // memory of block, and bytes since the last event
+	lineStart := true                         // the next bytes begin a line
+	inEvent := false                          // block has a line that is neither empty nor a comment
 	resumed := t.resumedAfter != ""
 	for {
 		line, err := br.ReadSlice('\n')
-		var merr error
-		if block, merr = room.append(block, line); merr != nil {
-			return h.responseBroken(ctx, t, p, resp, merr)
-		}
-		if size += len(line); size > maxEventBytes {
-			return h.responseBroken(ctx, t, p, resp, errTooLong)
+		block = room.append(block, line)
+		if size += len(line); size > maxEventBytes || room.full {
+			return h.responseBroken(ctx, t, p, resp, room.cause())
 		}
 		if n := h.Dialect.ParseEventWeights(line); n > 0 {
 			h.WeightsChanged(p.Upstream.Name, n)
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -39,6 +39,7 @@
 	waiting int64         // wanted by holds that wait for evicted ones
 	freed   chan struct{} // closed and replaced when bytes become free while a hold waits
 	holds   map[*Hold]struct{}
+	swept   time.Time // of the latest sweep; zero before the first
 }
 
 // Option configures New.
@@ -124,6 +125,13 @@
 func (b *Budget) Sweep() {
 	b.mu.Lock()
 	now := b.now()
+	if frozen := !b.swept.IsZero() && now.Sub(b.swept) > slowTime/2; frozen {
+		// What senders have sent while the process did not run has not been read yet.
+		for h := range b.holds {
+			h.progress = now
+		}
+	}
+	b.swept = now
 	var out []*Hold
 	for h := range b.holds {
 		if !h.pinned && !h.evicted && h.class.Kind != KindResponse && now.Sub(h.progress) >= slowTime {
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -130,6 +130,17 @@
 	is.NoErr(response.Grow(1))
 }
 
+// TestFrozen guards against refusing senders because the process itself did not run.
+func TestFrozen(t *testing.T) {
+	is := is.New(t)
+	b, c := newTestBudget(1 << 20)
+	h := b.Open(Class{Kind: KindBody})
+	b.Sweep()
+	c.add(time.Minute)
+	b.Sweep()
+	is.NoErr(h.Grow(1))
+}
+
 // TestClosedDuringEviction guards against bytes that are counted twice, or lost, if a holder closes
 // while it is being evicted.
 func TestClosedDuringEviction(t *testing.T) {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -5,7 +5,8 @@
 // delay, drop, reset or refuse connections to the store and to upstreams; signals stop,
 // pause and kill nodes, which are then restarted; the store refuses requests, is slow,
 // loses responses or comes back from a copy; upstreams respond without a length, break off or do not end; the
-// configuration and the target weights change. Faults overlap.
+// configuration and the target weights change. Faults overlap. Meanwhile, crowds of misbehaving
+// callers (package abuse) send more to one node after the other than its memory holds.
 //
 // # Usage
 //
--- a/soak/node.go
+++ b/soak/node.go
@@ -40,8 +40,8 @@
 }
 
 // newNode returns node number i, whose settings and log are in a subfolder of dir. store is
-// the address of the store. It starts the proxy to the store, but not the process.
-func newNode(i int, binary, dir, store string) (*node, error) {
+// the address of the store, and memoryMB the memory limit, or zero for none. It starts the proxy to the store, but not the process.
+func newNode(i int, binary, dir, store string, memoryMB int) (*node, error) {
 	n := &node{name: nodeName(i), binary: binary, dir: filepath.Join(dir, nodeName(i))}
 	if err := os.MkdirAll(n.dir, 0o755); err != nil {
 		return nil, err
@@ -53,7 +53,11 @@
 	if n.ports, err = freePorts(); err != nil {
 		return nil, err
 	}
-	b, err := json.Marshal(stand.Settings(n.name, n.storeProxy.addr(), n.ports))
+	set := stand.Settings(n.name, n.storeProxy.addr(), n.ports)
+	if memoryMB > 0 {
+		set["limits"] = map[string]any{"memory-mb": memoryMB}
+	}
+	b, err := json.Marshal(set)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -49,6 +49,7 @@
 // and nodes.
 type testbed struct {
 	opt             Options
+	memoryMB        int // memory limit of the nodes; zero for none
 	store           *stand.Store
 	runLog          *stand.RunLog
 	servers         []*stand.Server
@@ -68,7 +69,7 @@
 // Run runs one soak. It returns an error if the environment can't be started; failed checks
 // are in the result's Violations.
 func Run(ctx context.Context, opt Options) (Result, error) {
-	b := &testbed{opt: opt, store: stand.NewStore(), runLog: &stand.RunLog{}, configVersion: 1, weightsVersion: 1}
+	b := &testbed{opt: opt, store: stand.NewStore(), runLog: &stand.RunLog{}, memoryMB: abusedMemoryMB, configVersion: 1, weightsVersion: 1}
 	defer b.shutDown()
 	if err := b.startAll(); err != nil {
 		return Result{}, err
@@ -79,6 +80,7 @@
 	for i := range callerCount {
 		wg.Go(func() { c.run(cctx, i, rand.New(rand.NewPCG(opt.Seed, uint64(i)))) })
 	}
+	wg.Go(func() { b.abuse(cctx, rand.New(rand.NewPCG(opt.Seed, 1<<33))) })
 	b.injectFaults(ctx)
 	stop()
 	wg.Wait()
@@ -112,7 +114,7 @@
 		}
 	}
 	for i := range nodeCount {
-		n, err := newNode(i, b.opt.Binary, b.opt.Dir, addr)
+		n, err := newNode(i, b.opt.Binary, b.opt.Dir, addr, b.memoryMB)
 		if err != nil {
 			return err
 		}
