memory: unknown callers never evict known ones; headers over TLS

Headers had the highest priority, so that callers that never end theirs could have evicted bodies of known workspaces. Headers and bodies of callers without a key now have the lowest. The bytes of a header over TLS were counted as lines, so that one of about 60 KB could have been refused; they are not counted now. A deadline for writes that a handler set is taken back when its request has ended. Tests: TestHeaderPriority, TestEncryptedHeader.

--- a/entry/parse.go
+++ b/entry/parse.go
@@ -66,7 +66,7 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.bounds.BodyTimeout))
 	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	c.body = s.Memory.OpenBody(r.Context(), c.class.Priority)
+	c.body = s.Memory.OpenBody(r.Context(), c.holdPriority())
 	c.body.OnEvict(func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	b, err := c.body.ReadAll(http.MaxBytesReader(w, r.Body, s.bounds.MaxBodyBytes), r.ContentLength, s.bounds.MaxBodyBytes)
 	var tooLarge *http.MaxBytesError
--- a/entry/server.go
+++ b/entry/server.go
@@ -205,9 +205,18 @@
 	c.response.Close()
 }
 
+// holdPriority returns the priority of the memory of a request; 0 is the highest. Callers that are
+// not known come last.
+func (c *request) holdPriority() int {
+	if c.workspace == "" {
+		return memory.Unidentified
+	}
+	return c.class.Priority
+}
+
 // openResponse opens the hold of the response.
 func (s *Server) openResponse(c *request) *memory.Hold {
-	c.response = s.Memory.Open(memory.Class{Kind: memory.KindResponse, Priority: c.class.Priority})
+	c.response = s.Memory.Open(memory.Class{Kind: memory.KindResponse, Priority: c.holdPriority()})
 	_ = c.response.Pin() // a new hold is not evicted
 	return c.response
 }
--- a/front/held.go
+++ b/front/held.go
@@ -27,12 +27,15 @@
 var errNoMemory = errors.New("no memory left for an event")
 
 // holdPriority returns the priority of the memory of a request; 0 is the highest. It ranks the
-// priority of the workspace before that of the route.
+// priority of the workspace before that of the route, and callers that are not known last.
 func (c *request) holdPriority() int {
 	p := min(c.route.Priority, routePriorityLevels-1)
 	if c.tenancy.HasPriority {
 		p += routePriorityLevels * c.tenancy.Priority
 	}
+	if !c.authenticated {
+		p += memory.Unidentified
+	}
 	return p
 }
 
--- a/memory/conn.go
+++ b/memory/conn.go
@@ -38,6 +38,7 @@
 	headBytes     int64
 	lines         int       // of the present header
 	blank         bool      // the present line has no bytes yet
+	encrypted     bool      // the connection uses TLS
 	headDone      bool      // the empty line after the header was read
 	writeDeadline time.Time // set by the server; zero for none
 	writing       bool
@@ -74,11 +75,13 @@
 	_ = c.head.Pin()
 }
 
-// idle records that a request has ended.
+// idle records that a request has ended. A deadline for writes that its handler set ends with it;
+// the server does not take it back.
 func (c *conn) idle() {
 	c.mu.Lock()
 	h := c.head
 	c.state, c.progress, c.head, c.body, c.headBytes, c.lines, c.blank, c.headDone = ConnIdle, c.l.b.now(), nil, nil, 0, 0, false, false
+	c.writeDeadline = time.Time{}
 	c.mu.Unlock()
 	h.Close()
 }
@@ -88,7 +91,9 @@
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		if status, rerr := c.arrived(p[:n]); rerr != nil {
-			answerAndDrain(c.TCPConn, refusalOf(status))
+			if !c.encrypted {
+				answerAndDrain(c.TCPConn, refusalOf(status))
+			}
 			return 0, &net.OpError{Op: "read", Net: "tcp", Err: rerr}
 		}
 	}
@@ -107,12 +112,16 @@
 		c.mu.Unlock()
 		return 0, nil
 	}
-	c.state = ConnHead
+	if c.state = ConnHead; c.headBytes == 0 {
+		c.encrypted = p[0] == tlsHandshake || c.encrypted
+	}
 	c.headBytes += int64(len(p))
-	c.countLines(p)
+	if !c.encrypted {
+		c.countLines(p)
+	}
 	lines, h, long := c.lines, c.head, c.headBytes > freeHeadBytes
 	if h == nil && long {
-		h = c.l.b.Open(Class{Kind: KindHead})
+		h = c.l.b.Open(Class{Kind: KindHead, Priority: Unidentified})
 		h.OnEvict(func() { _ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) })
 		c.head = h
 	}
@@ -127,6 +136,9 @@
 	return 0, nil
 }
 
+// tlsHandshake is the first byte of a TLS connection. It can't begin a request.
+const tlsHandshake = 0x16
+
 // countLines counts the lines of a header until the empty one that ends it. Over TLS, the bytes
 // are no lines, and the limit holds once the header is parsed. The caller must hold mu.
 func (c *conn) countLines(p []byte) {
--- a/memory/evict.go
+++ b/memory/evict.go
@@ -18,6 +18,10 @@
 	KindResponse             // response
 )
 
+// Unidentified is added to the priority of requests whose caller is not known, so that these never
+// evict those of known ones. It is that of request headers, too.
+const Unidentified = 1 << 16
+
 // Class says what a hold is for, and how urgent it is.
 type Class struct {
 	Kind     Kind
--- a/memory/listen_test.go
+++ b/memory/listen_test.go
@@ -124,6 +124,30 @@
 	}
 }
 
+// TestEncryptedHeader guards against taking the bytes of a long header over TLS for many lines.
+func TestEncryptedHeader(t *testing.T) {
+	is := is.New(t)
+	b := New(1 << 20)
+	c := &conn{l: b.Listen(nil, "test", 1)}
+	data := append([]byte{tlsHandshake}, strings.Repeat("\n", 60<<10)...)
+	_, err := c.arrived(data)
+	is.NoErr(err)
+	is.True(c.head.Bytes() >= 60<<10)
+	c.idle()
+}
+
+// TestHeaderPriority guards against headers of unknown callers that evict bodies of known ones.
+func TestHeaderPriority(t *testing.T) {
+	is := is.New(t)
+	b := New(100 << 10)
+	body := b.Open(Class{Kind: KindBody, Priority: 5})
+	is.NoErr(body.Grow(90 << 10))
+	c := &conn{l: b.Listen(nil, "test", 1), TCPConn: &net.TCPConn{}}
+	_, err := c.arrived([]byte(strings.Repeat("a", 20<<10)))
+	is.True(err != nil)
+	is.Equal(body.Refusal(), nil)
+}
+
 // TestUnreadBody guards against a refused request that the server keeps for ever since its caller
 // does not end the body.
 func TestUnreadBody(t *testing.T) {
