--- a/soak/node.go
+++ b/soak/node.go
@@ -39,8 +39,8 @@
 }
 
 // newNode returns node number i, whose settings and log are in a subfolder of dir. store is
-// the address of the store, and settings returns the contents of the settings file. It starts the proxy to the store, but not the process.
-func newNode(i int, binary, dir, store string, settings func(name, store string, ports [5]int) map[string]any) (*node, error) {
+// the address of the store, settings returns the contents of the settings file, and memoryMB is the memory limit, or zero for none. It starts the proxy to the store, but not the process.
+func newNode(i int, binary, dir, store string, settings func(name, store string, ports [5]int) map[string]any, memoryMB int) (*node, error) {
 	n := &node{name: nodeName(i), binary: binary, dir: filepath.Join(dir, nodeName(i))}
 	if err := os.MkdirAll(n.dir, 0o755); err != nil {
 		return nil, err
@@ -52,7 +52,11 @@
 	if n.ports, err = freePorts(); err != nil {
 		return nil, err
 	}
-	b, err := json.Marshal(settings(n.name, n.storeProxy.addr(), n.ports))
+	set := settings(n.name, n.storeProxy.addr(), n.ports)
+	if memoryMB > 0 {
+		set["limits"] = map[string]any{"memory-mb": memoryMB}
+	}
+	b, err := json.Marshal(set)
 	if err != nil {
 		return nil, err
 	}
