--- a/soak/doc.go
+++ b/soak/doc.go
@@ -33,4 +33,8 @@
 // responses, some before they have read the request. Requests that were in flight at a node
 // that was killed or paused, or that their upstream broke off, may be lost then, but must not
 // look complete.
+//
+// RunCold turns upstreams cold and evacuates a data centre. A cold upstream must begin no more
+// requests in a second than allowed, and an upstream of an evacuated data centre none from the limit on.
+// Seconds in which the upstreams themselves stood still are not judged.
 package soak
