--- a/sched/hold.go
+++ b/sched/hold.go
@@ -73,7 +73,7 @@
 				h.complete++
 			}
 		}
-		if a := rendezvousHash(last, u.Name); u.usable(now) && !u.isCold(now) && !f.excludes(u) && (shortRank < 0 || q.short() == (u.rank <= shortRank)) && (h.preferred == nil || a < h.lowest) {
+		if a := rendezvousHash(last, u.Name); u.usable(now) && !u.isCold(now) && !f.excludes(u) && q.prefers(u, shortRank) && (h.preferred == nil || a < h.lowest) {
 			h.preferred, h.lowest = u, a
 		}
 	}
--- a/sched/mixed.go
+++ b/sched/mixed.go
@@ -128,12 +128,12 @@
 // order, so that they agree without news of each other. The caller must hold p.mu.
 func (p *Placer) shortRank(now time.Time, q Query) float64 {
 	m := p.mixes[q.Service]
-	if !m.mixed(now) {
+	if q.PromptTokens <= 0 || !m.mixed(now) {
 		return -1
 	}
 	usable, slots := 0, 0
 	for _, u := range p.byService[q.Service] {
-		if u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
+		if p.dividesTo(now, q, u) {
 			usable, slots = usable+1, slots+u.Slots
 		}
 	}
@@ -152,9 +152,28 @@
 	}
 	rank := -1.0
 	for _, u := range p.byService[q.Service] {
-		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
+		if n > 0 && p.dividesTo(now, q, u) {
 			rank, n = u.rank, n-1
 		}
 	}
 	return rank
 }
+
+// dividesTo reports whether u is one of the engines that are divided between the kinds.
+func (p *Placer) dividesTo(now time.Time, q Query, u *upstream) bool {
+	return u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre)
+}
+
+// groupCost returns the cost of u for a query whose kind may prefer other engines.
+func (q Query) groupCost(u *upstream, shortRank float64) float64 {
+	if q.prefers(u, shortRank) {
+		return 0
+	}
+	return otherGroupCost
+}
+
+// prefers reports whether the kind of the query's prompt prefers u, where short prompts
+// prefer engines up to shortRank. Without a preference it is true.
+func (q Query) prefers(u *upstream, shortRank float64) bool {
+	return shortRank < 0 || q.short() == (u.rank <= shortRank)
+}
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -67,10 +67,7 @@
 		return Pick{}, false
 	}
 	target := p.view.Weights[q.Model]
-	shortRank := -1.0
-	if q.PromptTokens > 0 {
-		shortRank = p.shortRank(now, q)
-	}
+	shortRank := p.shortRank(now, q)
 	filter := p.releaseFilter(now, q, target)
 	holders := p.findHolders(now, q, shortRank, filter)
 	skipNewest := p.skipNewest(now, q, target)
@@ -85,9 +82,7 @@
 		if p.beginsOutdated(now, c, target) {
 			continue
 		}
-		if shortRank >= 0 && q.short() != (u.rank <= shortRank) {
-			c.Cost += otherGroupCost
-		}
+		c.Cost += q.groupCost(u, shortRank)
 		if !found || c.Cost < best.Cost {
 			best, found = c, true
 		}
