sched: the last engines with older weights get no more than their share

Cause: while engines load weights, requests beyond a share of the newest engines' prefill rate go to the older ones, however few are left. With rates that were learned to be a third of the constant, most requests did. Change: the newest engines get at least their share by number. Measured: TestLastEnginesWithOldWeightsAreNotOverloaded fails without the change.

--- a/sched/pick.go
+++ b/sched/pick.go
@@ -134,6 +134,9 @@
 		share = newestShareManyNodes
 	}
 	allowed := share * float64(newest) * p.rates.Engine(q.Service).PrefillPerMS / (p.prefillRate.perMS(now) * p.storeLink.nodes)
+	// Under high load, each engine gets the same share. Otherwise the last engines with older
+	// weights would get most of the requests.
+	allowed = max(allowed, float64(newest)/float64(newest+older))
 	key := q.ID
 	if shared := q.Shared(); len(shared) > 0 {
 		key = shared[len(shared)-1].ID
--- a/sched/silent_test.go
+++ b/sched/silent_test.go
@@ -181,3 +181,34 @@
 	}
 	is.Equal(len(p.InFlight()), 0)
 }
+
+// Guards against the overload of the last engines with older weights: under high load,
+// most requests kept away from the engines with the newest weights, and a few engines that
+// had not loaded them yet got hundreds of requests a second.
+func TestLastEnginesWithOldWeightsAreNotOverloaded(t *testing.T) {
+	is := is.New(t)
+	const engines, old, requests = 40, 4, 6000
+	p := sched.New("dc0", &cache{down: true})
+	at := begin.Add(4 * time.Second)
+	p.Update(view(engines, func(i int) uint64 {
+		if i < old {
+			return 1
+		}
+		return 2
+	}, mirror.WeightsVersion{Number: 1, Since: begin.Add(-time.Hour)}, mirror.WeightsVersion{Number: 2, Since: begin}))
+	toOld := 0
+	for i := range requests {
+		q := query(i%400, i)
+		q.ID = strconv.Itoa(i)
+		at = at.Add(time.Millisecond) // 9,000 tokens in each ms; the engines compute 3,600
+		c, ok := p.Pick(at, q)
+		is.True(ok)
+		a := p.Begin(at, q, c)
+		p.FirstByte(at, a)
+		p.End(at, a)
+		if i >= requests/2 && c.Weights == 1 {
+			toOld++
+		}
+	}
+	is.True(toOld < requests/2*2*old/engines) // twice an equal share
+}
