--- /dev/null
+++ b/admit/queue.go
@@ -0,0 +1,291 @@
+package admit
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Ticket is a request that waits at the node.
+type Ticket struct {
+	Request
+	arrived  time.Time
+	deadline time.Time // latest time at which sending the request is of use
+	work     float64   // milliseconds
+	flow     *flow
+	late     bool // the request is not expected to be answered within its objective
+	queued   bool
+	granted  bool // the request was started and has not been sent
+}
+
+// Late reports whether the request was not expected to be answered within its objective.
+func (t *Ticket) Late() bool { return t.late }
+
+// Arrived returns the time at which the request began to wait.
+func (t *Ticket) Arrived() time.Time { return t.arrived }
+
+// flowKey identifies the requests that share a turn.
+type flowKey struct {
+	workspace, kind string
+}
+
+// flow is the requests of one kind and workspace.
+type flow struct {
+	usage  average
+	queued float64 // work of the waiting requests that are not late, in milliseconds
+}
+
+// average is an exponentially weighted average of work per millisecond.
+type average struct {
+	mean float64
+	last time.Time
+}
+
+func (a average) at(now time.Time) float64 {
+	return a.mean * math.Exp(-max(0, float64(now.Sub(a.last)))/float64(demandTime))
+}
+
+func (a *average) add(now time.Time, work float64) {
+	a.mean = a.at(now) + work/ms(demandTime)
+	if now.After(a.last) {
+		a.last = now
+	}
+}
+
+// service is the state of one service.
+type service struct {
+	demand  average // arriving work
+	flows   map[flowKey]*flow
+	limits  map[string]time.Duration // longest recent time limit by kind
+	ranks   []rank                   // sorted by rank
+	waiting int                      // number of waiting requests
+	work    float64                  // their work
+	granted float64                  // work of the started requests that have not been sent
+	pruned  time.Time                // time of the last removal of unused flows
+	stretch float64                  // ratio of the work that the upstreams were seen to do to the assumed one
+	slowed  time.Time                // time of the last decrease of stretch
+	limited time.Time                // last time at which a request waited or was refused
+}
+
+// rank holds the waiting requests of one rank.
+type rank struct {
+	rank   int
+	onTime []*Ticket // in the order of arrival
+	late   []*Ticket // in the order of their deadlines
+	debt   float64   // work that late requests are behind their share; positive if it is their turn
+}
+
+func newService() *service {
+	return &service{flows: make(map[flowKey]*flow), limits: make(map[string]time.Duration), stretch: 1}
+}
+
+// maxFlows bounds the memory of flows. Unused ones are removed from this number on.
+const maxFlows = 256
+
+func (s *service) flow(r Request) *flow {
+	k := flowKey{r.Workspace, r.Kind}
+	f, ok := s.flows[k]
+	if !ok {
+		f = &flow{}
+		s.flows[k] = f
+	}
+	return f
+}
+
+// prune removes the flows without recent work if there are many.
+func (s *service) prune(now time.Time) {
+	if len(s.flows) < maxFlows || now.Sub(s.pruned) < demandTime {
+		return
+	}
+	s.pruned = now
+	for k, f := range s.flows {
+		if f.queued == 0 && f.usage.at(now) < minDemand {
+			delete(s.flows, k)
+		}
+	}
+}
+
+// returned reports whether the caller has spent part of its time before, and records its
+// time left. A caller that returns after a refusal states less time than an equal new one.
+func (s *service) returned(kind string, left time.Duration) bool {
+	longest := s.limits[kind]
+	if left >= longest {
+		s.limits[kind] = left
+		return false
+	}
+	const decay = 0.999 // by a third in some 400 requests with less time, so that a changed limit is learned
+	s.limits[kind] = time.Duration(decay * float64(longest))
+	return float64(left) < returnedShare*float64(longest)
+}
+
+// at returns the waiting requests of a rank, which it adds if necessary.
+func (s *service) at(r int) *rank {
+	i, ok := slices.BinarySearchFunc(s.ranks, r, func(e rank, r int) int { return e.rank - r })
+	if !ok {
+		s.ranks = slices.Insert(s.ranks, i, rank{rank: r})
+	}
+	return &s.ranks[i]
+}
+
+// isWaiting reports whether a request that is as urgent as r waits.
+func (s *service) isWaiting(r int) bool {
+	for _, e := range s.ranks {
+		if e.rank <= r && len(e.onTime) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ahead returns the work of the waiting requests that go before t if it is on time.
+func (s *service) ahead(now time.Time, t *Ticket) float64 {
+	sum := 0.0
+	mine := t.flow.usage.at(now)*ms(demandTime) + t.flow.queued
+	for _, e := range s.ranks {
+		switch {
+		case e.rank < t.Rank:
+			sum += work(e.onTime)
+		case e.rank == t.Rank:
+			seen := make(map[*flow]float64, len(e.onTime))
+			for _, o := range e.onTime {
+				seen[o.flow] += o.work
+			}
+			for f, queued := range seen {
+				if f == t.flow {
+					sum += queued
+					continue
+				}
+				sum += min(queued, max(0, mine-f.usage.at(now)*ms(demandTime)))
+			}
+		}
+	}
+	return sum
+}
+
+// lateAhead returns the work of the waiting requests that go before t if it is late.
+func (s *service) lateAhead(t *Ticket) float64 {
+	sum := 0.0
+	for _, e := range s.ranks {
+		for _, o := range e.late {
+			if e.rank < t.Rank || e.rank == t.Rank && !o.deadline.After(t.deadline) {
+				sum += o.work
+			}
+		}
+	}
+	return sum
+}
+
+func work(l []*Ticket) float64 {
+	sum := 0.0
+	for _, t := range l {
+		sum += t.work
+	}
+	return sum
+}
+
+// push adds a ticket.
+func (s *service) push(t *Ticket, late bool) {
+	t.queued = true
+	s.waiting++
+	s.work += t.work
+	s.limited = t.arrived
+	e := s.at(t.Rank)
+	if !late {
+		e.onTime = append(e.onTime, t)
+		t.flow.queued += t.work
+		return
+	}
+	e.pushLate(t)
+}
+
+func (e *rank) pushLate(t *Ticket) {
+	t.late = true
+	i, _ := slices.BinarySearchFunc(e.late, t, func(a, b *Ticket) int { return a.deadline.Compare(b.deadline) })
+	e.late = slices.Insert(e.late, i, t)
+}
+
+// remove removes a ticket that waits.
+func (s *service) remove(t *Ticket) {
+	t.queued = false
+	s.waiting--
+	s.work -= t.work
+	e := s.at(t.Rank)
+	same := func(o *Ticket) bool { return o == t }
+	if t.late {
+		e.late = slices.DeleteFunc(e.late, same)
+	} else {
+		e.onTime = slices.DeleteFunc(e.onTime, same)
+		t.flow.queued -= t.work
+	}
+	if s.waiting == 0 {
+		s.work, s.ranks = 0, nil // without rounding errors
+	}
+}
+
+// expire refuses the tickets that can't be served before their limits, and moves those
+// that missed their objective to the late ones.
+func (s *service) expire(now time.Time, room Room, g *Grants) {
+	for _, t := range s.all() {
+		left := t.Deadline.Sub(now)
+		switch {
+		case room.InService <= 0:
+			s.refuse(t, CauseNoneLeft, retryAfter(t.ID, left, 0, true), g)
+		case !now.Before(t.deadline):
+			s.refuse(t, CauseDeadline, minRetryAfter, g)
+		case !t.late && now.Sub(t.arrived) > t.Objective:
+			e := s.at(t.Rank)
+			e.onTime = slices.DeleteFunc(e.onTime, func(o *Ticket) bool { return o == t })
+			t.flow.queued -= t.work
+			e.pushLate(t)
+		}
+	}
+}
+
+func (s *service) refuse(t *Ticket, c Cause, after time.Duration, g *Grants) {
+	s.remove(t)
+	g.Refused = append(g.Refused, Refused{Ticket: t, Cause: c, RetryAfter: after})
+}
+
+// all returns the waiting tickets.
+func (s *service) all() []*Ticket {
+	out := make([]*Ticket, 0, s.waiting)
+	for _, e := range s.ranks {
+		out = append(append(out, e.onTime...), e.late...)
+	}
+	return out
+}
+
+// first returns the ticket that goes next, or nil.
+func (s *service) first(now time.Time) *Ticket {
+	for i := range s.ranks {
+		e := &s.ranks[i]
+		switch {
+		case len(e.onTime) > 0 && (len(e.late) == 0 || e.debt <= 0):
+			best := e.onTime[0]
+			for _, t := range e.onTime[1:] {
+				if t.flow != best.flow && t.flow.usage.at(now) < best.flow.usage.at(now) {
+					best = t
+				}
+			}
+			return best
+		case len(e.late) > 0:
+			return e.late[0]
+		}
+	}
+	return nil
+}
+
+// start removes a ticket that is to be sent and counts its work.
+func (s *service) start(now time.Time, t *Ticket) {
+	e := s.at(t.Rank)
+	switch {
+	case t.late:
+		e.debt -= (1 - lateShare) * t.work
+	case len(e.late) > 0:
+		e.debt += lateShare * t.work
+	}
+	s.remove(t)
+	t.flow.usage.add(now, t.work)
+	t.granted = true
+	s.granted += t.work
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"mustardvane.org/vane/admit"
 	"mustardvane.org/vane/mirror"
 )
 
@@ -35,12 +36,13 @@
 
 	mu           sync.Mutex
 	view         *mirror.View
-	upstreams    map[string]*upstream      // upstreams by name
-	byService    map[string][]*upstream    // upstreams by service, sorted by rank
-	waiting      map[*Attempt]struct{}     // requests at engines without a first byte, also at engines whose entries are gone
-	peers        map[string]map[string]int // requests in flight by node and upstream
-	peerTotals   map[string]int            // sums of peers by upstream
-	releases     map[string]ReleaseShare   // limits by service
+	upstreams    map[string]*upstream               // upstreams by name
+	byService    map[string][]*upstream             // upstreams by service, sorted by rank
+	waiting      map[*Attempt]struct{}              // requests at engines without a first byte, also at engines whose entries are gone
+	peers        map[string]map[string]int          // requests in flight by node and upstream
+	peerTotals   map[string]int                     // sums of peers by upstream
+	peerWork     map[string]map[string]admit.Report // work by node and service
+	releases     map[string]ReleaseShare            // limits by service
 	saves        *saveLog
 	updates      map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
 	storeLink    storeLink
@@ -69,7 +71,7 @@
 func New(dataCentre string, c StoreIndex, opts ...Option) *Placer {
 	p := &Placer{
 		dataCentre: dataCentre, weightsLimit: defaultWeightsLimit, cache: c, view: &mirror.View{}, upstreams: make(map[string]*upstream),
-		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), saves: newSaveLog(), updates: make(map[string][]uint64),
+		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), peerWork: make(map[string]map[string]admit.Report), saves: newSaveLog(), updates: make(map[string][]uint64),
 	}
 	for _, o := range opts {
 		o(p)
