--- a/admit/admit.go
+++ b/admit/admit.go
@@ -69,8 +69,9 @@
 	Cause      Cause         // for Refuse
 	Ticket     *Ticket       // for Wait
 	RetryAfter time.Duration // for Refuse
-	Predicted  time.Duration // expected time until the answer begins; zero if the request is sent in calm
-	Share      float64       // this node's share of the upstreams; zero if the request is sent in calm
+	Delay      time.Duration // for Send: expected wait at the upstream
+	Predicted  time.Duration // expected time until the answer begins
+	Share      float64       // this node's share of the upstreams; zero if the request is sent at once
 }
 
 // Refused is a ticket that will not be started.
@@ -88,18 +89,20 @@
 
 // Parameters of the decisions.
 const (
-	onTimeFill     = 0.8                    // share of the objective that is planned for; the rest covers the deviation of single requests from the mean
-	windowShare    = 0.5                    // share of the planned time that requests spend at upstreams; they wait at the node for the rest, where the order can still change
-	calmShare      = 0.25                   // share of the planned time up to which the known backlog counts as none
-	minPlanShare   = 0.25                   // least share of the objective that is planned for work, for services whose base time is near the objective
-	lateShare      = 0.25                   // share of the work that late requests get while others are on time; late answers have 0.12 to 0.46 of the worth
-	lateLeftShare  = 0.5                    // share of the time left within which a late request must be expected to be answered
-	returnedShare  = 0.9                    // a caller that states less than this share of the longest limit of its kind has spent the rest before
-	retryShare     = 1.0 / 3                // share of the time left that callers honour as Retry-After
-	minRetryAfter  = 50 * time.Millisecond  // shortest Retry-After
-	defaultTarget  = 500 * time.Millisecond // objective of a request that states none
-	demandTime     = 4 * time.Second        // time constant of the demand and of the recent work of flows; some ten requests at a node of a large site
-	minShareOfMean = 0.5                    // least share of the upstreams, as a multiple of an equal one
+	onTimeFill        = 0.8                    // share of the objective that is planned for; the rest covers the deviation of single requests from the mean
+	calmShare         = 0.5                    // share of the planned time up to which the backlog counts as none
+	minPlanShare      = 0.25                   // least share of the objective that is planned for work, for services whose base time is near the objective
+	waitShare         = 0.5                    // longest wait of a request that is on time, as a share of the planned time
+	limitedTime       = time.Second            // time for which a node sends no more than its rate after a request waited or was refused
+	lateShare         = 0.25                   // share of the work that late requests get while others are on time; late answers have 0.12 to 0.46 of the worth
+	lateLeftShare     = 0.25                   // share of the time left within which a late request must be expected to be answered
+	returnedLeftShare = 0.6                    // the same for callers that return, who would be refused again
+	returnedShare     = 0.9                    // a caller that states less than this share of the longest limit of its kind has spent the rest before
+	retryShare        = 1.0 / 3                // share of the time left that callers honour as Retry-After
+	minRetryAfter     = 50 * time.Millisecond  // shortest Retry-After
+	defaultTarget     = 500 * time.Millisecond // objective of a request that states none
+	demandTime        = 4 * time.Second        // time constant of the demand and of the recent work of flows; some ten requests at a node of a large site
+	minShareOfMean    = 0.5                    // least share of the upstreams, as a multiple of an equal one
 )
 
 // Controller decides for all services of one node. It is not safe for concurrent use.
@@ -121,12 +124,12 @@
 
 // plan holds the figures of one decision, in milliseconds.
 type plan struct {
-	rate   float64 // work that this node's share of the upstreams does per millisecond
-	all    float64 // work that all upstreams do per millisecond
-	target float64 // time to the answer's begin that is planned for, without the base time
-	own    float64 // outstanding work of this node, including that of granted tickets
-	fleet  float64 // known outstanding work of all nodes
-	share  float64 // this node's share of the upstreams
+	rate    float64 // work per millisecond that this node may send while the backlog is long
+	all     float64 // work that all upstreams do per millisecond
+	target  float64 // time to the answer's begin that is planned for, without the base time
+	delay   float64 // expected time that a request sent now spends waiting at an upstream
+	share   float64 // this node's share of the upstreams
+	limited bool    // the node sends no more than its rate
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -137,34 +140,32 @@
 	if objective <= 0 {
 		objective = defaultTarget
 	}
-	p := plan{share: s.share(now, room), own: ms(room.Own) + s.granted}
-	p.all = room.InService * s.stretch
-	p.rate = p.all * p.share
+	p := plan{share: s.share(now, room), all: room.InService}
 	p.target = max(onTimeFill*ms(objective)-ms(room.Base), minPlanShare*ms(objective))
-	p.fleet = p.own + ms(room.Peers)
+	own := ms(room.Own) + s.granted
+	p.delay = (1-ownWeight)*(own+ms(room.Peers))/p.all + ownWeight*own/(p.all*p.share)
+	p.limited = p.delay > calmShare*p.target || now.Sub(s.limited) < limitedTime
+	p.rate = p.all * p.share * p.drain()
 	return p
 }
 
-// calm reports whether the known backlog of all nodes is so short that it delays nothing.
-func (p plan) calm(work float64) bool { return p.fleet+work <= calmShare*p.target*p.all }
+// ownWeight is the weight of what the own outstanding work tells of the delay. It is exact,
+// but a small sample; that of the other nodes is known late.
+const ownWeight = 0.5
 
-// mayHold reports whether work more may be outstanding at this node. In addition to its window, a
-// node uses its share of the room that the others are known to leave. A node may always
-// have one request outstanding.
-func (p plan) mayHold(work float64) bool {
-	if p.own == 0 || p.calm(work) {
-		return true
-	}
-	window := windowShare * p.target
-	free := max(0, window*p.all-p.fleet)
-	return p.own+work <= window*p.rate+2*p.share*free
+// drain returns the work that is sent as a ratio of what the upstreams do, so that the
+// backlog gets shorter if it is near the planned time. The backlog is known late, so that
+// the ratio differs little from 1.
+func (p plan) drain() float64 {
+	const fastest, atTarget, slowest = 1.1, 0.9, 0.6
+	return min(fastest, max(slowest, fastest-(fastest-atTarget)*(p.delay/p.target-calmShare)/(1-calmShare)))
 }
 
 // share returns this node's share of the upstreams by the arriving work. Nodes that report
 // nothing, such as those of older builds, count like this one.
 func (s *service) share(now time.Time, room Room) float64 {
 	n := float64(max(1, room.Nodes))
-	own := s.demand.at(now)
+	own := s.lagged(now)
 	peers := room.PeerDemand + own*max(0, n-1-float64(room.Reporting))
 	if own+peers <= 0 {
 		return 1 / n
@@ -185,33 +186,38 @@
 		return Decision{Action: Refuse, Cause: CauseNoneLeft, RetryAfter: retryAfter(r.ID, left, 0, true)}
 	}
 	p := s.plan(now, room, r.Objective)
+	s.refill(now, p)
 	f := s.flow(r)
-	full := room.Usable == 0 || room.Estimate >= left
-	if !full && !s.isWaiting(r.Rank) && !(r.Again && !p.calm(work)) && p.mayHold(work) {
-		f.usage.add(now, work)
-		return Decision{Action: Send}
+	full := room.Usable == 0
+	returned := s.returned(r.Kind, left)
+	if !full && (!p.limited || s.tokens > 0 && !returned) && !s.isWaiting(r.Rank) {
+		s.spend(now, f, p, work, false)
+		return Decision{Action: Send, Delay: duration(p.delay), Predicted: duration(p.delay+work) + room.Base}
 	}
 	t := &Ticket{Request: r, arrived: now, work: work, flow: f, deadline: r.Deadline.Add(-room.Base)}
-	ahead := s.ahead(now, t)
-	predicted := min((p.own+ahead+work)/p.rate, (p.fleet+ms(room.Waiting)+ahead+work)/p.all)
-	d := Decision{Action: Wait, Ticket: t, Share: p.share, Predicted: duration(predicted) + room.Base}
-	overload := s.demand.at(now)+room.PeerDemand > p.all
-	if predicted <= p.target && d.Predicted < left {
+	wait := s.ahead(now, t) / p.rate
+	d := Decision{Action: Wait, Ticket: t, Share: p.share, Predicted: duration(p.delay+wait+work) + room.Base}
+	if !returned && p.delay+wait <= p.target && wait <= waitShare*p.target && d.Predicted < left {
 		s.push(t, false)
 		return d
 	}
-	returned := s.returned(r.Kind, left)
-	d.Predicted = duration((p.own+s.lateAhead(t)+work)/(lateShare*p.rate)) + room.Base
-	if (returned || !overload) && float64(d.Predicted) <= lateLeftShare*float64(left) {
+	within := lateLeftShare
+	if returned {
+		within = returnedLeftShare
+	}
+	late := duration(p.delay+(s.lateAhead(t)+work)/(lateShare*p.rate)) + room.Base
+	if float64(late) <= within*float64(left) {
+		d.Predicted = late
 		s.push(t, true)
 		return d
 	}
+	overload := s.demand.at(now)+room.PeerDemand > p.all
 	cause := CauseBacklog
 	if full {
 		cause = CauseUpstreams
 	}
 	s.limited = now
-	return Decision{Action: Refuse, Cause: cause, Share: p.share, Predicted: d.Predicted, RetryAfter: retryAfter(r.ID, left, predicted-p.target, overload)}
+	return Decision{Action: Refuse, Cause: cause, Share: p.share, Predicted: d.Predicted, RetryAfter: retryAfter(r.ID, left, p.delay+wait-calmShare*p.target, overload)}
 }
 
 // Next decides on the waiting requests of a service. The returned tickets no longer wait.
@@ -226,14 +232,11 @@
 		return g
 	}
 	for {
-		t := s.first(now)
+		t, p := s.first(now, room)
 		if t == nil {
 			return g
 		}
-		if p := s.plan(now, room, t.Objective); !p.mayHold(t.work) {
-			return g
-		}
-		s.start(now, t)
+		s.start(now, t, p)
 		g.Started = append(g.Started, t)
 	}
 }
@@ -256,32 +259,6 @@
 	return true
 }
 
-// Observe corrects the assumed capacity by the time that an upstream took to begin the
-// answer of a request since it was sent. Late answers lower it, at most once per objective;
-// answers in time raise it while requests wait or are refused.
-func (c *Controller) Observe(now time.Time, service string, took, objective time.Duration) {
-	s := c.service(service)
-	switch {
-	case float64(took) > onTimeFill*float64(objective):
-		if now.Sub(s.slowed) > objective && now.Sub(s.limited) < limitedTime {
-			s.stretch, s.slowed = max(minStretch, s.stretch*stretchDecrease), now
-		}
-	case now.Sub(s.limited) < limitedTime:
-		s.stretch = min(maxStretch, s.stretch+stretchIncrease)
-	default:
-		s.stretch += (1 - s.stretch) * stretchIncrease
-	}
-}
-
-// Parameters of the correction of the capacity.
-const (
-	minStretch      = 0.25
-	maxStretch      = 4.0
-	stretchDecrease = 0.9
-	stretchIncrease = 0.02
-	limitedTime     = time.Second // time for which a node counts as limited after a request waited or was refused
-)
-
 // Waiting returns the work of the waiting requests of a service and their number.
 func (c *Controller) Waiting(service string) (time.Duration, int) {
 	s, ok := c.services[service]
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -16,8 +16,12 @@
 	late     bool // the request is not expected to be answered within its objective
 	queued   bool
 	granted  bool // the request was started and has not been sent
+	delay    time.Duration
 }
 
+// Delay returns the expected wait at the upstream of a started request.
+func (t *Ticket) Delay() time.Duration { return t.delay }
+
 // Late reports whether the request was not expected to be answered within its objective.
 func (t *Ticket) Late() bool { return t.late }
 
@@ -54,17 +58,20 @@
 
 // service is the state of one service.
 type service struct {
-	demand  average // arriving work
-	flows   map[flowKey]*flow
-	limits  map[string]time.Duration // longest recent time limit by kind
-	ranks   []rank                   // sorted by rank
-	waiting int                      // number of waiting requests
-	work    float64                  // their work
-	granted float64                  // work of the started requests that have not been sent
-	pruned  time.Time                // time of the last removal of unused flows
-	stretch float64                  // ratio of the work that the upstreams were seen to do to the assumed one
-	slowed  time.Time                // time of the last decrease of stretch
-	limited time.Time                // last time at which a request waited or was refused
+	lag        float64 // demand as other nodes know it
+	lagAt      time.Time
+	demand     average // arriving work
+	flows      map[flowKey]*flow
+	limits     map[string]time.Duration // longest recent time limit by kind
+	ranks      []rank                   // sorted by rank
+	waiting    int                      // number of waiting requests
+	work       float64                  // their work
+	granted    float64                  // work of the started requests that have not been sent
+	pruned     time.Time                // time of the last removal of unused flows
+	lateTokens float64                  // the part of tokens for late requests
+	tokens     float64                  // work that may be sent at once although the backlog is long
+	filled     time.Time                // time to which tokens applies
+	limited    time.Time                // last time at which a request waited or was refused
 }
 
 // rank holds the waiting requests of one rank.
@@ -72,11 +79,10 @@
 	rank   int
 	onTime []*Ticket // in the order of arrival
 	late   []*Ticket // in the order of their deadlines
-	debt   float64   // work that late requests are behind their share; positive if it is their turn
 }
 
 func newService() *service {
-	return &service{flows: make(map[flowKey]*flow), limits: make(map[string]time.Duration), stretch: 1}
+	return &service{flows: make(map[flowKey]*flow), limits: make(map[string]time.Duration)}
 }
 
 // maxFlows bounds the memory of flows. Unused ones are removed from this number on.
@@ -255,37 +261,77 @@
 	return out
 }
 
-// first returns the ticket that goes next, or nil.
-func (s *service) first(now time.Time) *Ticket {
+// first returns the ticket that goes next, with the plan for it, or nil if none may go now.
+func (s *service) first(now time.Time, room Room) (*Ticket, plan) {
 	for i := range s.ranks {
 		e := &s.ranks[i]
-		switch {
-		case len(e.onTime) > 0 && (len(e.late) == 0 || e.debt <= 0):
+		if len(e.onTime) > 0 {
 			best := e.onTime[0]
 			for _, t := range e.onTime[1:] {
 				if t.flow != best.flow && t.flow.usage.at(now) < best.flow.usage.at(now) {
 					best = t
 				}
 			}
-			return best
-		case len(e.late) > 0:
-			return e.late[0]
+			p := s.plan(now, room, best.Objective)
+			if s.refill(now, p); !p.limited || s.tokens > 0 {
+				return best, p
+			}
+		}
+	}
+	for i := range s.ranks {
+		if e := &s.ranks[i]; len(e.late) > 0 {
+			p := s.plan(now, room, e.late[0].Objective)
+			if s.refill(now, p); !p.limited || s.lateTokens > 0 || s.tokens >= p.most() {
+				return e.late[0], p
+			}
 		}
 	}
-	return nil
+	return nil, plan{}
 }
 
 // start removes a ticket that is to be sent and counts its work.
-func (s *service) start(now time.Time, t *Ticket) {
-	e := s.at(t.Rank)
-	switch {
-	case t.late:
-		e.debt -= (1 - lateShare) * t.work
-	case len(e.late) > 0:
-		e.debt += lateShare * t.work
-	}
+func (s *service) start(now time.Time, t *Ticket, p plan) {
 	s.remove(t)
-	t.flow.usage.add(now, t.work)
-	t.granted = true
+	s.spend(now, t.flow, p, t.work, t.late)
+	t.granted, t.delay = true, duration(p.delay)
 	s.granted += t.work
 }
+
+// lagged returns the demand as the other nodes know it: about a second late. With their
+// demand of that time it gives shares whose sum is 1 also while the demand changes.
+func (s *service) lagged(now time.Time) float64 {
+	d := s.demand.at(now)
+	if s.lagAt.IsZero() {
+		s.lag = d
+	}
+	s.lag += (d - s.lag) * (1 - math.Exp(-max(0, float64(now.Sub(s.lagAt)))/float64(time.Second)))
+	s.lagAt = now
+	return s.lag
+}
+
+// refill adds the work that may be sent since the last call, up to a part of the planned
+// time.
+func (s *service) refill(now time.Time, p plan) {
+	most := p.most()
+	more := p.rate * max(0, ms(now.Sub(s.filled)))
+	s.tokens = min(most, s.tokens+(1-lateShare)*more)
+	s.lateTokens = min(most, s.lateTokens+lateShare*more)
+	s.filled = now
+}
+
+// most is the largest number of tokens.
+func (p plan) most() float64 { return tokenShare * p.target * p.rate }
+
+// tokenShare is the part of the planned time whose work a node may send at once.
+const tokenShare = 0.25
+
+// spend counts the work of a request that is sent.
+func (s *service) spend(now time.Time, f *flow, p plan, work float64, late bool) {
+	f.usage.add(now, work)
+	least := -p.most()
+	if late && s.lateTokens > 0 {
+		s.lateTokens = max(s.lateTokens-work, least)
+		return
+	}
+	s.tokens = max(s.tokens-work, least)
+}
