--- a/admit/admit.go
+++ b/admit/admit.go
@@ -53,6 +53,8 @@
 	Nodes      int           // number of nodes, including this one
 	Reporting  int           // number of other nodes that report their demand
 	Base       time.Duration // time to an answer's begin at an idle upstream, without the request's own work
+	Ordered    bool          // the upstreams serve their queues by rank
+	Parallel   time.Duration // outstanding work for each upstream that delays no other, since slots run it at once
 	Estimate   time.Duration // expected time to the answer's begin at the best upstream; zero if not known
 }
 
@@ -87,16 +89,17 @@
 	Refused []Refused
 }
 
-// Parameters of the decisions.
+// Parameters of the decisions. Those without a reason in terms of callers were chosen by the
+// replays, whose results change little around them.
 const (
 	onTimeFill        = 0.8                    // share of the objective that is planned for; the rest covers the deviation of single requests from the mean
-	calmShare         = 0.5                    // share of the planned time up to which the backlog counts as none
+	calmShare         = 0.8                    // share of the planned time up to which a backlog is no reason to hold or refuse requests
 	minPlanShare      = 0.25                   // least share of the objective that is planned for work, for services whose base time is near the objective
-	waitShare         = 0.5                    // longest wait of a request that is on time, as a share of the planned time
-	limitedTime       = time.Second            // time for which a node sends no more than its rate after a request waited or was refused
-	lateShare         = 0.25                   // share of the work that late requests get while others are on time; late answers have 0.12 to 0.46 of the worth
-	lateLeftShare     = 0.25                   // share of the time left within which a late request must be expected to be answered
-	returnedLeftShare = 0.6                    // the same for callers that return, who would be refused again
+	waitShare         = 0.2                    // longest wait of a request that is on time, as a share of the planned time; a wait far below the objective is no worse than a refusal
+	limitedTime       = time.Second            // time for which a node sends no more than its rate after a request waited or was refused; what others send is known up to two seconds late
+	lateShare         = 0.1                    // share of the rate that late requests get while others are on time; late answers have 0.12 to 0.46 of the worth
+	lateLeftShare     = 0.5                    // share of the time left within which a late request must be expected to be answered
+	returnedLeftShare = 0.6                    // the same for callers that return, for whom another refusal is worse
 	returnedShare     = 0.9                    // a caller that states less than this share of the longest limit of its kind has spent the rest before
 	retryShare        = 1.0 / 3                // share of the time left that callers honour as Retry-After
 	minRetryAfter     = 50 * time.Millisecond  // shortest Retry-After
@@ -130,13 +133,16 @@
 	delay   float64 // expected time that a request sent now spends waiting at an upstream
 	share   float64 // this node's share of the upstreams
 	limited bool    // the node sends no more than its rate
+	left    float64 // part of the rate that more urgent requests leave
+	reserve float64 // tokens that are kept for more urgent requests
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-func (s *service) plan(now time.Time, room Room, objective time.Duration) plan {
+// plan returns the figures for a request of the given rank.
+func (s *service) plan(now time.Time, room Room, objective time.Duration, rank int) plan {
 	if objective <= 0 {
 		objective = defaultTarget
 	}
@@ -144,14 +150,28 @@
 	p.target = max(onTimeFill*ms(objective)-ms(room.Base), minPlanShare*ms(objective))
 	own := ms(room.Own) + s.granted
 	p.delay = (1-ownWeight)*(own+ms(room.Peers))/p.all + ownWeight*own/(p.all*p.share)
+	p.delay = max(0, p.delay-ms(room.Parallel))
 	p.limited = p.delay > calmShare*p.target || now.Sub(s.limited) < limitedTime
 	p.rate = p.all * p.share * p.drain()
+	urgent, equal := s.demandOf(now, rank)
+	p.left = max(minLeft, 1-urgent/p.rate)
+	p.reserve = (1 - p.left) * reserveShare * p.most()
+	if d := s.demand.at(now); room.Ordered && d > 0 {
+		p.delay *= min(1, (urgent+equal)/d) // upstreams let the others wait
+	}
 	return p
 }
 
+// Parameters of the precedence of urgent requests.
+const (
+	minLeft      = 0.05 // least part of the rate that is left to a rank, so that none starves
+	burstReserve = 0.5  // share of the tokens that is reserved for flows with their usual rates
+	reserveShare = 0.8  // share of the tokens that is reserved if urgent requests need all of the rate
+)
+
 // ownWeight is the weight of what the own outstanding work tells of the delay. It is exact,
 // but a small sample; that of the other nodes is known late.
-const ownWeight = 0.5
+const ownWeight = 0.2
 
 // drain returns the work that is sent as a ratio of what the upstreams do, so that the
 // backlog gets shorter if it is near the planned time. The backlog is known late, so that
@@ -179,23 +199,27 @@
 	work := ms(r.Work)
 	if !r.Again {
 		s.demand.add(now, work)
+		s.byRank(r.Rank).add(now, work)
 		s.prune(now)
 	}
 	left := r.Deadline.Sub(now)
 	if room.InService <= 0 {
 		return Decision{Action: Refuse, Cause: CauseNoneLeft, RetryAfter: retryAfter(r.ID, left, 0, true)}
 	}
-	p := s.plan(now, room, r.Objective)
+	p := s.plan(now, room, r.Objective, r.Rank)
 	s.refill(now, p)
-	f := s.flow(r)
+	f := s.flow(now, r)
+	if f.bursts(now, work) {
+		p.reserve = max(p.reserve, burstReserve*p.most())
+	}
 	full := room.Usable == 0
 	returned := s.returned(r.Kind, left)
-	if !full && (!p.limited || s.tokens > 0 && !returned) && !s.isWaiting(r.Rank) {
+	if !full && (!p.limited || s.tokens > p.reserve && !returned) && !s.isWaiting(r.Rank) {
 		s.spend(now, f, p, work, false)
 		return Decision{Action: Send, Delay: duration(p.delay), Predicted: duration(p.delay+work) + room.Base}
 	}
 	t := &Ticket{Request: r, arrived: now, work: work, flow: f, deadline: r.Deadline.Add(-room.Base)}
-	wait := s.ahead(now, t) / p.rate
+	wait := s.ahead(now, t) / (p.rate * p.left)
 	d := Decision{Action: Wait, Ticket: t, Share: p.share, Predicted: duration(p.delay+wait+work) + room.Base}
 	if !returned && p.delay+wait <= p.target && wait <= waitShare*p.target && d.Predicted < left {
 		s.push(t, false)
@@ -205,7 +229,7 @@
 	if returned {
 		within = returnedLeftShare
 	}
-	late := duration(p.delay+(s.lateAhead(t)+work)/(lateShare*p.rate)) + room.Base
+	late := duration(p.delay+(s.lateAhead(t)+work)/(lateShare*p.rate*p.left)) + room.Base
 	if float64(late) <= within*float64(left) {
 		d.Predicted = late
 		s.push(t, true)
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -35,32 +35,90 @@
 
 // flow is the requests of one kind and workspace.
 type flow struct {
-	usage  average
+	usage  average // work that was sent
+	recent average // work that arrived
+	usual  average // work that arrived over a longer time
+	since  time.Time
 	queued float64 // work of the waiting requests that are not late, in milliseconds
 }
 
+// usualTime is the time constant of the usual work of a flow.
+const usualTime = time.Minute
+
+// weight returns the usual work of the flow per millisecond, at least half of the mean of
+// all flows.
+func (s *service) weight(now time.Time, f *flow) float64 {
+	mean := 0.0
+	for _, g := range s.flows {
+		mean += g.usualAt(now)
+	}
+	return max(f.usualAt(now), mean/float64(len(s.flows))/2, minDemand)
+}
+
+// usualAt returns the usual work of the flow. The average is corrected for its short
+// history.
+func (f *flow) usualAt(now time.Time) float64 {
+	known := 1 - math.Exp(-float64(now.Sub(f.since)+demandTime)/float64(usualTime))
+	return f.usual.over(now, usualTime) / known
+}
+
+// bursts reports whether clearly more work of requests of the given size arrives than usual.
+func (f *flow) bursts(now time.Time, work float64) bool {
+	const ratio, deviations = 1.5, 2
+	usual := f.usualAt(now) * ms(demandTime)
+	return f.recent.at(now)*ms(demandTime) > ratio*usual+deviations*math.Sqrt(work*(usual+work))
+}
+
 // average is an exponentially weighted average of work per millisecond.
 type average struct {
 	mean float64
 	last time.Time
 }
 
-func (a average) at(now time.Time) float64 {
-	return a.mean * math.Exp(-max(0, float64(now.Sub(a.last)))/float64(demandTime))
+func (a average) at(now time.Time) float64 { return a.over(now, demandTime) }
+
+func (a average) over(now time.Time, constant time.Duration) float64 {
+	return a.mean * math.Exp(-max(0, float64(now.Sub(a.last)))/float64(constant))
 }
 
-func (a *average) add(now time.Time, work float64) {
-	a.mean = a.at(now) + work/ms(demandTime)
+func (a *average) add(now time.Time, work float64) { a.addOver(now, work, demandTime) }
+
+func (a *average) addOver(now time.Time, work float64, constant time.Duration) {
+	a.mean = a.over(now, constant) + work/ms(constant)
 	if now.After(a.last) {
 		a.last = now
 	}
 }
 
+// byRank returns the demand of a rank.
+func (s *service) byRank(r int) *average {
+	a, ok := s.demands[r]
+	if !ok {
+		a = &average{}
+		s.demands[r] = a
+	}
+	return a
+}
+
+// demandOf returns the demand of the ranks that are more urgent than r, and of r.
+func (s *service) demandOf(now time.Time, r int) (urgent, equal float64) {
+	for other, a := range s.demands {
+		switch {
+		case other < r:
+			urgent += a.at(now)
+		case other == r:
+			equal = a.at(now)
+		}
+	}
+	return urgent, equal
+}
+
 // service is the state of one service.
 type service struct {
 	lag        float64 // demand as other nodes know it
 	lagAt      time.Time
-	demand     average // arriving work
+	demand     average          // arriving work
+	demands    map[int]*average // arriving work by rank
 	flows      map[flowKey]*flow
 	limits     map[string]time.Duration // longest recent time limit by kind
 	ranks      []rank                   // sorted by rank
@@ -82,19 +140,24 @@
 }
 
 func newService() *service {
-	return &service{flows: make(map[flowKey]*flow), limits: make(map[string]time.Duration)}
+	return &service{demands: make(map[int]*average), flows: make(map[flowKey]*flow), limits: make(map[string]time.Duration)}
 }
 
 // maxFlows bounds the memory of flows. Unused ones are removed from this number on.
 const maxFlows = 256
 
-func (s *service) flow(r Request) *flow {
+// flow returns the flow of a request, and counts the request unless an upstream refused it.
+func (s *service) flow(now time.Time, r Request) *flow {
 	k := flowKey{r.Workspace, r.Kind}
 	f, ok := s.flows[k]
 	if !ok {
-		f = &flow{}
+		f = &flow{since: now}
 		s.flows[k] = f
 	}
+	if !r.Again {
+		f.recent.add(now, ms(r.Work))
+		f.usual.addOver(now, ms(r.Work), usualTime)
+	}
 	return f
 }
 
@@ -105,7 +168,7 @@
 	}
 	s.pruned = now
 	for k, f := range s.flows {
-		if f.queued == 0 && f.usage.at(now) < minDemand {
+		if f.queued == 0 && f.usual.over(now, usualTime) < minDemand {
 			delete(s.flows, k)
 		}
 	}
@@ -143,26 +206,32 @@
 	return false
 }
 
+// turn returns the recent work of a flow, and work more, as a ratio of its usual work. The
+// flow with the lowest ratio goes next.
+func (s *service) turn(now time.Time, f *flow, more float64) float64 {
+	return (f.usage.at(now) + more/ms(demandTime)) / s.weight(now, f)
+}
+
 // ahead returns the work of the waiting requests that go before t if it is on time.
 func (s *service) ahead(now time.Time, t *Ticket) float64 {
 	sum := 0.0
-	mine := t.flow.usage.at(now)*ms(demandTime) + t.flow.queued
 	for _, e := range s.ranks {
-		switch {
-		case e.rank < t.Rank:
+		if e.rank < t.Rank {
 			sum += work(e.onTime)
-		case e.rank == t.Rank:
-			seen := make(map[*flow]float64, len(e.onTime))
-			for _, o := range e.onTime {
-				seen[o.flow] += o.work
-			}
-			for f, queued := range seen {
-				if f == t.flow {
-					sum += queued
-					continue
-				}
-				sum += min(queued, max(0, mine-f.usage.at(now)*ms(demandTime)))
+		}
+		if e.rank != t.Rank || len(e.onTime) == 0 {
+			continue
+		}
+		queued := make(map[*flow]float64)
+		for _, o := range e.onTime {
+			queued[o.flow] += o.work
+		}
+		mine := s.turn(now, t.flow, queued[t.flow])
+		for f, n := range queued {
+			if f != t.flow {
+				n = min(n, max(0, mine-s.turn(now, f, 0))*s.weight(now, f)*ms(demandTime))
 			}
+			sum += n
 		}
 	}
 	return sum
@@ -264,23 +333,17 @@
 // first returns the ticket that goes next, with the plan for it, or nil if none may go now.
 func (s *service) first(now time.Time, room Room) (*Ticket, plan) {
 	for i := range s.ranks {
-		e := &s.ranks[i]
-		if len(e.onTime) > 0 {
-			best := e.onTime[0]
-			for _, t := range e.onTime[1:] {
-				if t.flow != best.flow && t.flow.usage.at(now) < best.flow.usage.at(now) {
-					best = t
-				}
-			}
-			p := s.plan(now, room, best.Objective)
-			if s.refill(now, p); !p.limited || s.tokens > 0 {
-				return best, p
+		if e := &s.ranks[i]; len(e.onTime) > 0 {
+			t := s.nextTurn(now, e.onTime)
+			p := s.plan(now, room, t.Objective, t.Rank)
+			if s.refill(now, p); !p.limited || s.tokens > p.reserve {
+				return t, p
 			}
 		}
 	}
 	for i := range s.ranks {
 		if e := &s.ranks[i]; len(e.late) > 0 {
-			p := s.plan(now, room, e.late[0].Objective)
+			p := s.plan(now, room, e.late[0].Objective, e.rank)
 			if s.refill(now, p); !p.limited || s.lateTokens > 0 || s.tokens >= p.most() {
 				return e.late[0], p
 			}
@@ -289,6 +352,23 @@
 	return nil, plan{}
 }
 
+// nextTurn returns the first ticket of the flow whose turn it is.
+func (s *service) nextTurn(now time.Time, l []*Ticket) *Ticket {
+	best := l[0]
+	turn := s.turn(now, best.flow, 0)
+	seen := map[*flow]bool{best.flow: true}
+	for _, t := range l[1:] {
+		if seen[t.flow] {
+			continue
+		}
+		seen[t.flow] = true
+		if n := s.turn(now, t.flow, 0); n < turn {
+			best, turn = t, n
+		}
+	}
+	return best
+}
+
 // start removes a ticket that is to be sent and counts its work.
 func (s *service) start(now time.Time, t *Ticket, p plan) {
 	s.remove(t)
--- a/admit/replay_test.go
+++ b/admit/replay_test.go
@@ -1,6 +1,8 @@
 package admit_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -35,3 +37,35 @@
 		}
 	}
 }
+
+func TestRanks(t *testing.T) {
+	for _, l := range []load{engines(2.5), plain(2.5), plain(5), engines(5)} {
+		for _, direct := range []bool{true, false} {
+			l.direct = direct
+			// bursting workspace
+			l.workspaces = func(r *rand.Rand, burst bool) string {
+				n := 5.0
+				if burst {
+					n = 5 * l.factor
+				}
+				if x := r.Float64() * n; x < 4 {
+					return fmt.Sprint("w", int(x))
+				}
+				return "x"
+			}
+			l.rank = nil
+			f := replay(l, 1)
+			t.Log(l.role, l.factor, direct, "burst of x", f.all)
+			for _, w := range []string{"w0", "w1", "w2", "w3", "x"} {
+				t.Log("       ", w, f.by[w])
+			}
+			l.workspaces = func(r *rand.Rand, burst bool) string { return fmt.Sprint("w", r.IntN(3)) }
+			l.rank = func(w string) int { return int(w[1] - '0') }
+			f = replay(l, 1)
+			t.Log(l.role, l.factor, direct, "ranks", f.all)
+			for _, w := range []string{"w0", "w1", "w2"} {
+				t.Log("       ", w, f.by[w])
+			}
+		}
+	}
+}
--- a/sched/room.go
+++ b/sched/room.go
@@ -63,10 +63,11 @@
 			load += u.reportedWorkMS()
 		}
 	}
-	r.Base = milliseconds(plainRequestMS)
+	r.Base, r.Parallel = milliseconds(plainRequestMS), milliseconds(plainRequestMS)
 	if !plain {
-		r.Base = milliseconds(idleEngineMS)
+		r.Base, r.Parallel = milliseconds(idleEngineMS), 0 // prompts are computed one after the other
 	}
+	r.Ordered = !plain
 	for _, w := range p.peerWork {
 		if s, ok := w[service]; ok {
 			r.Peers += s.Outstanding
