front, edge, mesh: requests wait at their nodes for room, or are refused at once

Under load, nodes sent whatever arrived, and requests reached their time limits in the queues of upstreams. The handler asks package admit before it picks an upstream, for requests that can't have run. Nodes tell each other their outstanding, waiting and arriving work in each message. With room at the upstreams, requests are sent as before.

--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/admit"
 	"mustardvane.org/vane/crash"
 	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/mesh"
@@ -127,6 +129,9 @@
 func (n *Node) compose(now time.Time, m *mesh.Message) {
 	m.Ready, m.Leaving = n.isReady(), n.isLeaving()
 	m.InFlight = n.placer.InFlight()
+	for service, w := range n.handler.Work() {
+		m.Work = append(m.Work, mesh.ServiceWork{Service: service, Outstanding: w.Outstanding.Milliseconds(), Waiting: w.Waiting.Milliseconds(), Demand: float32(w.Demand)})
+	}
 	m.QuotaSpent, m.QuotaLevels = n.quota.publish(now)
 	if n.mesh.IsPromptWatcher() {
 		m.WeightsAges = n.weightsAges()
@@ -165,6 +170,7 @@
 func (n *Node) receive(now time.Time, m *mesh.Message) {
 	at := clock.BootTime() // the clock of the placer
 	n.placer.SetPeerInFlight(m.Name, m.InFlight)
+	n.placer.SetPeerWork(m.Name, peerWork(m.Work))
 	n.placer.ApplyCacheUpdates(m.PromptParts)
 	n.quota.receive(now, m)
 	n.rollouts.receive(now, m)
@@ -195,6 +201,19 @@
 	n.receiveParts(now, m)
 }
 
+// peerWork returns the work that another node reports, by service. Values that can't be true are
+// left out.
+func peerWork(l []mesh.ServiceWork) map[string]admit.Report {
+	out := make(map[string]admit.Report, len(l))
+	for _, w := range l {
+		if w.Outstanding < 0 || w.Waiting < 0 || !(w.Demand >= 0 && w.Demand <= math.MaxInt32) {
+			continue
+		}
+		out[w.Service] = admit.Report{Outstanding: time.Duration(w.Outstanding) * time.Millisecond, Waiting: time.Duration(w.Waiting) * time.Millisecond, Demand: float64(w.Demand)}
+	}
+	return out
+}
+
 // wantsLease reports whether this node should hold the lease on weight orders. The
 // current holder keeps it; otherwise it goes to the first node by name that reaches the
 // store.
--- a/edge/node.go
+++ b/edge/node.go
@@ -338,6 +338,7 @@
 // forgetDeadPeers drops the requests in flight of nodes that are down.
 func (n *Node) forgetDeadPeers() {
 	n.placer.KeepPeersInFlight(n.mesh.IsAlive)
+	n.placer.KeepPeersWork(n.mesh.IsAlive)
 }
 
 // watchSilentUpstreams sets aside upstreams that keep requests waiting for too long, and
--- a/front/handler.go
+++ b/front/handler.go
@@ -81,13 +81,14 @@
 	inFlight    atomic.Int64
 	crashChecks crashChecks
 	processes   processChecks
+	waiting     waiting
 	stopped     context.Context // ends when Stop is called
 	stop        context.CancelFunc
 }
 
 // New returns a handler with the given dependencies.
 func New(d Deps) *Handler {
-	h := &Handler{Deps: d}
+	h := &Handler{Deps: d, waiting: newWaiting()}
 	h.stopped, h.stop = context.WithCancel(context.Background())
 	return h
 }
@@ -301,6 +302,12 @@
 	if !c.route.HasPrompts {
 		return -1
 	}
+	return c.rank()
+}
+
+// rank returns the rank of the request among those that want the same upstreams, where 0 is
+// served first.
+func (c *request) rank() int {
 	p := min(c.route.Priority, routePriorityLevels-1)
 	if c.tenancy.HasPriority {
 		p += routePriorityLevels * c.tenancy.Priority
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -15,6 +15,9 @@
 	answers           *prometheus.CounterVec
 	responseSeconds   *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
+	waiting           *prometheus.GaugeVec
+	notAdmitted       *prometheus.CounterVec
+	waitSeconds       *prometheus.HistogramVec
 }
 
 // NewMetrics registers the collectors with r.
@@ -38,8 +41,21 @@
 			Help:    "Time until the first event of streams and the whole of other answers, by route.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"route"}),
+		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "vane_front_waiting",
+			Help: "Requests that wait at the node for upstreams, by service.",
+		}, []string{"service"}),
+		notAdmitted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vane_front_not_admitted_total",
+			Help: "Requests refused for want of room at the upstreams, by service and cause.",
+		}, []string{"service", "cause"}),
+		waitSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "vane_front_wait_seconds",
+			Help:    "Time that requests waited at the node until they were sent or refused, by service.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
+		}, []string{"service"}),
 	}
-	r.MustRegister(m.refusals, m.answers, m.responseSeconds, m.firstEventSeconds)
+	r.MustRegister(m.refusals, m.answers, m.responseSeconds, m.firstEventSeconds, m.waiting, m.notAdmitted, m.waitSeconds)
 	return m
 }
 
--- a/front/serve.go
+++ b/front/serve.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/admit"
 	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/sched"
@@ -41,7 +42,8 @@
 	answering    bool     // the upstream of the current attempt has begun to answer
 	relay        *relay   // nil until the headers of a stream have been sent to the caller
 	lastRefusal  *vane.Refusal
-	result       *result // of the present attempt
+	result       *result       // of the present attempt
+	ticket       *admit.Ticket // of the wait for the present attempt; nil if it did not wait
 }
 
 // serve sends the request to one upstream after another until a response is relayed
@@ -50,9 +52,9 @@
 	t := &attempts{request: c}
 	h.RetryBudget(c.service).CountRequest(c.start)
 	for {
-		pick, ok := h.Placer.Pick(clock.BootTime(), c.placementQuery(t.avoid))
-		if !ok {
-			h.finishRefused(w, t, t.withExecution(vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s accepts requests now", c.service).WithRetryAfter(h.retryAfter(c.service))))
+		pick, final := h.place(ctx, t)
+		if final != nil {
+			h.finishRefused(w, t, t.withExecution(final))
 			return
 		}
 		t.result = h.newResult(t, pick)
@@ -164,7 +166,11 @@
 	t.answering = false
 	q := t.placementQuery(nil)
 	att := h.Placer.Begin(clock.BootTime(), q, p)
-	defer func() { h.Placer.End(clock.BootTime(), att) }()
+	h.waiting.begin(t)
+	defer func() {
+		h.Placer.End(clock.BootTime(), att)
+		h.startWaiting(t.service)
+	}()
 	f := vane.Forward{
 		Workspace: t.tenancy.Workspace, TimeLimit: time.Until(t.deadline), Upstream: p.Upstream.Name, Weights: p.Weights,
 		Priority: t.priority(), CacheSalt: p.Salt, FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, LastEventID: t.meta.LastEventID,
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -47,6 +47,15 @@
 	Convictions    []Conviction    `msgpack:"convictions,omitempty"`     // parts of prompts with which requests are refused
 	StoreFailing   bool            `msgpack:"store_failing,omitempty"`   // the store does not answer the node
 	Leaving        []UpstreamStart `msgpack:"leaving,omitempty"`         // upstreams that said that they are leaving
+	Work           []ServiceWork   `msgpack:"work,omitempty"`            // work of the services with requests at the node; nil from nodes that do not report it
+}
+
+// ServiceWork tells about the work of a node for a service, in milliseconds of one upstream.
+type ServiceWork struct {
+	Service     string  `msgpack:"s"`
+	Outstanding int64   `msgpack:"o,omitempty"` // work of sent requests that have not been answered
+	Waiting     int64   `msgpack:"w,omitempty"` // work of requests that wait at the node
+	Demand      float32 `msgpack:"d,omitempty"` // arriving work for each millisecond
 }
 
 // UpstreamStart identifies one start of an upstream.
--- a/sched/room.go
+++ b/sched/room.go
@@ -20,6 +20,19 @@
 func (p *Placer) SetPeerWork(node string, work map[string]admit.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.setPeerWork(node, work)
+}
+
+// setPeerWork is SetPeerWork for callers that hold p.mu.
+func (p *Placer) setPeerWork(node string, work map[string]admit.Report) {
+	for service, w := range p.peerWork[node] {
+		t := p.workTotals[service]
+		p.workTotals[service] = admit.Report{Outstanding: t.Outstanding - w.Outstanding, Waiting: t.Waiting - w.Waiting, Demand: max(0, t.Demand-w.Demand)}
+	}
+	for service, w := range work {
+		t := p.workTotals[service]
+		p.workTotals[service] = admit.Report{Outstanding: t.Outstanding + w.Outstanding, Waiting: t.Waiting + w.Waiting, Demand: t.Demand + w.Demand}
+	}
 	if len(work) == 0 {
 		delete(p.peerWork, node)
 		return
@@ -33,7 +46,7 @@
 	defer p.mu.Unlock()
 	for node := range p.peerWork {
 		if !keep(node) {
-			delete(p.peerWork, node)
+			p.setPeerWork(node, nil)
 		}
 	}
 }
@@ -68,13 +81,8 @@
 		r.Base, r.Parallel = milliseconds(idleEngineMS), 0 // prompts are computed one after the other
 	}
 	r.Ordered = !plain
-	for _, w := range p.peerWork {
-		if s, ok := w[service]; ok {
-			r.Peers += s.Outstanding
-			r.Waiting += s.Waiting
-			r.PeerDemand += s.Demand
-		}
-	}
+	total := p.workTotals[service]
+	r.Peers, r.Waiting, r.PeerDemand = total.Outstanding, total.Waiting, total.Demand
 	r.Reporting = len(p.peerWork)
 	if recent > 0 && recent >= minRecentLoads*r.InService {
 		seen := max(0, milliseconds(load*r.InService/recent)-r.Own)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -42,6 +42,7 @@
 	peers        map[string]map[string]int          // requests in flight by node and upstream
 	peerTotals   map[string]int                     // sums of peers by upstream
 	peerWork     map[string]map[string]admit.Report // work by node and service
+	workTotals   map[string]admit.Report            // sums of peerWork by service
 	releases     map[string]ReleaseShare            // limits by service
 	saves        *saveLog
 	updates      map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
@@ -71,7 +72,7 @@
 func New(dataCentre string, c StoreIndex, opts ...Option) *Placer {
 	p := &Placer{
 		dataCentre: dataCentre, weightsLimit: defaultWeightsLimit, cache: c, view: &mirror.View{}, upstreams: make(map[string]*upstream),
-		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), peerWork: make(map[string]map[string]admit.Report), saves: newSaveLog(), updates: make(map[string][]uint64),
+		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), peerWork: make(map[string]map[string]admit.Report), workTotals: make(map[string]admit.Report), saves: newSaveLog(), updates: make(map[string][]uint64),
 	}
 	for _, o := range opts {
 		o(p)
