--- a/admit/admit.go
+++ b/admit/admit.go
@@ -71,7 +71,7 @@
 	Cause      Cause         // for Refuse
 	Ticket     *Ticket       // for Wait
 	RetryAfter time.Duration // for Refuse
-	Delay      time.Duration // for Send: expected wait at the upstream
+	Assumed    time.Duration // for Send: expected time until the answer begins, for Observe
 	Predicted  time.Duration // expected time until the answer begins
 	Share      float64       // this node's share of the upstreams; zero if the request is sent at once
 }
@@ -146,11 +146,13 @@
 	if objective <= 0 {
 		objective = defaultTarget
 	}
-	p := plan{share: s.share(now, room), all: room.InService}
-	p.target = max(onTimeFill*ms(objective)-ms(room.Base), minPlanShare*ms(objective))
+	k := s.correction()
+	p := plan{share: s.share(now, room), all: room.InService / k}
+	p.target = max(onTimeFill*ms(objective)-k*ms(room.Base), minPlanShare*ms(objective))
 	own := ms(room.Own) + s.granted
-	p.delay = (1-ownWeight)*(own+ms(room.Peers))/p.all + ownWeight*own/(p.all*p.share)
-	p.delay = max(0, p.delay-ms(room.Parallel))
+	peers := ms(room.Peers) + silentWeight*own*room.silent()
+	p.delay = (1-ownWeight)*(own+peers)/p.all + ownWeight*own/(p.all*p.share)
+	p.delay = max(0, p.delay-k*ms(room.Parallel))
 	p.limited = p.delay > calmShare*p.target || now.Sub(s.limited) < limitedTime
 	p.rate = p.all * p.share * p.drain()
 	urgent, equal := s.demandOf(now, rank)
@@ -173,6 +175,14 @@
 // but a small sample; that of the other nodes is known late.
 const ownWeight = 0.2
 
+// silentWeight is the outstanding work of a node that reports nothing, as a ratio of this
+// node's. It is less than 1, since a node must not hold requests because it is the only one
+// that has any.
+const silentWeight = 0.5
+
+// silent returns the number of other nodes that report nothing, such as those of older builds.
+func (r Room) silent() float64 { return max(0, float64(r.Nodes-1-r.Reporting)) }
+
 // drain returns the work that is sent as a ratio of what the upstreams do, so that the
 // backlog gets shorter if it is near the planned time. The backlog is known late, so that
 // the ratio differs little from 1.
@@ -182,11 +192,11 @@
 }
 
 // share returns this node's share of the upstreams by the arriving work. Nodes that report
-// nothing, such as those of older builds, count like this one.
+// nothing count like this one.
 func (s *service) share(now time.Time, room Room) float64 {
 	n := float64(max(1, room.Nodes))
 	own := s.lagged(now)
-	peers := room.PeerDemand + own*max(0, n-1-float64(room.Reporting))
+	peers := room.PeerDemand + own*room.silent()
 	if own+peers <= 0 {
 		return 1 / n
 	}
@@ -214,9 +224,9 @@
 	}
 	full := room.Usable == 0
 	returned := s.returned(r.Kind, left)
-	if !full && (!p.limited || s.tokens > p.reserve && !returned) && !s.isWaiting(r.Rank) {
+	if !full && (!p.limited || s.tokens > p.reserve && !returned && duration(p.delay+work) < left) && !s.isWaiting(r.Rank) {
 		s.spend(now, f, p, work, false)
-		return Decision{Action: Send, Delay: duration(p.delay), Predicted: duration(p.delay+work) + room.Base}
+		return Decision{Action: Send, Assumed: s.assumed(p, work, room), Predicted: duration(p.delay+work) + room.Base}
 	}
 	t := &Ticket{Request: r, arrived: now, work: work, flow: f, deadline: r.Deadline.Add(-room.Base)}
 	wait := s.ahead(now, t) / (p.rate * p.left)
@@ -260,7 +270,7 @@
 		if t == nil {
 			return g
 		}
-		s.start(now, t, p)
+		s.start(now, t, p, room)
 		g.Started = append(g.Started, t)
 	}
 }
@@ -283,6 +293,38 @@
 	return true
 }
 
+// Observe corrects the assumed work. It takes the time from sending a request until the
+// answer began, and what was assumed for it.
+func (c *Controller) Observe(service string, took, assumed time.Duration) {
+	if took <= 0 || assumed <= 0 {
+		return
+	}
+	s := c.service(service)
+	s.took += (ms(took) - s.took) * observeWeight
+	s.expected += (ms(assumed) - s.expected) * observeWeight
+}
+
+// correction returns the ratio of the time that work takes to what was assumed. Averages over
+// the same requests are compared, so that single ones matter little. It does not correct
+// upwards: while a backlog grows, answers take longer than expected since it is known late,
+// and requests must not be refused for that.
+func (s *service) correction() float64 {
+	return max(minCorrection, min(maxCorrection, (s.took+priorMS)/(s.expected+priorMS)))
+}
+
+// assumed returns the expected time until the answer begins, without the correction.
+func (s *service) assumed(p plan, work float64, room Room) time.Duration {
+	return duration(p.delay/s.correction()+work) + room.Base
+}
+
+// Parameters of the correction of the assumed work.
+const (
+	observeWeight = 1.0 / 32
+	minCorrection = 0.25
+	maxCorrection = 1   // with 1.5, requests waited and were refused at 0.6 of a plain service's capacity
+	priorMS       = 1.0 // keeps the ratio at 1 while nothing has been observed
+)
+
 // Waiting returns the work of the waiting requests of a service and their number.
 func (c *Controller) Waiting(service string) (time.Duration, int) {
 	s, ok := c.services[service]
--- a/admit/fleet_test.go
+++ b/admit/fleet_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,6 +21,7 @@
 	role             vane.UpstreamRole
 	slots, queue     int
 	work             time.Duration // time of a request at an upstream: at all of an engine, at one slot of a plain service
+	base             time.Duration // time from the end of the work until the answer begins
 	assumed          float64       // ratio of the work that nodes assume to the real one; 1 if zero
 	objective, limit time.Duration
 	rate             float64 // requests per second
@@ -35,8 +37,9 @@
 // outcome counts how the requests ended.
 type outcome struct {
 	total, onTime, late, refused, twice, failed int
-	heldMax                                     time.Duration // longest time after which a request was refused
+	heldMax                                     time.Duration // longest time after which a request was refused that was never sent
 	waited                                      int
+	held                                        int // refused after more than an eighth of the objective
 }
 
 // value is the worth of the answers; lateWorth is that of a late one.
@@ -45,7 +48,7 @@
 const lateWorth = 0.3
 
 func (o outcome) String() string {
-	return fmt.Sprintf("%d: %d on time, %d late, %d refused (%d twice), %d failed, %d waited; value %.0f", o.total, o.onTime, o.late, o.refused, o.twice, o.failed, o.waited, o.value())
+	return fmt.Sprintf("%d: %d on time, %d late, %d refused (%d twice), %d held, %d failed, %d waited; value %.0f", o.total, o.onTime, o.late, o.refused, o.twice, o.held, o.failed, o.waited, o.value())
 }
 
 // event is a call at a time.
@@ -103,6 +106,7 @@
 	id        string
 	workspace string
 	rank      int
+	subject   int           // of the prompt
 	begin     time.Duration // first arrival
 	arrived   time.Duration // last arrival
 	deadline  time.Duration
@@ -115,8 +119,7 @@
 	attempt   *sched.Attempt
 	up        *modelUpstream
 	sentAt    time.Duration
-	delay     time.Duration // expected at the upstream
-	started   bool          // an upstream runs it
+	assumed   time.Duration // expected time until the answer
 }
 
 type modelNode struct {
@@ -134,6 +137,7 @@
 	f       *fleet
 	name    string
 	running int
+	active  map[*call]bool
 	queue   []*call
 	down    bool
 	epoch   int
@@ -152,7 +156,7 @@
 	f.view = &mirror.View{Upstreams: map[string]vane.Upstream{}, Peers: map[string]vane.PeerRecord{}}
 	for i := range l.upstreams {
 		name := fmt.Sprintf("u%02d", i)
-		f.ups[name] = &modelUpstream{f: f, name: name}
+		f.ups[name] = &modelUpstream{f: f, name: name, active: make(map[*call]bool)}
 		f.view.Upstreams[name] = vane.Upstream{Name: name, Service: "s", Slots: l.slots, Role: l.role, DataCentre: "dc", Incarnation: 1, Addr: name}
 	}
 	for i := range l.nodes {
@@ -218,6 +222,7 @@
 	if f.load.rank != nil {
 		c.rank = f.load.rank(c.workspace)
 	}
+	c.subject = f.rnd.IntN(400)
 	f.count(c, func(o *outcome) { o.total++ })
 	f.at(c.deadline, c.expire)
 	c.offer()
@@ -253,6 +258,8 @@
 	if c.f.role == vane.RoleEngine {
 		assumed := cmp.Or(c.f.assumed, 1)
 		q.PromptTokens = int(assumed * float64(c.f.work.Milliseconds()) * tokensPerMS)
+		// Parts so small that they save no work. They spread the requests over equal engines.
+		q.Parts = []vane.PromptPart{{ID: fmt.Sprint("subject", c.subject), Tokens: 1}, {ID: c.id, Tokens: q.PromptTokens - 1}}
 	}
 	return q
 }
@@ -272,8 +279,9 @@
 	}
 	room := n.placer.Room(now, "s")
 	work := n.placer.Work(pick)
-	if !ok {
-		room.Usable = 0
+	if !ok && (room.Usable > 0 || room.InService <= float64(len(c.avoid))) {
+		c.refuse(300 * time.Millisecond)
+		return
 	}
 	room.Estimate = pick.Estimate
 	d := n.admit.Offer(now, admit.Request{
@@ -282,7 +290,7 @@
 	}, room)
 	switch d.Action {
 	case admit.Send:
-		c.delay = d.Delay
+		c.assumed = d.Assumed
 		c.send(pick)
 	case admit.Wait:
 		f.count(c, func(o *outcome) { o.waited++ })
@@ -319,12 +327,8 @@
 		delete(n.waiting, t)
 		c.ticket = nil
 		pick, ok := n.placer.Pick(n.f.time(), c.query())
-		if !ok {
-			c.avoid = nil
-			pick, ok = n.placer.Pick(n.f.time(), c.query())
-		}
 		n.admit.Begin(t)
-		c.delay = t.Delay()
+		c.assumed = t.Assumed()
 		if !ok {
 			c.place(true)
 			continue
@@ -343,7 +347,15 @@
 func (c *call) refuse(after time.Duration) {
 	f := c.f
 	held := f.now - c.arrived
-	f.count(c, func(o *outcome) { o.refused++; o.heldMax = max(o.heldMax, held) })
+	f.count(c, func(o *outcome) {
+		o.refused++
+		if c.sends == 0 {
+			o.heldMax = max(o.heldMax, held)
+		}
+		if held > f.objective/8 {
+			o.held++
+		}
+	})
 	if c.returned {
 		c.ended = true
 		f.count(c, func(o *outcome) { o.twice++ })
@@ -390,6 +402,39 @@
 	return vane.ResponseMeta{HasLoad: true, Load: vane.Load{Running: u.running, Waiting: len(u.queue)}, Slots: u.f.slots}
 }
 
+// crash ends the upstream for a time. Its requests are sent to others, if any are left.
+func (u *modelUpstream) crash(d time.Duration) {
+	f := u.f
+	lost := u.queue
+	for c := range u.active {
+		lost = append(lost, c)
+	}
+	slices.SortFunc(lost, func(a, b *call) int { return cmp.Compare(a.id, b.id) })
+	u.down, u.queue, u.running, u.active = true, nil, 0, make(map[*call]bool)
+	u.epoch++
+	f.at(f.now+d, func() { u.down = false })
+	for _, c := range lost {
+		if !c.ended {
+			c.node.placer.RecordFailure(f.time(), u.name)
+			c.retry(u)
+		}
+	}
+}
+
+// remove takes the upstream out of the list.
+func (u *modelUpstream) remove() {
+	f := u.f
+	v := *f.view
+	v.Upstreams = maps.Clone(v.Upstreams)
+	delete(v.Upstreams, u.name)
+	f.view = &v
+	for _, n := range f.nodes {
+		n.placer.Update(f.view)
+		n.next()
+	}
+	u.crash(f.end)
+}
+
 // retry follows a refusal by an upstream.
 func (c *call) retry(u *modelUpstream) {
 	f := c.f
@@ -417,7 +462,7 @@
 	for !u.down && u.running < u.limit() && len(u.queue) > 0 {
 		c := u.queue[0]
 		u.queue = u.queue[1:]
-		c.started = true
+		u.active[c] = true
 		u.running++
 		took := f.work
 		if f.role != vane.RoleEngine {
@@ -429,7 +474,8 @@
 				return
 			}
 			u.running--
-			c.answer(u)
+			delete(u.active, c)
+			f.at(f.now+f.base, func() { c.answer(u) })
 			u.serve()
 		})
 	}
@@ -446,6 +492,7 @@
 	n.placer.Observe(f.time(), u.name, u.meta())
 	n.placer.FirstByte(f.time(), c.attempt)
 	n.placer.End(f.time(), c.attempt)
+	n.admit.Observe("s", f.now-c.sentAt, c.assumed)
 	f.count(c, func(o *outcome) {
 		if f.now-c.begin <= f.objective {
 			o.onTime++
@@ -518,5 +565,5 @@
 		}
 		return float64(n)
 	}
-	return (1-lateWorth)*most(l.objective) + lateWorth*most(l.limit)
+	return (1-lateWorth)*most(l.objective-l.base) + lateWorth*most(l.limit-l.base)
 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -16,11 +16,12 @@
 	late     bool // the request is not expected to be answered within its objective
 	queued   bool
 	granted  bool // the request was started and has not been sent
-	delay    time.Duration
+	assumed  time.Duration
 }
 
-// Delay returns the expected wait at the upstream of a started request.
-func (t *Ticket) Delay() time.Duration { return t.delay }
+// Assumed returns the expected time until the answer of a started request begins, for
+// [Controller.Observe].
+func (t *Ticket) Assumed() time.Duration { return t.assumed }
 
 // Late reports whether the request was not expected to be answered within its objective.
 func (t *Ticket) Late() bool { return t.late }
@@ -128,6 +129,8 @@
 	pruned     time.Time                // time of the last removal of unused flows
 	lateTokens float64                  // the part of tokens for late requests
 	tokens     float64                  // work that may be sent at once although the backlog is long
+	took       float64                  // average time until answers began, in milliseconds
+	expected   float64                  // average of what was assumed for them
 	filled     time.Time                // time to which tokens applies
 	limited    time.Time                // last time at which a request waited or was refused
 }
@@ -370,10 +373,10 @@
 }
 
 // start removes a ticket that is to be sent and counts its work.
-func (s *service) start(now time.Time, t *Ticket, p plan) {
+func (s *service) start(now time.Time, t *Ticket, p plan, room Room) {
 	s.remove(t)
 	s.spend(now, t.flow, p, t.work, t.late)
-	t.granted, t.delay = true, duration(p.delay)
+	t.granted, t.assumed = true, s.assumed(p, t.work, room)
 	s.granted += t.work
 }
 
--- a/front/relay.go
+++ b/front/relay.go
@@ -97,6 +97,7 @@
 		}
 		if inEvent {
 			h.Placer.FirstByte(clock.BootTime(), att)
+			h.waiting.observe(t)
 			t.result.event(time.Now())
 			t.relay.count(block)
 			h.recordEvent(t)
--- a/front/serve.go
+++ b/front/serve.go
@@ -43,6 +43,8 @@
 	relay        *relay   // nil until the headers of a stream have been sent to the caller
 	lastRefusal  *vane.Refusal
 	result       *result       // of the present attempt
+	sentAt       time.Time     // time at which the present attempt was sent
+	assumed      time.Duration // what package admit assumes for the time until its answer; zero if it was not asked
 	ticket       *admit.Ticket // of the wait for the present attempt; nil if it did not wait
 }
 
@@ -286,6 +288,7 @@
 		}
 	}
 	h.Placer.FirstByte(clock.BootTime(), att)
+	h.waiting.observe(t)
 	if resp.Status >= http.StatusInternalServerError && t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && h.RetryBudget(t.service).Take(time.Now()) {
 		t.retryPaid = true
 		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s responded with status %d", p.Upstream.Name, resp.Status).WithExecution(vane.Ran)
--- a/front/wait.go
+++ b/front/wait.go
@@ -44,6 +44,7 @@
 		now := clock.BootTime()
 		pick, ok := h.Placer.Pick(now, t.placementQuery(t.avoid))
 		if t.mayHaveRun > 0 || t.relay != nil || t.lastRefusal != nil && !full {
+			t.assumed = 0
 			// The upstreams' work on this request must not be lost.
 			if !ok {
 				return pick, h.noUpstream(t)
@@ -62,6 +63,7 @@
 		d, ch := h.waiting.offer(r, room)
 		switch d.Action {
 		case admit.Send:
+			t.assumed = d.Assumed
 			return pick, nil
 		case admit.Refuse:
 			return pick, h.notAdmitted(t, r, room, d)
@@ -70,6 +72,7 @@
 			return pick, ref
 		}
 		if pick, ok = h.Placer.Pick(clock.BootTime(), t.placementQuery(t.avoid)); ok {
+			t.assumed = d.Ticket.Assumed()
 			return pick, nil
 		}
 		again = true
@@ -176,6 +179,9 @@
 	}()
 }
 
+// Waiting returns the number of requests that wait for upstreams.
+func (h *Handler) Waiting() int { return int(h.waiting.count.Load()) }
+
 // Work returns the work of this node's requests by service, for the other nodes.
 func (h *Handler) Work() map[string]admit.Report {
 	out := h.waiting.reports()
@@ -237,6 +243,7 @@
 
 // begin records that a request that waited has been sent or will not be.
 func (w *waiting) begin(t *attempts) {
+	t.sentAt = time.Now()
 	if t.ticket == nil {
 		return
 	}
@@ -246,6 +253,17 @@
 	t.ticket = nil
 }
 
+// observe records how long an upstream took to begin its answer.
+func (w *waiting) observe(t *attempts) {
+	if t.assumed <= 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.c.Observe(t.service, time.Since(t.sentAt), t.assumed)
+	t.assumed = 0
+}
+
 // beginTicks reports whether a goroutine has to be started for a service.
 func (w *waiting) beginTicks(service string) bool {
 	w.mu.Lock()
