--- a/admit/admit.go
+++ b/admit/admit.go
@@ -235,13 +235,7 @@
 		s.push(t, false)
 		return d
 	}
-	within := lateLeftShare
-	if returned {
-		within = returnedLeftShare
-	}
-	late := duration(p.delay+(s.lateAhead(t)+work)/(lateShare*p.rate*p.left)) + room.Base
-	if float64(late) <= within*float64(left) {
-		d.Predicted = late
+	if d.Predicted = s.latePredicted(p, t, room); d.Predicted <= lateWithin(left, returned) {
 		s.push(t, true)
 		return d
 	}
@@ -254,6 +248,19 @@
 	return Decision{Action: Refuse, Cause: cause, Share: p.share, Predicted: d.Predicted, RetryAfter: retryAfter(r.ID, left, p.delay+wait-calmShare*p.target, overload)}
 }
 
+// latePredicted returns the expected time until a late request is answered.
+func (s *service) latePredicted(p plan, t *Ticket, room Room) time.Duration {
+	return duration(p.delay+(s.lateAhead(t)+t.work)/(lateShare*p.rate*p.left)) + room.Base
+}
+
+// lateWithin returns the time within which a late request must be expected to be answered.
+func lateWithin(left time.Duration, returned bool) time.Duration {
+	if returned {
+		return time.Duration(returnedLeftShare * float64(left))
+	}
+	return time.Duration(lateLeftShare * float64(left))
+}
+
 // Next decides on the waiting requests of a service. The returned tickets no longer wait.
 func (c *Controller) Next(now time.Time, service string, room Room) Grants {
 	s, ok := c.services[service]
--- a/admit/fleet_test.go
+++ b/admit/fleet_test.go
@@ -79,16 +79,15 @@
 // other 0.25 to 2 s late. A refused caller returns once, to another node, after Retry-After.
 type fleet struct {
 	load
-	now      time.Duration
-	pending  events
-	seq      int
-	rnd      *rand.Rand
-	nodes    []*modelNode
-	ups      map[string]*modelUpstream
-	view     *mirror.View
-	all      outcome
-	by       map[string]*outcome // by workspace
-	answered []time.Duration     // times of answers in time
+	now     time.Duration
+	pending events
+	seq     int
+	rnd     *rand.Rand
+	nodes   []*modelNode
+	ups     map[string]*modelUpstream
+	view    *mirror.View
+	all     outcome
+	by      map[string]*outcome // by workspace
 }
 
 var start = time.Unix(9000, 0)
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -129,9 +129,7 @@
 func (n *Node) compose(now time.Time, m *mesh.Message) {
 	m.Ready, m.Leaving = n.isReady(), n.isLeaving()
 	m.InFlight = n.placer.InFlight()
-	for service, w := range n.handler.Work() {
-		m.Work = append(m.Work, mesh.ServiceWork{Service: service, Outstanding: w.Outstanding.Milliseconds(), Waiting: w.Waiting.Milliseconds(), Demand: float32(w.Demand)})
-	}
+	m.Work = composeWork(n.handler.Work())
 	m.QuotaSpent, m.QuotaLevels = n.quota.publish(now)
 	if n.mesh.IsPromptWatcher() {
 		m.WeightsAges = n.weightsAges()
@@ -201,6 +199,20 @@
 	n.receiveParts(now, m)
 }
 
+// composeWork returns the work of this node as messages carry it. A node without requests
+// sends an entry without a service, since others take a node that sends none for one of an
+// older build, of whose work they know nothing.
+func composeWork(work map[string]admit.Report) []mesh.ServiceWork {
+	if len(work) == 0 {
+		return []mesh.ServiceWork{{}}
+	}
+	out := make([]mesh.ServiceWork, 0, len(work))
+	for service, w := range work {
+		out = append(out, mesh.ServiceWork{Service: service, Outstanding: w.Outstanding.Milliseconds(), Waiting: w.Waiting.Milliseconds(), Demand: float32(w.Demand)})
+	}
+	return out
+}
+
 // peerWork returns the work that another node reports, by service. Values that can't be true are
 // left out.
 func peerWork(l []mesh.ServiceWork) map[string]admit.Report {
--- a/front/relay.go
+++ b/front/relay.go
@@ -13,7 +13,6 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/conns"
-	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/sched"
 )
 
@@ -96,8 +95,7 @@
 			t.relay = startRelay(w, resp)
 		}
 		if inEvent {
-			h.Placer.FirstByte(clock.BootTime(), att)
-			h.waiting.observe(t)
+			h.firstByte(t, att)
 			t.result.event(time.Now())
 			t.relay.count(block)
 			h.recordEvent(t)
--- a/front/serve.go
+++ b/front/serve.go
@@ -287,8 +287,7 @@
 			return h.responseBroken(ctx, t, p, resp, err)
 		}
 	}
-	h.Placer.FirstByte(clock.BootTime(), att)
-	h.waiting.observe(t)
+	h.firstByte(t, att)
 	if resp.Status >= http.StatusInternalServerError && t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && h.RetryBudget(t.service).Take(time.Now()) {
 		t.retryPaid = true
 		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s responded with status %d", p.Upstream.Name, resp.Status).WithExecution(vane.Ran)
--- a/front/wait.go
+++ b/front/wait.go
@@ -158,6 +158,12 @@
 	return vane.Refuse(vane.ReasonQueueDeadline, "no upstream of service %s had room within the time limit", t.service).WithRetryAfter(minRetryAfter)
 }
 
+// firstByte records that the answer of an attempt has begun.
+func (h *Handler) firstByte(t *attempts, att *sched.Attempt) {
+	h.Placer.FirstByte(clock.BootTime(), att)
+	h.waiting.observe(t)
+}
+
 // startWaiting starts the waiting requests of a service for which there is room, and refuses
 // those that can't be served any more.
 func (h *Handler) startWaiting(service string) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -47,9 +47,13 @@
 	in := &Message{Name: "n1", Boot: 3, Seq: 9, WeightsVersion: 4, Extension: Extension{
 		RolloutVersion: 8, Rollouts: []RolloutUpdate{{Service: "s", Order: "v2", Stage: 2, Fence: 6}},
 		ReleaseResults: []ReleaseResult{{Service: "s", Release: "v2", Failed: true, FirstUS: 70}},
+		Work:           []ServiceWork{{Service: "s", Outstanding: 900, Waiting: 40, Demand: 0.5}},
 	}}
 	b, err := encodeMessage(in)
 	is.NoErr(err)
+	out, err := decodeMessage(b)
+	is.NoErr(err)
+	is.Equal(out.Work, in.Work)
 	var earlier struct {
 		Name            string
 		Boot            uint64
