admit: less is sent and waits are shorter while upstreams refuse requests as full

Plain services at 2.5 to 5 times the usual rate: requests waited, were refused by a full upstream, and then refused for want of retries.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -127,14 +127,16 @@
 
 // plan holds the figures of one decision, in milliseconds.
 type plan struct {
-	rate    float64 // work per millisecond that this node may send while the backlog is long
-	all     float64 // work that all upstreams do per millisecond
-	target  float64 // time to the answer's begin that is planned for, without the base time
-	delay   float64 // expected time that a request sent now spends waiting at an upstream
-	share   float64 // this node's share of the upstreams
-	limited bool    // the node sends no more than its rate
-	left    float64 // part of the rate that more urgent requests leave
-	reserve float64 // tokens that are kept for more urgent requests
+	rate     float64 // work per millisecond that this node may send while the backlog is long
+	all      float64 // work that all upstreams do per millisecond
+	target   float64 // time to the answer's begin that is planned for, without the base time
+	delay    float64 // expected time that a request sent now spends waiting at an upstream
+	share    float64 // this node's share of the upstreams
+	limited  bool    // the node sends no more than its rate
+	left     float64 // part of the rate that more urgent requests leave
+	overload bool    // more work arrives than the upstreams do
+	fullness float64 // see service.fullness; 1 without overload
+	reserve  float64 // tokens that are kept for more urgent requests
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -147,7 +149,7 @@
 		objective = defaultTarget
 	}
 	k := s.correction()
-	p := plan{share: s.share(now, room), all: room.InService / k}
+	p := plan{share: s.share(now, room), all: room.InService / k, fullness: 1}
 	p.target = max(onTimeFill*ms(objective)-k*ms(room.Base), minPlanShare*ms(objective))
 	own := ms(room.Own) + s.granted
 	peers := ms(room.Peers) + silentWeight*own*room.silent()
@@ -155,6 +157,10 @@
 	p.delay = max(0, p.delay-k*ms(room.Parallel))
 	p.limited = p.delay > calmShare*p.target || now.Sub(s.limited) < limitedTime
 	p.rate = p.all * p.share * p.drain()
+	if s.demand.at(now)+room.PeerDemand > p.all {
+		p.overload, p.fullness = true, s.fullness(now)
+		p.rate *= fullRate + (1-fullRate)*p.fullness
+	}
 	urgent, equal := s.demandOf(now, rank)
 	p.left = max(minLeft, 1-urgent/p.rate)
 	p.reserve = (1 - p.left) * reserveShare * p.most()
@@ -211,6 +217,8 @@
 		s.demand.add(now, work)
 		s.byRank(r.Rank).add(now, work)
 		s.prune(now)
+	} else {
+		s.recordFull(now)
 	}
 	left := r.Deadline.Sub(now)
 	if room.InService <= 0 {
@@ -231,7 +239,7 @@
 	t := &Ticket{Request: r, arrived: now, work: work, flow: f, deadline: r.Deadline.Add(-room.Base)}
 	wait := s.ahead(now, t) / (p.rate * p.left)
 	d := Decision{Action: Wait, Ticket: t, Share: p.share, Predicted: duration(p.delay+wait+work) + room.Base}
-	if !returned && p.delay+wait <= p.target && wait <= waitShare*p.target && d.Predicted < left {
+	if !returned && p.delay+wait <= p.target && wait <= waitShare*p.target*p.fullness && d.Predicted < left {
 		s.push(t, false)
 		return d
 	}
@@ -239,13 +247,12 @@
 		s.push(t, true)
 		return d
 	}
-	overload := s.demand.at(now)+room.PeerDemand > p.all
 	cause := CauseBacklog
 	if full {
 		cause = CauseUpstreams
 	}
 	s.limited = now
-	return Decision{Action: Refuse, Cause: cause, Share: p.share, Predicted: d.Predicted, RetryAfter: retryAfter(r.ID, left, p.delay+wait-calmShare*p.target, overload)}
+	return Decision{Action: Refuse, Cause: cause, Share: p.share, Predicted: d.Predicted, RetryAfter: retryAfter(r.ID, left, p.delay+wait-calmShare*p.target, p.overload)}
 }
 
 // latePredicted returns the expected time until a late request is answered.
@@ -261,6 +268,25 @@
 	return time.Duration(lateLeftShare * float64(left))
 }
 
+// fullness returns 1 if no upstream refused a request as full lately, and less the more did.
+// A request that waits and is then refused by an upstream costs its caller more than one that
+// is refused on arrival, so that less is sent and waits are shorter.
+func (s *service) fullness(now time.Time) float64 {
+	return min(1, s.full+fullIncrease*now.Sub(s.fullAt).Seconds())
+}
+
+// recordFull records that an upstream refused a request as full.
+func (s *service) recordFull(now time.Time) {
+	s.full, s.fullAt = fullDecrease*s.fullness(now), now
+}
+
+// Parameters of the reaction to full upstreams.
+const (
+	fullRate     = 0.8 // ratio of the rate while upstreams refuse many requests
+	fullDecrease = 0.9 // for each refusal
+	fullIncrease = 0.2 // per second
+)
+
 // Next decides on the waiting requests of a service. The returned tickets no longer wait.
 func (c *Controller) Next(now time.Time, service string, room Room) Grants {
 	s, ok := c.services[service]
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -129,6 +129,8 @@
 	pruned     time.Time                // time of the last removal of unused flows
 	lateTokens float64                  // the part of tokens for late requests
 	tokens     float64                  // work that may be sent at once although the backlog is long
+	full       float64                  // see fullness; applies to fullAt
+	fullAt     time.Time                // time of the last refusal by an upstream
 	took       float64                  // average time until answers began, in milliseconds
 	expected   float64                  // average of what was assumed for them
 	filled     time.Time                // time to which tokens applies
