--- a/admit/fleet_test.go
+++ b/admit/fleet_test.go
@@ -198,7 +198,7 @@
 	}
 	inFlight := n.placer.InFlight()
 	w, _ := n.admit.Waiting("s")
-	work := map[string]admit.Report{"s": {Outstanding: n.placer.Room(f.time(), "s").Own, Waiting: w, Demand: n.admit.Demand(f.time(), "s")}}
+	work := map[string]admit.Report{"s": {Outstanding: n.placer.Room(f.time(), sched.Query{Service: "s"}).Own, Waiting: w, Demand: n.admit.Demand(f.time(), "s")}}
 	for _, o := range f.nodes {
 		if o == n || f.noReports {
 			continue
@@ -276,7 +276,7 @@
 		c.send(pick)
 		return
 	}
-	room := n.placer.Room(now, "s")
+	room := n.placer.Room(now, sched.Query{Service: "s"})
 	work := n.placer.Work(pick)
 	if !ok && (room.Usable > 0 || room.InService <= float64(len(c.avoid))) {
 		c.refuse(300 * time.Millisecond)
@@ -320,7 +320,7 @@
 	if len(n.waiting) == 0 || n.down {
 		return
 	}
-	g := n.admit.Next(n.f.time(), "s", n.placer.Room(n.f.time(), "s"))
+	g := n.admit.Next(n.f.time(), "s", n.placer.Room(n.f.time(), sched.Query{Service: "s"}))
 	for _, t := range g.Started {
 		c := n.waiting[t]
 		delete(n.waiting, t)
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -142,8 +142,10 @@
 	m.PromptParts = n.placer.TakeCacheUpdates()
 	m.StoreOK, m.Extension.StoreFailing = n.mirror.Reachable() && n.mesh.IsPromptWatcher(), n.mirror.Failing()
 	n.rollouts.fill(m)
+	n.composeRates(m)
 	n.pendingUpdates.fill(now, m)
 	n.composeConvictions(now, m)
+	n.coldStarts.fill(clock.BootTime(), m)
 }
 
 // maxWeightsAges is the number of newest weights of a model whose ages are sent. Engines
@@ -170,6 +172,7 @@
 	n.placer.SetPeerInFlight(m.Name, m.InFlight)
 	n.placer.SetPeerWork(m.Name, peerWork(m.Work))
 	n.placer.ApplyCacheUpdates(m.PromptParts)
+	n.receiveRates(m)
 	n.quota.receive(now, m)
 	n.rollouts.receive(now, m)
 	for _, e := range m.Engines {
@@ -197,6 +200,7 @@
 		n.crash.Add(crash.Report{Request: crash.RequestKey{Workspace: c.Workspace, Fingerprint: c.Fingerprint}, Upstream: c.Upstream, Incarnation: c.Incarnation})
 	}
 	n.receiveParts(now, m)
+	n.coldStarts.receive(at, m)
 }
 
 // composeWork returns the work of this node as messages carry it. A node without requests
--- a/front/relay.go
+++ b/front/relay.go
@@ -13,6 +13,7 @@
 
 	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/conns"
+	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/sched"
 )
 
@@ -96,6 +97,7 @@
 		}
 		if inEvent {
 			h.firstByte(t, att)
+			h.Placer.Event(clock.BootTime(), att)
 			t.result.event(time.Now())
 			t.relay.count(block)
 			h.recordEvent(t)
--- a/front/serve.go
+++ b/front/serve.go
@@ -59,6 +59,7 @@
 			h.finishRefused(w, t, t.withExecution(final))
 			return
 		}
+		pick = h.checkLoads(ctx, t, pick)
 		t.result = h.newResult(t, pick)
 		ref := h.attempt(ctx, w, r, t, pick)
 		t.result.end(time.Now(), ref)
@@ -167,6 +168,7 @@
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, t *attempts, p sched.Pick) *vane.Refusal {
 	t.answering = false
 	q := t.placementQuery(nil)
+	q.Repeatable = t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && t.sends+1 < maxSends
 	att := h.Placer.Begin(clock.BootTime(), q, p)
 	h.waiting.begin(t)
 	defer func() {
@@ -183,7 +185,7 @@
 	t.resumedAfter = f.LastEventID
 	h.Log.Info("sent", "request_id", t.meta.ID, "route", t.route.Name, "workspace", t.tenancy.Workspace, "upstream", p.Upstream.Name,
 		"weights", p.Weights, "config", t.view.Config.Version, "price", p.Cost, "estimate_ms", p.Estimate.Milliseconds(),
-		"load_age_ms", min(p.LoadAge, time.Hour).Milliseconds(), "fetch", p.FetchFrom, "save", p.SaveTo != "", "missing", p.UncachedTokens,
+		"load_age_ms", min(p.LoadAge, time.Hour).Milliseconds(), "slowdown", p.Slowdown, "fetch", p.FetchFrom, "save", p.SaveTo != "", "missing", p.UncachedTokens,
 		"shared", p.SharedTokens, "stored", p.StoredTokens, "copies", p.Holders, "held", p.HoldsShared, "left_ms", f.TimeLimit.Milliseconds())
 	maxIdle := conns.DefaultMaxIdle
 	if t.route.Idempotent() {
@@ -264,6 +266,7 @@
 	if h.Placer.Observe(clock.BootTime(), p.Upstream.Name, m) {
 		h.WeightsChanged(p.Upstream.Name, m.Weights)
 	}
+	h.observeSpeed(t, att, resp, m)
 	h.observeWishes(t, p, resp, m)
 	if m.NotRun {
 		h.handleNotRun(t, p, resp, m)
@@ -319,6 +322,15 @@
 	return nil
 }
 
+// observeSpeed takes what a response states about the speed of its upstream's machine. A
+// response that is no answer does not show how long the work takes.
+func (h *Handler) observeSpeed(t *attempts, att *sched.Attempt, resp *conns.Response, m vane.ResponseMeta) {
+	t.result.slowdown = m.Load.Slowdown
+	if resp.Status >= http.StatusMultipleChoices {
+		h.Placer.SkipSample(att)
+	}
+}
+
 // relayRest relays the rest of a response that is too long to be held until its end.
 func (h *Handler) relayRest(ctx context.Context, w http.ResponseWriter, t *attempts, p sched.Pick, resp *conns.Response) *vane.Refusal {
 	t.begun = true
--- a/front/wait.go
+++ b/front/wait.go
@@ -47,15 +47,15 @@
 			t.assumed = 0
 			// The upstreams' work on this request must not be lost.
 			if !ok {
-				return pick, h.noUpstream(t)
+				return pick, h.noUpstream(t.request)
 			}
 			return pick, nil
 		}
-		room := h.Placer.Room(now, t.service)
+		room := h.Placer.Room(now, t.placementQuery(nil))
 		if !ok {
 			// An upstream is tried once, so that those that were tried are of no use.
 			if _, asked := h.Placer.RetryAfter(now, t.service); asked || room.Usable > 0 || room.InService <= float64(len(t.avoid)) {
-				return pick, h.noUpstream(t)
+				return pick, h.noUpstream(t.request)
 			}
 		}
 		room.Estimate = pick.Estimate
@@ -84,7 +84,7 @@
 // parts.
 func (h *Handler) work(pick sched.Pick, ok bool, room admit.Room, t *attempts) time.Duration {
 	if !ok {
-		pick.UncachedTokens = t.meta.PromptTokens
+		pick.UncachedTokens, pick.Upstream.Service = t.meta.PromptTokens, t.service
 		if room.Ordered {
 			pick.Upstream.Role = vane.RoleEngine
 		} else {
@@ -102,11 +102,6 @@
 	}
 }
 
-// noUpstream is the refusal if no upstream may get the request.
-func (h *Handler) noUpstream(t *attempts) *vane.Refusal {
-	return vane.Refuse(vane.ReasonNoUpstream, "no upstream of service %s accepts requests now", t.service).WithRetryAfter(h.retryAfter(t.service))
-}
-
 // notAdmitted is the refusal of a request for which there is no room.
 func (h *Handler) notAdmitted(t *attempts, r admit.Request, room admit.Room, d admit.Decision) *vane.Refusal {
 	h.Metrics.notAdmitted.WithLabelValues(t.service, d.Cause.String()).Inc()
@@ -138,7 +133,7 @@
 		h.Log.Info("not admitted", "request_id", t.meta.ID, "service", t.service, "workspace", t.tenancy.Workspace, "route", t.route.Name, "rank", d.Ticket.Rank,
 			"cause", v.cause.String(), "waited_ms", time.Since(begin).Milliseconds(), "predicted_ms", d.Predicted.Milliseconds(), "late", d.Ticket.Late())
 		if v.cause == admit.CauseNoneLeft {
-			return h.noUpstream(t)
+			return h.noUpstream(t.request)
 		}
 		return vane.Refuse(vane.ReasonQueueDeadline, "no upstream of service %s had room within the time limit", t.service).WithRetryAfter(v.retryAfter)
 	case <-ctx.Done():
@@ -168,7 +163,7 @@
 // those that can't be served any more.
 func (h *Handler) startWaiting(service string) {
 	if h.waiting.count.Load() > 0 {
-		h.waiting.next(service, h.Placer.Room(clock.BootTime(), service))
+		h.waiting.next(service, h.Placer.Room(clock.BootTime(), sched.Query{Service: service}))
 	}
 }
 
@@ -193,7 +188,7 @@
 	out := h.waiting.reports()
 	now := clock.BootTime()
 	for service, r := range out {
-		r.Outstanding = h.Placer.Room(now, service).Own
+		r.Outstanding = h.Placer.Room(now, sched.Query{Service: service}).Own
 		out[service] = r
 	}
 	return out
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -41,6 +41,8 @@
 	Import   func([]vane.Object)                         // applies the objects of a snapshot
 	Answer   func(now time.Time, question []byte) []byte // answers a question of another node without blocking; nil if it can't; optional
 	Log      *slog.Logger                                // takes the log lines of the mesh
+
+	Evacuations bool // this node follows evacuations, so that it is to be told of newer ones
 }
 
 // Peer is the known state of another node.
@@ -240,6 +242,15 @@
 	return sendPeriod(n) + 2*relayPeriod(n)
 }
 
+// MaxTransit returns the longest time that a message waits at relays, in a site with n other
+// nodes.
+func MaxTransit(n int) time.Duration {
+	if n <= maxSmallSite {
+		return 0
+	}
+	return 2 * relayPeriod(n)
+}
+
 // alive reports whether a message of the node arrived recently. The caller must hold
 // m.mu.
 func (m *Mesh) alive(p *Peer, now time.Time) bool {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -47,6 +47,10 @@
 	Convictions    []Conviction    `msgpack:"convictions,omitempty"`     // parts of prompts with which requests are refused
 	StoreFailing   bool            `msgpack:"store_failing,omitempty"`   // the store does not answer the node
 	Leaving        []UpstreamStart `msgpack:"leaving,omitempty"`         // upstreams that said that they are leaving
+	Rates          []ServiceRates  `msgpack:"rates,omitempty"`           // learned rates; nil in most messages
+	Evacuations    uint64          `msgpack:"evacuations,omitempty"`     // newest known version of any evacuation
+	NodesVersion   uint64          `msgpack:"nodes_version,omitempty"`   // version of the list of nodes by which the node decides which cold upstreams it owns; zero if there are none
+	Cold           []ColdReport    `msgpack:"cold,omitempty"`            // upstreams that are cold, or were found warm after a failure
 	Work           []ServiceWork   `msgpack:"work,omitempty"`            // work of the services with requests at the node; nil from nodes that do not report it
 }
 
@@ -58,12 +62,31 @@
 	Demand      float32 `msgpack:"d,omitempty"` // arriving work for each millisecond
 }
 
+// ServiceRates are the rates of the upstreams of a service that the sender has learned from
+// its own requests, as in package rates.
+type ServiceRates struct {
+	Service      string  `msgpack:"service"`
+	PrefillPerMS float64 `msgpack:"prefill_per_ms"`
+	BaseMS       float64 `msgpack:"base_ms"`
+	RunningMS    float64 `msgpack:"running_ms"`
+	WaitingMS    float64 `msgpack:"waiting_ms"`
+	WorkMS       float64 `msgpack:"work_ms"`
+	Samples      int     `msgpack:"samples"`
+}
+
 // UpstreamStart identifies one start of an upstream.
 type UpstreamStart struct {
 	Upstream    string `msgpack:"upstream"`
 	Incarnation uint64 `msgpack:"incarnation"`
 }
 
+// ColdReport tells how much longer an upstream stays cold.
+type ColdReport struct {
+	Upstream string `msgpack:"upstream"`
+	LeftMS   int64  `msgpack:"left_ms"` // remaining cold time in milliseconds; zero if the upstream is warm
+	AgeMS    int64  `msgpack:"age_ms"`  // time since the sender found this, in milliseconds
+}
+
 // WeightsAge tells how long ago weights were designated for a model.
 type WeightsAge struct {
 	Model   string `msgpack:"model"`
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -59,7 +59,7 @@
 	last := shared[len(shared)-1].ID
 	out := make(map[uint64]*partHolders)
 	for _, u := range p.byService[q.Service] {
-		if u.Role != vane.RoleEngine {
+		if u.Role != vane.RoleEngine || p.excludesDataCentre(q, u.DataCentre) {
 			continue
 		}
 		h, ok := out[u.Weights]
@@ -73,7 +73,7 @@
 				h.complete++
 			}
 		}
-		if a := rendezvousHash(last, u.Name); u.usable(now) && !f.excludes(u) && (reservedRank < 0 || q.short() == (u.rank <= reservedRank)) && (h.preferred == nil || a < h.lowest) {
+		if a := rendezvousHash(last, u.Name); u.usable(now) && !u.isCold(now) && !f.excludes(u) && (reservedRank < 0 || q.short() == (u.rank <= reservedRank)) && (h.preferred == nil || a < h.lowest) {
 			h.preferred, h.lowest = u, a
 		}
 	}
@@ -86,15 +86,14 @@
 	return out
 }
 
-// prefill estimates the computation of the prompt at u. It returns the milliseconds
-// until the prompt is computed, adds the costs of computing and copying parts to cost,
-// and fills the fields of c that concern caches. h says where the shared parts are; it
+// prefill estimates the computation of the prompt at u. It adds the costs of computing and
+// copying parts to cost, and fills the fields of c that concern caches. h says where the shared parts are; it
 // may be nil if the prompt has none.
-func (p *Placer) prefill(now time.Time, q Query, u *upstream, c *Pick, cost *float64, h *partHolders) float64 {
+func (p *Placer) prefill(now time.Time, q Query, u *upstream, c *Pick, cost *float64, h *partHolders) {
 	shared := q.Shared()
 	if len(shared) == 0 {
 		c.UncachedTokens = q.PromptTokens
-		return float64(c.UncachedTokens) / prefillTokensPerMS
+		return
 	}
 	sum := make([]float64, len(shared)+1) // sum[i] is the number of tokens of the first i parts
 	stored := 0                           // number of leading parts that the cache store holds
@@ -111,7 +110,7 @@
 	c.SharedTokens, c.StoredTokens, c.Holders, c.HoldsShared = int(tokens), int(sum[stored]), h.complete, own == len(shared)
 
 	src, found := h.source(u, now)
-	addr, up := p.cache.Addr()
+	addr, up := p.cacheStore(q)
 	storeMS := p.storeLink.waitMS(now)
 	fetched, ms := 0.0, 0.0 // tokens that can be fetched, and the milliseconds that it takes
 	switch {
@@ -134,5 +133,5 @@
 		*cost += recomputeTokenCost * (tokens - cached)
 	}
 	c.UncachedTokens = max(0, q.PromptTokens-int(cached))
-	return ms + float64(c.UncachedTokens)/prefillTokensPerMS
+	c.fetchMS = ms
 }
--- a/sched/light.go
+++ b/sched/light.go
@@ -56,12 +56,12 @@
 	p.shortRunning.advance(now)
 	usable, slots := 0, 0
 	for _, u := range p.byService[q.Service] {
-		if u.Role == vane.RoleEngine && u.usable(now) {
+		if u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
 			usable, slots = usable+1, slots+u.Slots
 		}
 	}
 	nodes := p.storeLink.nodes
-	if slots == 0 || p.longPrefill.perMS(now)*nodes < minLongShare*prefillTokensPerMS*float64(usable) {
+	if slots == 0 || p.longPrefill.perMS(now)*nodes < minLongShare*p.rates.Engine(q.Service).PrefillPerMS*float64(usable) {
 		return -1
 	}
 	each := reservedFill * float64(slots) / float64(usable)
@@ -72,7 +72,7 @@
 	}
 	rank := -1.0
 	for _, u := range p.byService[q.Service] {
-		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) {
+		if n > 0 && u.Role == vane.RoleEngine && u.usable(now) && !u.isCold(now) && !p.excludesDataCentre(q, u.DataCentre) {
 			rank, n = u.rank, n-1
 		}
 	}
--- a/sched/room.go
+++ b/sched/room.go
@@ -51,20 +51,25 @@
 	}
 }
 
-// Room returns what is known of the work and the upstreams of a service.
-func (p *Placer) Room(now time.Time, service string) admit.Room {
+// Room returns what is known of the work and the upstreams of the query's service. Only the
+// service and the regions of the query matter.
+func (p *Placer) Room(now time.Time, q Query) admit.Room {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := admit.Room{Nodes: max(1, len(p.view.Peers))}
 	var recent, load float64 // upstreams with recent load reports, and the work at them in milliseconds
 	plain := true
-	for _, u := range p.byService[service] {
-		own := u.ownWorkMS()
-		r.Own += milliseconds(own)
-		if !u.inService(now) {
+	v := p.speed(q.Service)
+	for _, u := range p.byService[q.Service] {
+		r.Own += milliseconds(v.ownMS(u))
+		if !u.inService(now) || p.excludesDataCentre(q, u.DataCentre) {
 			continue
 		}
-		r.InService++
+		if u.isCold(now) {
+			r.InService += coldCapacity
+		} else {
+			r.InService += 1 / max(1, v.factor(now, u))
+		}
 		if u.usable(now) {
 			r.Usable++
 		}
@@ -73,15 +78,15 @@
 		}
 		if now.Sub(u.loadAt) < recentLoad {
 			recent++
-			load += u.reportedWorkMS()
+			load += v.reportedMS(u)
 		}
 	}
-	r.Base, r.Parallel = milliseconds(plainRequestMS), milliseconds(plainRequestMS)
+	r.Base, r.Parallel = milliseconds(v.WorkMS), milliseconds(v.WorkMS)
 	if !plain {
-		r.Base, r.Parallel = milliseconds(idleEngineMS), 0 // prompts are computed one after the other
+		r.Base, r.Parallel = milliseconds(v.BaseMS), 0 // prompts are computed one after the other
 	}
 	r.Ordered = !plain
-	total := p.workTotals[service]
+	total := p.workTotals[q.Service]
 	r.Peers, r.Waiting, r.PeerDemand = total.Outstanding, total.Waiting, total.Demand
 	r.Reporting = len(p.peerWork)
 	if recent > 0 && recent >= minRecentLoads*r.InService {
@@ -95,30 +100,37 @@
 	return r
 }
 
+// coldCapacity is the capacity of a cold upstream in relation to others. It tolerates a few
+// requests a second only.
+const coldCapacity = 0.1
+
 // Work estimates the time for which a request occupies the picked upstream: the computation
 // of the prompt, or the service time divided by the requests that a plain service runs at
 // once.
 func (p *Placer) Work(c Pick) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.speed(c.Upstream.Service)
 	if c.Upstream.Role == vane.RoleEngine {
-		return milliseconds(float64(c.UncachedTokens) / prefillTokensPerMS)
+		return milliseconds(float64(c.UncachedTokens) / v.PrefillPerMS)
 	}
-	return milliseconds(plainRequestMS / float64(max(1, c.Upstream.Slots)))
+	return milliseconds(v.WorkMS / float64(max(1, c.Upstream.Slots)))
 }
 
-// ownWorkMS returns the work of this node's requests that wait for their answers.
-func (u *upstream) ownWorkMS() float64 {
+// ownMS returns the milliseconds of work of this node's requests that wait for their answers.
+func (v speed) ownMS(u *upstream) float64 {
 	if u.Role == vane.RoleEngine {
-		return float64(u.pending) / prefillTokensPerMS
+		return float64(u.pending) / v.PrefillPerMS
 	}
-	return float64(u.inFlight) * plainRequestMS / float64(max(1, u.Slots))
+	return float64(u.inFlight) * v.WorkMS / float64(max(1, u.Slots))
 }
 
-// reportedWorkMS returns the work that the last load report tells of.
-func (u *upstream) reportedWorkMS() float64 {
+// reportedMS returns the milliseconds of work that the last load report tells of.
+func (v speed) reportedMS(u *upstream) float64 {
 	if u.Role == vane.RoleEngine {
-		return float64(u.load.Waiting) * waitingRequestMS
+		return float64(u.load.Waiting) * v.WaitingMS
 	}
-	return float64(u.load.Running+u.load.Waiting) * plainRequestMS / float64(max(1, u.Slots))
+	return float64(u.load.Running+u.load.Waiting) * v.WorkMS / float64(max(1, u.Slots))
 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/sched/room_test.go
+++ b/sched/room_test.go
@@ -26,7 +26,7 @@
 	p.SetPeerWork("n2", map[string]admit.Report{"llm": {Outstanding: time.Second, Demand: 1}, "other": {Demand: 7}})
 	p.MarkFull(begin, "e00")
 	p.RecordFailure(begin, "e01")
-	r := p.Room(begin, "llm")
+	r := p.Room(begin, sched.Query{Service: "llm"})
 	is.Equal(r.InService, 3.0)
 	is.Equal(r.Usable, 2)
 	is.Equal(r.Own, 100*time.Millisecond)
@@ -37,7 +37,7 @@
 	p.FirstByte(begin, a)
 	p.KeepPeersWork(func(node string) bool { return node == "n2" })
 	p.SetPeerWork("n2", map[string]admit.Report{"llm": {Outstanding: time.Minute, Demand: 4}})
-	r = p.Room(begin, "llm")
+	r = p.Room(begin, sched.Query{Service: "llm"})
 	is.Equal(r.Own, time.Duration(0))
 	is.Equal(r.Peers, time.Minute)
 	is.Equal(r.PeerDemand, 4.0)
@@ -51,8 +51,8 @@
 	for _, name := range []string{"e00", "e01", "e02"} {
 		p.Observe(begin, name, vane.ResponseMeta{HasLoad: true, Load: vane.Load{Running: 64, Waiting: 20}})
 	}
-	is.True(p.Room(begin, "llm").Peers > time.Second)
-	is.Equal(p.Room(begin.Add(time.Second), "llm").Peers, time.Duration(0)) // the reports are too old
+	is.True(p.Room(begin, sched.Query{Service: "llm"}).Peers > time.Second)
+	is.Equal(p.Room(begin.Add(time.Second), sched.Query{Service: "llm"}).Peers, time.Duration(0)) // the reports are too old
 }
 
 // BenchmarkRoom measures what the snapshot adds to each request of a large site.
@@ -61,6 +61,6 @@
 	p.Update(view(60, same(1)))
 	b.ReportAllocs()
 	for b.Loop() {
-		p.Room(begin, "llm")
+		p.Room(begin, sched.Query{Service: "llm"})
 	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -7,23 +7,34 @@
 	"sync"
 	"time"
 
+	vane "mustardvane.org/vane"
 	"mustardvane.org/vane/admit"
 	"mustardvane.org/vane/mirror"
+	"mustardvane.org/vane/rates"
 )
 
 // Attempt is a request that was sent to an upstream. It is created by [Placer.Begin] and
 // passed to the methods that report its progress.
 type Attempt struct {
-	id       string // ID of the request
-	name     string // name of the upstream
-	model    string
-	weights  uint64    // number of the engine's weights when the request was sent; zero for plain services
-	short    bool      // the prompt is short
-	tokens   int       // prompt tokens still to be computed
-	sent     time.Time // time at which the request was sent
-	started  bool      // the first bytes of the answer have arrived
-	ended    bool      // End was called
-	withdraw func()    // set by OnExpire; nil if there is none
+	id      string // ID of the request
+	name    string // name of the upstream
+	model   string
+	weights uint64    // number of the engine's weights when the request was sent; zero for plain services
+	short   bool      // the prompt is short
+	tokens  int       // prompt tokens still to be computed
+	sent    time.Time // time at which the request was sent
+	heard   time.Time // time of the last event of the answer; zero unless the answer is a stream that has begun
+	started bool      // the first bytes of the answer have arrived
+	ended   bool      // End was called
+	service string
+	sample  rates.Sample // what is known about the time to the first token when the request is sent
+
+	estimate, objective time.Duration // of the time to the first token
+	fetchMS             float64       // part of the estimate for fetching parts, in milliseconds
+	checked             bool          // the upstream was asked for its load just before
+	unmeasured          bool          // the attempt does not count for the rates
+	repeatable          bool          // the request may be sent to another upstream
+	withdraw            func()        // set by OnExpire; nil if there is none
 }
 
 // Placer chooses upstreams. It is safe for concurrent use. The times that its methods
@@ -33,6 +44,9 @@
 	dataCentre   string
 	weightsLimit time.Duration // time from the announcement of new weights until engines with older ones get no requests
 	cache        StoreIndex
+	cold         ColdLimiter       // nil if there is none
+	regions      map[string]string // region by data centre
+	stall        stall
 
 	mu           sync.Mutex
 	view         *mirror.View
@@ -50,6 +64,10 @@
 	prefillRate  tokenRate      // rate of the uncached prompt tokens of all requests of this node
 	longPrefill  tokenRate      // rate of the uncached prompt tokens of the requests whose prompts are not short
 	shortRunning runningAverage // running requests of this node with short prompts
+	rates        *rates.Estimator
+	ratesTaken   time.Time // time of the last TakeRates that returned any
+	loadChecks   loadChecks
+	metrics      *Metrics
 }
 
 // StoreIndex tells what the cache store holds. Its methods are called with the placer
@@ -72,7 +90,7 @@
 func New(dataCentre string, c StoreIndex, opts ...Option) *Placer {
 	p := &Placer{
 		dataCentre: dataCentre, weightsLimit: defaultWeightsLimit, cache: c, view: &mirror.View{}, upstreams: make(map[string]*upstream),
-		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), peerWork: make(map[string]map[string]admit.Report), workTotals: make(map[string]admit.Report), saves: newSaveLog(), updates: make(map[string][]uint64),
+		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]map[string]int), peerTotals: make(map[string]int), peerWork: make(map[string]map[string]admit.Report), workTotals: make(map[string]admit.Report), saves: newSaveLog(), updates: make(map[string][]uint64), rates: rates.New(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -103,18 +121,35 @@
 		s.update(u)
 		p.byService[u.Service] = append(p.byService[u.Service], s)
 	}
+	p.rates.Keep(p.knowsService)
+	p.configureCold()
 	for _, l := range p.byService {
 		slices.SortFunc(l, func(a, b *upstream) int { return cmp.Compare(a.rank, b.rank) })
 	}
 }
 
+// knowsService reports whether a service has upstreams or is configured. The caller must
+// hold p.mu.
+func (p *Placer) knowsService(name string) bool {
+	if len(p.byService[name]) > 0 || p.view.Config == nil {
+		return true
+	}
+	_, ok := p.view.Config.Service(name)
+	return ok
+}
+
 // Begin records that a request is sent to the picked upstream. The caller must pass the
 // returned attempt to [Placer.End] when the exchange is over.
 func (p *Placer) Begin(now time.Time, q Query, c Pick) *Attempt {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prefillRate.add(now, c.UncachedTokens)
-	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now}
+	t := &Attempt{id: q.ID, name: c.Upstream.Name, model: q.Model, weights: c.Weights, short: q.short(), tokens: c.UncachedTokens, sent: now, service: q.Service, estimate: c.Estimate, objective: q.Objective, fetchMS: c.fetchMS, repeatable: q.Repeatable}
+	if t.objective <= 0 {
+		t.objective = defaultObjective
+	}
+	// The computed tokens of a prompt of unknown length are unknown too.
+	t.unmeasured = c.Upstream.Role == vane.RoleEngine && q.PromptTokens == 0
 	if t.short {
 		p.shortRunning.add(now, 1)
 	} else {
@@ -124,6 +159,8 @@
 		p.waiting[t] = struct{}{}
 	}
 	if u, ok := p.upstreams[t.name]; ok {
+		t.checked = now.Sub(u.loadAt) <= maxCheckedAge
+		t.sample = newSample(q, c, u.ahead(now, p.peerInFlight(u.Name)))
 		u.begin(t)
 		p.recordParts(u, q, c)
 		if c.fetchesFromStore {
@@ -144,11 +181,24 @@
 	defer p.mu.Unlock()
 	if u, ok := p.upstreams[t.name]; ok && !t.started {
 		u.firstByte(now, t)
+		p.learn(now, u, t)
 	}
 	t.started = true
 	delete(p.waiting, t)
 }
 
+// Event records that an event of a stream arrived. [Placer.FirstByte] must have been called
+// for the attempt.
+func (p *Placer) Event(now time.Time, t *Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.heard = now
+	if u, ok := p.upstreams[t.name]; ok && !t.ended {
+		u.respondedAt = now
+		u.streams[t] = struct{}{}
+	}
+}
+
 // End records the end of an attempt, successful or not. Further calls for the same
 // attempt have no effect.
 func (p *Placer) End(now time.Time, t *Attempt) {
@@ -188,9 +238,10 @@
 }
 
 // KeepPeersInFlight removes the nodes for which keep returns false, such as those that are
-// down, from the requests in flight.
+// down, from the requests in flight and from the learned rates.
 func (p *Placer) KeepPeersInFlight(keep func(node string) bool) {
 	p.mu.Lock()
+	p.rates.KeepPeers(keep)
 	var gone []string
 	for node := range p.peers {
 		if !keep(node) {
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -26,9 +26,12 @@
 	inFlight    int                   // number of requests that this node has in flight
 	pending     int                   // uncached tokens of this node's requests without a first byte
 	waiting     map[*Attempt]struct{} // this node's requests without a first byte
+	streams     map[*Attempt]struct{} // this node's requests whose answers are streams that have begun
 	load        vane.Load             // last load report
 	loadAt      time.Time             // time of the last load report
+	uncheckedTo time.Time             // the upstream is not asked for its load until then
 	respondedAt time.Time             // time of the last bytes of an answer
+	checkAfter  time.Time             // time before which the upstream is not checked again for being silent
 
 	loadingUntil time.Time     // end of the time during which the engine loads weights
 	ejectedUntil time.Time     // end of the last ejection
@@ -36,6 +39,7 @@
 	fullUntil    time.Time     // end of the pause after a refusal for lack of capacity
 	leaving      bool          // the upstream said that it is leaving
 	refusal      refusal       // the upstream asked for no requests
+	cold         coldState
 }
 
 // update replaces the upstream's entry from the view. Entries are delayed, so that an
@@ -79,31 +83,10 @@
 	return u.ejection > 0 && now.Before(u.ejectedUntil.Add(probation))
 }
 
-// queueMS estimates the milliseconds until a new request begins. peers is the number of
-// requests that the other nodes have in flight here.
-func (u *upstream) queueMS(now time.Time, peers int) float64 {
-	own := u.inFlight + peers
-	if u.Role == vane.RoleEngine {
-		var l vane.Load
-		if now.Sub(u.loadAt) < loadTTL {
-			l = u.load
-		}
-		busy := max(own, l.Running+l.Waiting)
-		return float64(u.pending)/prefillTokensPerMS + runningRequestMS*float64(busy) + waitingRequestMS*float64(l.Waiting) + float64(peers)*peerPrefillMS
-	}
-	return plainRequestMS * float64(own) / float64(max(1, u.Slots)) * float64(1+own/max(1, u.Slots))
-}
-
-// Estimates of queueing times.
-const (
-	peerPrefillMS  = 8.0  // mean remaining prefill time of a request of another node; most have their first token already
-	plainRequestMS = 30.0 // service time of a request to a plain service
-)
-
 // begin adds an attempt.
 func (u *upstream) begin(t *Attempt) {
 	if u.waiting == nil {
-		u.waiting = make(map[*Attempt]struct{})
+		u.waiting, u.streams = make(map[*Attempt]struct{}), make(map[*Attempt]struct{})
 	}
 	u.inFlight++
 	u.pending += t.tokens
@@ -123,6 +106,7 @@
 	u.inFlight = max(0, u.inFlight-1)
 	u.pending = max(0, u.pending-t.tokens)
 	delete(u.waiting, t)
+	delete(u.streams, t)
 }
 
 // responded records that the upstream sent something. After the probation it resets the
@@ -148,17 +132,3 @@
 	u.ejectedUntil = now.Add(u.ejection)
 	return u.ejection
 }
-
-// silent reports whether an attempt has been waiting for longer than limit while the
-// upstream sent nothing for at least as long.
-func (u *upstream) silent(now time.Time, limit time.Duration) bool {
-	if now.Sub(u.respondedAt) < limit {
-		return false
-	}
-	for t := range u.waiting {
-		if now.Sub(t.sent) > limit {
-			return true
-		}
-	}
-	return false
-}
