admit: services whose work alone takes longer than the objective

Such a service on one slot refused requests that it could answer within half of their limits, since late requests were given a tenth of the rate although none are in time.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -136,6 +136,7 @@
 	left     float64 // part of the rate that more urgent requests leave
 	overload bool    // more work arrives than the upstreams do
 	fullness float64 // see service.fullness; 1 without overload
+	spare    float64 // part of the rate that late requests get; all if the upstreams can't answer any in time
 	reserve  float64 // tokens that are kept for more urgent requests
 }
 
@@ -150,13 +151,16 @@
 	}
 	k := s.correction()
 	p := plan{share: s.share(now, room), all: room.InService / k, fullness: 1}
-	p.target = max(onTimeFill*ms(objective)-k*ms(room.Base), minPlanShare*ms(objective))
+	p.target = max(onTimeFill*ms(objective)-k*ms(room.Base), minPlanShare*ms(objective), k*ms(room.Parallel))
 	own := ms(room.Own) + s.granted
 	peers := ms(room.Peers) + silentWeight*own*room.silent()
 	p.delay = (1-ownWeight)*(own+peers)/p.all + ownWeight*own/(p.all*p.share)
 	p.delay = max(0, p.delay-k*ms(room.Parallel))
 	p.limited = p.delay > calmShare*p.target || now.Sub(s.limited) < limitedTime
 	p.rate = p.all * p.share * p.drain()
+	if p.spare = lateShare; k*ms(room.Base) >= ms(objective) {
+		p.spare = 1
+	}
 	if s.demand.at(now)+room.PeerDemand > p.all {
 		p.overload, p.fullness = true, s.fullness(now)
 		p.rate *= fullRate + (1-fullRate)*p.fullness
@@ -257,7 +261,7 @@
 
 // latePredicted returns the expected time until a late request is answered.
 func (s *service) latePredicted(p plan, t *Ticket, room Room) time.Duration {
-	return duration(p.delay+(s.lateAhead(t)+t.work)/(lateShare*p.rate*p.left)) + room.Base
+	return duration(p.delay+(s.lateAhead(t)+t.work)/(p.spare*p.rate*p.left)) + room.Base
 }
 
 // lateWithin returns the time within which a late request must be expected to be answered.
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -145,3 +145,16 @@
 		c.Offer(now, request("id", now), idle)
 	}
 }
+
+// Requests whose work alone takes longer than their objective are late in any case. Those
+// that a queue of one more can serve must not be refused for it.
+func TestWorkLongerThanTheObjective(t *testing.T) {
+	is := is.New(t)
+	c := admit.New()
+	r := request("1", start)
+	r.Work, r.Objective, r.Deadline = time.Second, 500*time.Millisecond, start.Add(12*time.Second)
+	room := admit.Room{InService: 1, Usable: 1, Nodes: 1, Own: 2 * time.Second, Base: time.Second, Parallel: time.Second}
+	is.Equal(c.Offer(start, r, room).Action, admit.Send)
+	room.Own = 3 * time.Second
+	is.True(c.Offer(start, r, room).Action != admit.Refuse)
+}
