--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/admit"
 	"mustardvane.org/vane/crash"
 	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/mesh"
@@ -128,6 +130,7 @@
 	m.Ready, m.Leaving = n.isReady(), n.isLeaving()
 	m.InFlight = n.placer.InFlight()
 	m.Extension.Prefill = n.placer.Prefill()
+	m.Work = composeWork(n.handler.Work())
 	m.QuotaSpent, m.QuotaLevels = n.quota.publish(now)
 	if n.mesh.IsPromptWatcher() {
 		m.WeightsAges = n.weightsAges()
@@ -172,6 +175,7 @@
 func (n *Node) receive(now time.Time, m *mesh.Message) {
 	at := clock.BootTime() // the clock of the placer
 	n.placer.SetPeerLoad(at, m.Name, m.InFlight, m.Extension.Prefill)
+	n.placer.SetPeerWork(m.Name, peerWork(m.Work))
 	n.placer.ApplyCacheUpdates(m.PromptParts)
 	n.receiveRates(m)
 	n.quota.receive(now, m)
@@ -204,6 +208,33 @@
 	n.coldStarts.receive(at, m)
 }
 
+// composeWork returns the work of this node as messages carry it. A node without requests
+// sends an entry without a service, since others take a node that sends none for one of an
+// older build, of whose work they know nothing.
+func composeWork(work map[string]admit.Report) []mesh.ServiceWork {
+	if len(work) == 0 {
+		return []mesh.ServiceWork{{}}
+	}
+	out := make([]mesh.ServiceWork, 0, len(work))
+	for service, w := range work {
+		out = append(out, mesh.ServiceWork{Service: service, Outstanding: w.Outstanding.Milliseconds(), Waiting: w.Waiting.Milliseconds(), Demand: float32(w.Demand)})
+	}
+	return out
+}
+
+// peerWork returns the work that another node reports, by service. Values that can't be true are
+// left out.
+func peerWork(l []mesh.ServiceWork) map[string]admit.Report {
+	out := make(map[string]admit.Report, len(l))
+	for _, w := range l {
+		if w.Outstanding < 0 || w.Waiting < 0 || !(w.Demand >= 0 && w.Demand <= math.MaxInt32) {
+			continue
+		}
+		out[w.Service] = admit.Report{Outstanding: time.Duration(w.Outstanding) * time.Millisecond, Waiting: time.Duration(w.Waiting) * time.Millisecond, Demand: float64(w.Demand)}
+	}
+	return out
+}
+
 // wantsLease reports whether this node should hold the lease on weight orders. The
 // current holder keeps it; otherwise it goes to the first node by name that reaches the
 // store.
--- a/edge/node.go
+++ b/edge/node.go
@@ -379,6 +379,7 @@
 // forgetDeadPeers drops the requests in flight of nodes that are down.
 func (n *Node) forgetDeadPeers() {
 	n.placer.KeepPeersInFlight(n.mesh.IsAlive)
+	n.placer.KeepPeersWork(n.mesh.IsAlive)
 }
 
 // checkSilent asks an engine that keeps requests waiting for its load. The upstream is set
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -16,6 +16,9 @@
 	responseSeconds   *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
 	pauseSeconds      *prometheus.HistogramVec
+	waiting           *prometheus.GaugeVec
+	notAdmitted       *prometheus.CounterVec
+	waitSeconds       *prometheus.HistogramVec
 	loadChecks        *prometheus.CounterVec
 }
 
@@ -45,12 +48,25 @@
 			Help:    "Longest time between two events of whole streams, by route.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"route"}),
+		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "vane_front_waiting",
+			Help: "Requests that wait at the node for upstreams, by service.",
+		}, []string{"service"}),
+		notAdmitted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vane_front_not_admitted_total",
+			Help: "Requests refused for want of room at the upstreams, by service and cause.",
+		}, []string{"service", "cause"}),
+		waitSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "vane_front_wait_seconds",
+			Help:    "Time that requests waited at the node until they were sent or refused, by service.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
+		}, []string{"service"}),
 	}
 	m.loadChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "vane_front_load_checks_total",
 		Help: "Upstreams that were asked for their load before a request was sent, by result.",
 	}, []string{"result"})
-	r.MustRegister(m.refusals, m.answers, m.responseSeconds, m.firstEventSeconds, m.pauseSeconds, m.loadChecks)
+	r.MustRegister(m.refusals, m.answers, m.responseSeconds, m.firstEventSeconds, m.pauseSeconds, m.loadChecks, m.waiting, m.notAdmitted, m.waitSeconds)
 	return m
 }
 
--- a/front/relay.go
+++ b/front/relay.go
@@ -96,9 +96,8 @@
 			t.relay = startRelay(w, resp)
 		}
 		if inEvent {
-			now := clock.BootTime()
-			h.Placer.FirstByte(now, att)
-			h.Placer.Event(now, att)
+			h.firstByte(t, att)
+			h.Placer.Event(clock.BootTime(), att)
 			t.result.event(time.Now())
 			t.relay.count(block)
 			h.recordEvent(t)
--- a/front/serve.go
+++ b/front/serve.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/admit"
 	"mustardvane.org/vane/conns"
 	"mustardvane.org/vane/internal/clock"
 	"mustardvane.org/vane/sched"
@@ -41,7 +42,10 @@
 	answering    bool     // the upstream of the current attempt has begun to answer
 	relay        *relay   // nil until the headers of a stream have been sent to the caller
 	lastRefusal  *vane.Refusal
-	result       *result // of the present attempt
+	result       *result       // of the present attempt
+	sentAt       time.Time     // time at which the present attempt was sent
+	assumed      time.Duration // what package admit assumes for the time until its answer; zero if it was not asked
+	ticket       *admit.Ticket // of the wait for the present attempt; nil if it did not wait
 }
 
 // serve sends the request to one upstream after another until a response is relayed
@@ -50,9 +54,9 @@
 	t := &attempts{request: c}
 	h.RetryBudget(c.service).CountRequest(c.start)
 	for {
-		pick, ok := h.Placer.Pick(clock.BootTime(), c.placementQuery(t.avoid))
-		if !ok {
-			h.finishRefused(w, t, t.withExecution(h.noUpstream(c)))
+		pick, final := h.place(ctx, t)
+		if final != nil {
+			h.finishRefused(w, t, t.withExecution(final))
 			return
 		}
 		pick = h.checkLoads(ctx, t, pick)
@@ -166,7 +170,11 @@
 	q := t.placementQuery(nil)
 	q.Repeatable = t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && t.sends+1 < maxSends
 	att := h.Placer.Begin(clock.BootTime(), q, p)
-	defer func() { h.Placer.End(clock.BootTime(), att) }()
+	h.waiting.begin(t)
+	defer func() {
+		h.Placer.End(clock.BootTime(), att)
+		h.startWaiting(t.service)
+	}()
 	f := vane.Forward{
 		Workspace: t.tenancy.Workspace, TimeLimit: time.Until(t.deadline), Upstream: p.Upstream.Name, Weights: p.Weights,
 		Priority: t.priority(), CacheSalt: p.Salt, FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, LastEventID: t.meta.LastEventID,
@@ -282,7 +290,7 @@
 			return h.responseBroken(ctx, t, p, resp, err)
 		}
 	}
-	h.Placer.FirstByte(clock.BootTime(), att)
+	h.firstByte(t, att)
 	if resp.Status >= http.StatusInternalServerError && t.route.Idempotent() && t.mayHaveRun+1 < t.route.MaxAttempts && h.RetryBudget(t.service).Take(time.Now()) {
 		t.retryPaid = true
 		return vane.Refuse(vane.ReasonUpstreamFailed, "upstream %s responded with status %d", p.Upstream.Name, resp.Status).WithExecution(vane.Ran)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -53,6 +53,15 @@
 	NodesVersion   uint64          `msgpack:"nodes_version,omitempty"`   // version of the list of nodes by which the node decides which cold upstreams it owns; zero if there are none
 	WallMS         int64           `msgpack:"wall_ms,omitempty"`         // wall time of the sender in Unix milliseconds; zero if the build does not tell it
 	Cold           []ColdReport    `msgpack:"cold,omitempty"`            // upstreams that are cold, or were found warm after a failure
+	Work           []ServiceWork   `msgpack:"work,omitempty"`            // work of the services with requests at the node; nil from nodes that do not report it
+}
+
+// ServiceWork tells about the work of a node for a service, in milliseconds of one upstream.
+type ServiceWork struct {
+	Service     string  `msgpack:"s"`
+	Outstanding int64   `msgpack:"o,omitempty"` // work of sent requests that have not been answered
+	Waiting     int64   `msgpack:"w,omitempty"` // work of requests that wait at the node
+	Demand      float32 `msgpack:"d,omitempty"` // arriving work for each millisecond
 }
 
 // ServiceRates are the rates of the upstreams of a service that the sender has learned from
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -8,6 +8,7 @@
 	"time"
 
 	vane "mustardvane.org/vane"
+	"mustardvane.org/vane/admit"
 	"mustardvane.org/vane/mirror"
 	"mustardvane.org/vane/rates"
 )
@@ -49,12 +50,14 @@
 
 	mu          sync.Mutex
 	view        *mirror.View
-	upstreams   map[string]*upstream    // upstreams by name
-	byService   map[string][]*upstream  // upstreams by service, sorted by rank
-	waiting     map[*Attempt]struct{}   // requests at engines without a first byte, also at engines whose entries are gone
-	peers       map[string]peerLoad     // what other nodes told of their requests, by node
-	peerTotals  map[string]peerTotal    // sums of peers by upstream
-	releases    map[string]ReleaseShare // limits by service
+	upstreams   map[string]*upstream               // upstreams by name
+	byService   map[string][]*upstream             // upstreams by service, sorted by rank
+	waiting     map[*Attempt]struct{}              // requests at engines without a first byte, also at engines whose entries are gone
+	peers       map[string]peerLoad                // what other nodes told of their requests, by node
+	peerTotals  map[string]peerTotal               // sums of peers by upstream
+	peerWork    map[string]map[string]admit.Report // work by node and service
+	workTotals  map[string]admit.Report            // sums of peerWork by service
+	releases    map[string]ReleaseShare            // limits by service
 	saves       *saveLog
 	updates     map[string][]uint64 // packed parts that were sent to engines since the last TakeCacheUpdates, by engine name
 	storeLink   storeLink
@@ -88,7 +91,7 @@
 func New(dataCentre string, c StoreIndex, opts ...Option) *Placer {
 	p := &Placer{
 		dataCentre: dataCentre, weightsLimit: defaultWeightsLimit, cache: c, view: &mirror.View{}, upstreams: make(map[string]*upstream),
-		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]peerLoad), peerTotals: make(map[string]peerTotal), telling: make(map[string]struct{}), mixes: make(map[string]*mix),
+		byService: make(map[string][]*upstream), waiting: make(map[*Attempt]struct{}), peers: make(map[string]peerLoad), peerTotals: make(map[string]peerTotal), telling: make(map[string]struct{}), mixes: make(map[string]*mix), peerWork: make(map[string]map[string]admit.Report), workTotals: make(map[string]admit.Report),
 		saves: newSaveLog(), updates: make(map[string][]uint64), rates: rates.New(),
 	}
 	for _, o := range opts {
