vanectl, lint: check a fleet configuration before it is applied

Operators learned only after apply that an entry had no effect: a shadowed route, a workspace without a key, a burst below what one request may need. Two workspaces could hold the same key in other letter case, and nodes gave it to the last one without a message.

An invalid file is reported with its first error only.

--- a/cmd/vanectl/main.go
+++ b/cmd/vanectl/main.go
@@ -3,7 +3,7 @@
 //
 // Exit codes: 0 for success; 1 if the command failed, for example because a
 // configuration was refused or is not in force, or a node did not answer; 2 for a
-// wrong command line.
+// wrong command line, or for warnings of check --strict.
 package main
 
 import (
@@ -54,7 +54,7 @@
 			&cli.StringSliceFlag{Name: "nodes", Usage: "admin `ADDRESSES` of nodes", Sources: cli.EnvVars("VANE_NODES")},
 		},
 		Commands: []*cli.Command{
-			applyCommand(), getCommand(), statusCommand(), entriesCommand(), timelineCommand(), whyCommand(), movesCommand(), targetsCommand(), keyCommand(),
+			applyCommand(), checkCommand(), getCommand(), statusCommand(), entriesCommand(), timelineCommand(), whyCommand(), movesCommand(), targetsCommand(), keyCommand(),
 		},
 	}
 }
