--- a/admit/enums_string.go
+++ b/admit/enums_string.go
@@ -18,10 +18,11 @@
 var _Action_index = [...]uint8{0, 4, 8, 14}
 
 func (i Action) String() string {
-	if i < 0 || i >= Action(len(_Action_index)-1) {
+	idx := int(i) - 0
+	if i < 0 || idx >= len(_Action_index)-1 {
 		return "Action(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
-	return _Action_name[_Action_index[i]:_Action_index[i+1]]
+	return _Action_name[_Action_index[idx]:_Action_index[idx+1]]
 }
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
@@ -39,8 +40,9 @@
 var _Cause_index = [...]uint8{0, 4, 15, 22, 36, 44}
 
 func (i Cause) String() string {
-	if i < 0 || i >= Cause(len(_Cause_index)-1) {
+	idx := int(i) - 0
+	if i < 0 || idx >= len(_Cause_index)-1 {
 		return "Cause(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
-	return _Cause_name[_Cause_index[i]:_Cause_index[i+1]]
+	return _Cause_name[_Cause_index[idx]:_Cause_index[idx+1]]
 }
