admit: compute the mean of the flows once per decision

The mean is now computed once per decision, and flows beyond maxFlows share one, so that the number of flows is bounded.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -216,6 +216,7 @@
 // Offer decides on a request that arrived or that an upstream refused as full.
 func (c *Controller) Offer(now time.Time, r Request, room Room) Decision {
 	s := c.service(r.Service)
+	s.meanKnown = false
 	work := ms(r.Work)
 	if !r.Again {
 		s.demand.add(now, work)
@@ -298,6 +299,7 @@
 		return Grants{}
 	}
 	var g Grants
+	s.meanKnown = false
 	s.expire(now, room, &g)
 	if room.Usable == 0 || room.InService <= 0 {
 		return g
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -32,6 +32,7 @@
 // flowKey identifies the requests that share a turn.
 type flowKey struct {
 	workspace, kind string
+	shared          bool // the flow of all requests beyond maxFlows
 }
 
 // flow is the requests of one kind and workspace.
@@ -49,11 +50,14 @@
 // weight returns the usual work of the flow per millisecond, at least half of the mean of
 // all flows.
 func (s *service) weight(now time.Time, f *flow) float64 {
-	mean := 0.0
-	for _, g := range s.flows {
-		mean += g.usualAt(now)
+	if !s.meanKnown {
+		sum := 0.0
+		for _, g := range s.flows {
+			sum += g.usualAt(now)
+		}
+		s.mean, s.meanKnown = sum/float64(len(s.flows)), true
 	}
-	return max(f.usualAt(now), mean/float64(len(s.flows))/2, minDemand)
+	return max(f.usualAt(now), s.mean/2, minDemand)
 }
 
 // usualAt returns the usual work of the flow. The average is corrected for its short
@@ -121,6 +125,8 @@
 	demand     average          // arriving work
 	demands    map[int]*average // arriving work by rank
 	flows      map[flowKey]*flow
+	mean       float64                  // mean of the usual work of all flows at the decision
+	meanKnown  bool                     // mean was computed in this decision
 	limits     map[string]time.Duration // longest recent time limit by kind
 	ranks      []rank                   // sorted by rank
 	waiting    int                      // number of waiting requests
@@ -148,13 +154,19 @@
 	return &service{demands: make(map[int]*average), flows: make(map[flowKey]*flow), limits: make(map[string]time.Duration)}
 }
 
-// maxFlows bounds the memory of flows. Unused ones are removed from this number on.
+// maxFlows is the largest number of flows of a service with a turn of their own; all others
+// share one. It bounds the time of a decision, which takes the mean of all flows, and the
+// memory.
 const maxFlows = 256
 
 // flow returns the flow of a request, and counts the request unless an upstream refused it.
 func (s *service) flow(now time.Time, r Request) *flow {
-	k := flowKey{r.Workspace, r.Kind}
+	k := flowKey{workspace: r.Workspace, kind: r.Kind}
 	f, ok := s.flows[k]
+	if !ok && len(s.flows) >= maxFlows {
+		k = flowKey{shared: true}
+		f, ok = s.flows[k]
+	}
 	if !ok {
 		f = &flow{since: now}
 		s.flows[k] = f
