admit: a route without an objective waits on time

Waiting requests of a route without an objective became late at the next decision and got a tenth of the rate: the plan used 500 ms, the expiry the stated 0. Offer now sets the default once. TestNoObjectiveWaitsOnTime fails on the code before.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -146,9 +146,6 @@
 
 // plan returns the figures for a request of the given rank.
 func (s *service) plan(now time.Time, room Room, objective time.Duration, rank int) plan {
-	if objective <= 0 {
-		objective = defaultTarget
-	}
 	k := s.correction()
 	p := plan{share: s.share(now, room), all: room.InService / k, fullness: 1}
 	p.target = max(onTimeFill*ms(objective)-k*ms(room.Base), minPlanShare*ms(objective), k*ms(room.Parallel))
@@ -217,6 +214,9 @@
 func (c *Controller) Offer(now time.Time, r Request, room Room) Decision {
 	s := c.service(r.Service)
 	s.meanKnown = false
+	if r.Objective <= 0 {
+		r.Objective = defaultTarget
+	}
 	work := ms(r.Work)
 	if !r.Again {
 		s.demand.add(now, work)
