admit, front: put back started requests that no upstream can take

Waiting requests are decided on with the upstreams of all regions. A request whose own regions were full was started, could not be placed and was offered again at once as refused by an upstream: a loop without sleep that used up the node's tokens and lowered its rate. Its tokens are now given back, it counts neither as arrived nor as refused, and it is offered again after a tick.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -41,6 +41,7 @@
 	Objective time.Duration // time within which the answer should begin
 	Deadline  time.Time     // the request is of no use to the caller afterwards
 	Again     bool          // an upstream has refused the request as full
+	Waited    bool          // the request was started before, but no upstream could take it; see [Controller.PutBack]
 }
 
 // Room is what a node knows of a service. All work is work that has not been answered.
@@ -218,12 +219,13 @@
 		r.Objective = defaultTarget
 	}
 	work := ms(r.Work)
-	if !r.Again {
+	switch {
+	case r.Again:
+		s.recordFull(now)
+	case !r.Waited:
 		s.demand.add(now, work)
 		s.byRank(r.Rank).add(now, work)
 		s.prune(now)
-	} else {
-		s.recordFull(now)
 	}
 	left := r.Deadline.Sub(now)
 	if room.InService <= 0 {
@@ -323,6 +325,19 @@
 	}
 }
 
+// PutBack records that no upstream could take a started request, such as if those of its
+// regions are full. What it was charged is given back.
+func (c *Controller) PutBack(now time.Time, t *Ticket) {
+	if !t.granted {
+		return
+	}
+	c.Begin(t)
+	s := c.service(t.Service)
+	s.tokens += t.spent
+	s.lateTokens += t.spentLate
+	t.flow.usage.add(now, -t.work)
+}
+
 // Cancel withdraws a waiting request. It returns false if it no longer waits.
 func (c *Controller) Cancel(t *Ticket) bool {
 	if !t.queued {
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -17,6 +17,8 @@
 	queued   bool
 	granted  bool // the request was started and has not been sent
 	assumed  time.Duration
+
+	spent, spentLate float64 // tokens charged at the start
 }
 
 // Assumed returns the expected time until the answer of a started request begins, for
@@ -171,7 +173,7 @@
 		f = &flow{since: now}
 		s.flows[k] = f
 	}
-	if !r.Again {
+	if !r.Again && !r.Waited {
 		f.recent.add(now, ms(r.Work))
 		f.usual.addOver(now, ms(r.Work), usualTime)
 	}
@@ -389,7 +391,9 @@
 // start removes a ticket that is to be sent and counts its work.
 func (s *service) start(now time.Time, t *Ticket, p plan, room Room) {
 	s.remove(t)
+	tokens, late := s.tokens, s.lateTokens
 	s.spend(now, t.flow, p, t.work, t.late)
+	t.spent, t.spentLate = tokens-s.tokens, late-s.lateTokens
 	t.granted, t.assumed = true, s.assumed(p, t.work, room)
 	s.granted += t.work
 }
--- a/front/wait.go
+++ b/front/wait.go
@@ -39,7 +39,7 @@
 // have none. It returns a refusal if the request must not be sent.
 func (h *Handler) place(ctx context.Context, t *attempts) (sched.Pick, *vane.Refusal) {
 	full := t.lastRefusal != nil && t.lastRefusal.Reason == vane.ReasonUpstreamFull
-	again := full
+	waited := false
 	for {
 		now := clock.BootTime()
 		pick, ok := h.Placer.Pick(now, t.placementQuery(t.avoid))
@@ -59,7 +59,8 @@
 			}
 		}
 		room.Estimate = pick.Estimate
-		r := t.admission(h.work(pick, ok, room, t), again)
+		r := t.admission(h.work(pick, ok, room, t), full && !waited)
+		r.Waited = waited
 		d, ch := h.waiting.offer(r, room)
 		switch d.Action {
 		case admit.Send:
@@ -75,8 +76,15 @@
 			t.assumed = d.Ticket.Assumed()
 			return pick, nil
 		}
-		again = true
-		h.waiting.begin(t)
+		// The upstreams that this request may use are full, though others are not. It is
+		// decided on again after a tick, since a decision at once would be the same.
+		waited = true
+		h.waiting.putBack(t)
+		select {
+		case <-time.After(waitTick):
+		case <-ctx.Done():
+			return pick, h.waitEnded(ctx, t)
+		}
 	}
 }
 
@@ -254,6 +262,14 @@
 	t.ticket = nil
 }
 
+// putBack records that no upstream could take a request that was started.
+func (w *waiting) putBack(t *attempts) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.c.PutBack(time.Now(), t.ticket)
+	t.ticket = nil
+}
+
 // observe records how long an upstream took to begin its answer.
 func (w *waiting) observe(t *attempts) {
 	if t.assumed <= 0 {
