--- a/admit/admit.go
+++ b/admit/admit.go
@@ -41,6 +41,7 @@
 	Objective time.Duration // time within which the answer should begin
 	Deadline  time.Time     // the request is of no use to the caller afterwards
 	Again     bool          // an upstream has refused the request as full
+	Waited    bool          // the request was started before, but no upstream could take it; see [Controller.PutBack]
 }
 
 // Room is what a node knows of a service. All work is work that has not been answered.
@@ -146,9 +147,6 @@
 
 // plan returns the figures for a request of the given rank.
 func (s *service) plan(now time.Time, room Room, objective time.Duration, rank int) plan {
-	if objective <= 0 {
-		objective = defaultTarget
-	}
 	k := s.correction()
 	p := plan{share: s.share(now, room), all: room.InService / k, fullness: 1}
 	p.target = max(onTimeFill*ms(objective)-k*ms(room.Base), minPlanShare*ms(objective), k*ms(room.Parallel))
@@ -216,13 +214,18 @@
 // Offer decides on a request that arrived or that an upstream refused as full.
 func (c *Controller) Offer(now time.Time, r Request, room Room) Decision {
 	s := c.service(r.Service)
+	s.meanKnown = false
+	if r.Objective <= 0 {
+		r.Objective = defaultTarget
+	}
 	work := ms(r.Work)
-	if !r.Again {
+	switch {
+	case r.Again:
+		s.recordFull(now)
+	case !r.Waited:
 		s.demand.add(now, work)
 		s.byRank(r.Rank).add(now, work)
 		s.prune(now)
-	} else {
-		s.recordFull(now)
 	}
 	left := r.Deadline.Sub(now)
 	if room.InService <= 0 {
@@ -298,6 +301,7 @@
 		return Grants{}
 	}
 	var g Grants
+	s.meanKnown = false
 	s.expire(now, room, &g)
 	if room.Usable == 0 || room.InService <= 0 {
 		return g
@@ -321,6 +325,19 @@
 	}
 }
 
+// PutBack records that no upstream could take a started request, such as if those of its
+// regions are full. What it was charged is given back.
+func (c *Controller) PutBack(now time.Time, t *Ticket) {
+	if !t.granted {
+		return
+	}
+	c.Begin(t)
+	s := c.service(t.Service)
+	s.tokens += t.spent
+	s.lateTokens += t.spentLate
+	t.flow.usage.add(now, -t.work)
+}
+
 // Cancel withdraws a waiting request. It returns false if it no longer waits.
 func (c *Controller) Cancel(t *Ticket) bool {
 	if !t.queued {
