admit: a caller counts as returned only by the time limits of its own workspace and kind

What callers saw: while a node was limited, callers that state shorter limits than others were served as late ones, also on their first request. Cause: the longest time limit was learned over all callers of a kind, and requests that an upstream refused or that had waited counted as well. Change: by workspace and kind, for arriving requests only. The estimate that no decision read is gone from Room.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -56,7 +56,6 @@
 	Base       time.Duration // time to an answer's begin at an idle upstream, without the request's own work
 	Ordered    bool          // the upstreams serve their queues by rank
 	Parallel   time.Duration // outstanding work for each upstream that delays no other, since slots run it at once
-	Estimate   time.Duration // expected time to the answer's begin at the best upstream; zero if not known
 }
 
 // Report is what a node tells the others of the work of a service.
@@ -238,7 +237,7 @@
 		p.reserve = max(p.reserve, burstReserve*p.most())
 	}
 	full := room.Usable == 0
-	returned := s.returned(r.Kind, left)
+	returned := !r.Again && !r.Waited && f.returned(left)
 	if !full && (!p.limited || s.tokens > p.reserve && !returned && duration(p.delay+work) < left) && !s.isWaiting(r.Rank) {
 		s.spend(now, f, p, work, false)
 		return Decision{Action: Send, Assumed: s.assumed(p, work, room), Predicted: duration(p.delay+work) + room.Base}
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -158,3 +158,21 @@
 	room.Own = 3 * time.Second
 	is.True(c.Offer(start, r, room).Action != admit.Refuse)
 }
+
+// Guards against callers that are taken for returning ones because another workspace states
+// longer time limits.
+func TestTimeLimitsOfOtherWorkspaces(t *testing.T) {
+	is := is.New(t)
+	c := admit.New()
+	now := time.Unix(1000, 0)
+	room := admit.Room{InService: 1, Usable: 1, Nodes: 1, Base: 50 * time.Millisecond, Peers: 300 * time.Millisecond}
+	offer := func(workspace string, limit time.Duration) admit.Decision {
+		now = now.Add(10 * time.Millisecond)
+		return c.Offer(now, admit.Request{ID: workspace, Service: "s", Workspace: workspace, Kind: "k", Work: time.Millisecond, Objective: 500 * time.Millisecond, Deadline: now.Add(limit)}, room)
+	}
+	offer("patient", 30*time.Second)
+	for range 20 {
+		d := offer("hasty", 10*time.Second)
+		is.True(d.Action == admit.Send || d.Action == admit.Wait && !d.Ticket.Late())
+	}
+}
--- a/admit/fleet_test.go
+++ b/admit/fleet_test.go
@@ -282,7 +282,6 @@
 		c.refuse(300 * time.Millisecond)
 		return
 	}
-	room.Estimate = pick.Estimate
 	d := n.admit.Offer(now, admit.Request{
 		ID: c.id, Service: "s", Workspace: c.workspace, Kind: "k", Rank: c.rank, Work: work, Objective: f.objective,
 		Deadline: start.Add(c.deadline), Again: again,
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -43,7 +43,8 @@
 	recent average // work that arrived
 	usual  average // work that arrived over a longer time
 	since  time.Time
-	queued float64 // work of the waiting requests that are not late, in milliseconds
+	limit  time.Duration // longest recent time left of an arriving request
+	queued float64       // work of the waiting requests that are not late, in milliseconds
 }
 
 // usualTime is the time constant of the usual work of a flow.
@@ -127,22 +128,21 @@
 	demand     average          // arriving work
 	demands    map[int]*average // arriving work by rank
 	flows      map[flowKey]*flow
-	mean       float64                  // mean of the usual work of all flows at the decision
-	meanKnown  bool                     // mean was computed in this decision
-	limits     map[string]time.Duration // longest recent time limit by kind
-	ranks      []rank                   // sorted by rank
-	waiting    int                      // number of waiting requests
-	work       float64                  // their work
-	granted    float64                  // work of the started requests that have not been sent
-	pruned     time.Time                // time of the last removal of unused flows
-	lateTokens float64                  // the part of tokens for late requests
-	tokens     float64                  // work that may be sent at once although the backlog is long
-	full       float64                  // see fullness; applies to fullAt
-	fullAt     time.Time                // time of the last refusal by an upstream
-	took       float64                  // average time until answers began, in milliseconds
-	expected   float64                  // average of what was assumed for them
-	filled     time.Time                // time to which tokens applies
-	limited    time.Time                // last time at which a request waited or was refused
+	mean       float64   // mean of the usual work of all flows at the decision
+	meanKnown  bool      // mean was computed in this decision
+	ranks      []rank    // sorted by rank
+	waiting    int       // number of waiting requests
+	work       float64   // their work
+	granted    float64   // work of the started requests that have not been sent
+	pruned     time.Time // time of the last removal of unused flows
+	lateTokens float64   // the part of tokens for late requests
+	tokens     float64   // work that may be sent at once although the backlog is long
+	full       float64   // see fullness; applies to fullAt
+	fullAt     time.Time // time of the last refusal by an upstream
+	took       float64   // average time until answers began, in milliseconds
+	expected   float64   // average of what was assumed for them
+	filled     time.Time // time to which tokens applies
+	limited    time.Time // last time at which a request waited or was refused
 }
 
 // rank holds the waiting requests of one rank.
@@ -153,7 +153,7 @@
 }
 
 func newService() *service {
-	return &service{demands: make(map[int]*average), flows: make(map[flowKey]*flow), limits: make(map[string]time.Duration)}
+	return &service{demands: make(map[int]*average), flows: make(map[flowKey]*flow)}
 }
 
 // maxFlows is the largest number of flows of a service with a turn of their own; all others
@@ -194,16 +194,16 @@
 }
 
 // returned reports whether the caller has spent part of its time before, and records its
-// time left. A caller that returns after a refusal states less time than an equal new one.
-func (s *service) returned(kind string, left time.Duration) bool {
-	longest := s.limits[kind]
-	if left >= longest {
-		s.limits[kind] = left
+// time left. A caller that returns after a refusal states less time than an equal new one of
+// its workspace. Callers of other workspaces may have other limits.
+func (f *flow) returned(left time.Duration) bool {
+	if left >= f.limit {
+		f.limit = left
 		return false
 	}
 	const decay = 0.999 // by a third in some 400 requests with less time, so that a changed limit is learned
-	s.limits[kind] = time.Duration(decay * float64(longest))
-	return float64(left) < returnedShare*float64(longest)
+	f.limit = time.Duration(decay * float64(f.limit))
+	return float64(left) < returnedShare*float64(f.limit)
 }
 
 // at returns the waiting requests of a rank, which it adds if necessary.
--- a/front/wait.go
+++ b/front/wait.go
@@ -58,7 +58,6 @@
 				return pick, h.noUpstream(t.request)
 			}
 		}
-		room.Estimate = pick.Estimate
 		r := t.admission(h.work(pick, ok, room, t), full && !waited)
 		r.Waited = waited
 		d, ch := h.waiting.offer(r, room)
