--- a/soak/cold_test.go
+++ b/soak/cold_test.go
@@ -14,6 +14,8 @@
 // found, and no others.
 func TestColdViolations(t *testing.T) {
 	begin := time.Unix(100, 0)
+	// A second that begins with a request holds one more than fit between its ends.
+	const bound = stand.ColdPerS*stand.ColdOver + stand.ColdSlack - 1
 	runs := func(n int, d time.Duration) []stand.Run {
 		var out []stand.Run
 		for i := range n {
@@ -30,7 +32,8 @@
 		cold, evac, stalls []span
 		want               int
 	}{
-		{"within the bound", runs(200, time.Second/34), during, nil, nil, 0},
+		{"within the bound", runs(200, time.Second/bound), during, nil, nil, 0},
+		{"just above the bound", runs(200, time.Second/(bound+1)), during, nil, nil, 1},
 		{"above the bound", runs(200, time.Second/40), during, nil, nil, 1},
 		{"above the bound while warm", runs(200, time.Second/40), nil, nil, nil, 0},
 		{"above the bound after a standstill", runs(39, time.Second/40), during, nil, stall, 0},
