--- a/sched/hold.go
+++ b/sched/hold.go
@@ -87,8 +87,8 @@
 }
 
 // prefill estimates the computation of the prompt at u. It adds the costs of computing and
-// copying parts to cost, and fills the fields of c that concern caches. h says where the shared parts are; it
-// may be nil if the prompt has none.
+// copying parts to cost, and fills the fields of c that concern caches. h says where the
+// shared parts are; it may be nil if the prompt has none.
 func (p *Placer) prefill(now time.Time, q Query, u *upstream, c *Pick, cost *float64, h *partHolders) {
 	shared := q.Shared()
 	if len(shared) == 0 {
