--- a/config/fleet.go
+++ b/config/fleet.go
@@ -289,11 +289,10 @@
 		if b, err := hex.DecodeString(k.SHA256); err != nil || len(b) != 32 {
 			return d.fieldError(kp+".sha256", "64 hexadecimal digits are required", "run vanectl key hash and paste its output")
 		}
-		hash := strings.ToLower(k.SHA256) // the same key in capitals
-		if hashes[hash] {
+		if hashes[k.SHA256] {
 			return d.fieldError(kp+".sha256", "this key is listed twice", "give each workspace its own keys")
 		}
-		hashes[hash] = true
+		hashes[k.SHA256] = true
 	}
 	return nil
 }
