admit: the test of other workspaces' time limits fails on the code that it guards against

What was wrong: TestTimeLimitsOfOtherWorkspaces passed on the code before its change, since the backlog of its load was below the one from which a node is limited. Change: 400 ms of work at other nodes in place of 300; nothing else.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -165,7 +165,7 @@
 	is := is.New(t)
 	c := admit.New()
 	now := time.Unix(1000, 0)
-	room := admit.Room{InService: 1, Usable: 1, Nodes: 1, Base: 50 * time.Millisecond, Peers: 300 * time.Millisecond}
+	room := admit.Room{InService: 1, Usable: 1, Nodes: 1, Base: 50 * time.Millisecond, Peers: 400 * time.Millisecond}
 	offer := func(workspace string, limit time.Duration) admit.Decision {
 		now = now.Add(10 * time.Millisecond)
 		return c.Offer(now, admit.Request{ID: workspace, Service: "s", Workspace: workspace, Kind: "k", Work: time.Millisecond, Objective: 500 * time.Millisecond, Deadline: now.Add(limit)}, room)
