--- a/review/stand3/caller.go
+++ b/review/stand3/caller.go
@@ -74,16 +74,6 @@
 	took   time.Duration
 }
 
-// denied reports whether the answer is one of the node itself with a status from 300 to 499, other
-// than those that ask the requester to come again.
-func (a answer) denied() bool {
-	switch a.status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
-		return false
-	}
-	return !a.sealed && a.status >= 300 && a.status < 500
-}
-
 var requests atomic.Int64
 
 // newID returns the id of a new attempt.
@@ -95,14 +85,14 @@
 	by map[string]*http.Client
 }
 
-// of returns the client for a node. A new one uses a new channel.
-func (c *clients) of(n *node, fresh bool) *http.Client {
+// of returns the client for a node.
+func (c *clients) of(n *node) *http.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.by == nil {
 		c.by = make(map[string]*http.Client)
 	}
-	if h, ok := c.by[n.name]; ok && !fresh {
+	if h, ok := c.by[n.name]; ok {
 		return h
 	}
 	h := &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: 12 * time.Second}}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -161,12 +161,12 @@
 	time.Sleep(contactTime + time.Second)
 }
 
-// node returns the node with a name.
-func (w *world) node(name string) *node {
-	for _, n := range w.nodes {
-		if n.name == name {
-			return n
+// until waits until f returns true, for the given time at most.
+func until(d time.Duration, f func() bool) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return true
 		}
 	}
-	return nil
+	return f()
 }
--- a/review/stand3/node.go
+++ b/review/stand3/node.go
@@ -10,17 +10,12 @@
 	"path/filepath"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
 // Bounds of the sheet that the checks use.
 const (
 	contactTime        = 3 * time.Second
-	configDeadline     = 2 * time.Second
-	leaseTime          = 3 * time.Second
-	graceTime          = 8 * time.Second
-	restartDelay       = 300 * time.Millisecond // a process that has ended is started again after it
 	program            = "target/vaned"
 	role               = "platform"
 	settingsVariable   = "MUSTARDVANE_NODE_FILE"
@@ -121,14 +116,6 @@
 	}()
 }
 
-// signal sends a signal to the process.
-func (n *node) signal(s syscall.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.rec.add("node", "%s gets the signal %v", n.name, s)
-	_ = n.cmd.Process.Signal(s)
-}
-
 // end returns a channel that is closed when the process has ended.
 func (n *node) end() chan struct{} {
 	n.mu.Lock()
@@ -136,27 +123,6 @@
 	return n.done
 }
 
-// kill kills the process and starts it again after a short delay.
-func (n *node) kill() {
-	n.signal(syscall.SIGKILL)
-	<-n.end()
-	time.Sleep(restartDelay)
-	n.start()
-}
-
-// terminate stops the process as the platform does and starts it again after a short delay.
-func (n *node) terminate() {
-	n.signal(syscall.SIGTERM)
-	select {
-	case <-n.end():
-	case <-time.After(graceTime):
-		n.signal(syscall.SIGKILL)
-		<-n.end()
-	}
-	time.Sleep(restartDelay)
-	n.start()
-}
-
 // awaitReady waits until the node is ready.
 func (n *node) awaitReady() error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(readyCheckInterval) {
--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -19,16 +19,6 @@
 // loadTime is how long a model server takes to load new weights.
 const loadTime = 1300 * time.Millisecond
 
-// order is an order that arrived at a model server.
-type order struct {
-	at      time.Time
-	server  string
-	holder  string
-	fence   uint64
-	version uint64
-	status  int
-}
-
 // part is what a model server keeps of a part of a prompt.
 type part struct {
 	madeBy string // tenant of the request that made it
@@ -43,17 +33,40 @@
 	maker, makerRequest string
 }
 
+// begun is the begin of a run.
+type begun struct {
+	at         time.Time
+	server, id string
+}
+
 // fleet is what all servers share.
 type fleet struct {
 	rec   *recorder
 	store *store
 
 	mu     sync.Mutex
-	orders []order
 	reuses []reuse
+	begun  []begun // runs
+	came   []arrival
 	runs   int
 }
 
+// misbehaviour is what a bad version does with a request.
+type misbehaviour int
+
+const (
+	sound  misbehaviour = iota
+	fails               // runs the request and answers 500
+	refuse              // answers 503 and says that the request has not run
+)
+
+// arrival is a request that reached a server.
+type arrival struct {
+	at      time.Time
+	release string
+	bad     bool
+}
+
 // server is a stand-in of a server: a plain one, or a model server if model is not empty.
 type server struct {
 	f       *fleet
@@ -69,8 +82,10 @@
 	stop    context.CancelFunc
 
 	mu      sync.Mutex
-	crashed bool
 	beats   bool // writes its entry
+	state   string
+	release string                             // version of its software
+	answer  func(r *http.Request) misbehaviour // nil for none
 	seq     int
 	running map[string]string // by request id: path
 	version uint64
@@ -82,12 +97,18 @@
 
 // startServer starts a server, which writes its entry.
 func startServer(f *fleet, id, service, model string, work time.Duration) *server {
+	return startRelease(f, id, service, model, work, "v1", nil)
+}
+
+// startRelease starts a server of a version of its software.
+func startRelease(f *fleet, id, service, model string, work time.Duration, release string, answer func(r *http.Request) misbehaviour) *server {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	s := &server{
 		f: f, id: id, service: service, model: model, slots: 6, work: work, born: time.Now().UnixMilli(), addr: ln.Addr().String(), ln: ln, beats: true,
-		running: make(map[string]string), version: 1, cache: make(map[string]part),
+		state: "ready", release: "v1", running: make(map[string]string), version: 1, cache: make(map[string]part),
 	}
+	s.release, s.answer = release, answer
 	if model != "" {
 		s.slots = 64
 	}
@@ -119,7 +140,7 @@
 	s.settle()
 	s.seq++
 	e := map[string]any{
-		"service": s.service, "address": s.addr, "zone": "cerro", "version": "v1", "slots": s.slots, "state": "ready", "cold-left-ms": 0, "seq": s.seq, "born": s.born,
+		"service": s.service, "address": s.addr, "zone": "cerro", "version": s.release, "slots": s.slots, "state": s.state, "cold-left-ms": 0, "seq": s.seq, "born": s.born,
 	}
 	if s.model != "" {
 		e["stage"] = "unified"
@@ -131,42 +152,34 @@
 // beat writes the server's entry.
 func (s *server) beat() {
 	s.mu.Lock()
-	ok := s.beats && !s.crashed
+	ok := s.beats
 	s.mu.Unlock()
 	if ok {
 		s.f.store.put("servers", s.id, s.entry())
 	}
 }
 
-// setBeats says whether the server writes its entry.
-func (s *server) setBeats(on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.beats = on
-}
-
-// crash ends the server as a kill does. Its entry is removed after three heartbeats.
-func (s *server) crash() {
+// leave makes the server report that it drains. It exits after the given time.
+func (s *server) leave(after time.Duration) {
 	s.mu.Lock()
-	s.crashed = true
-	n := len(s.running)
+	s.state = "draining"
 	s.mu.Unlock()
-	s.stop()
-	_ = s.http.Close()
-	s.f.rec.add("server", "%s crashes with %d requests", s.id, n)
-	time.AfterFunc(3*heartbeat, func() { s.f.store.remove("servers", s.id) })
+	s.beat()
+	s.f.rec.add("server", "%s has reported that it drains", s.id)
+	time.AfterFunc(after, func() {
+		s.setBeats(false)
+		s.stop()
+		s.f.store.remove("servers", s.id)
+		_ = s.http.Close()
+		s.f.rec.add("server", "%s exits", s.id)
+	})
 }
 
-// runs reports whether the server works on a request with the path.
-func (s *server) runs(path string) bool {
+// setBeats says whether the server writes its entry.
+func (s *server) setBeats(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range s.running {
-		if p == path && !s.crashed {
-			return true
-		}
-	}
-	return false
+	s.beats = on
 }
 
 // settle ends a load that is over. The caller must hold mu.
@@ -239,9 +252,6 @@
 		s.orders, s.next, s.busyTo = s.orders+1, o.Version, at.Add(loadTime)
 	}
 	s.mu.Unlock()
-	s.f.mu.Lock()
-	s.f.orders = append(s.f.orders, order{at, s.id, o.Holder, o.Fence, o.Version, status})
-	s.f.mu.Unlock()
 	s.f.rec.add("order", "at %s from %s, fence %d: load version %d, answered %d", s.id, o.Holder, o.Fence, o.Version, status)
 	w.WriteHeader(status)
 }
@@ -251,29 +261,39 @@
 	if _, err := io.ReadAll(r.Body); err != nil {
 		return
 	}
-	refuse := func(status int) {
+	does := sound
+	if s.answer != nil {
+		does = s.answer(r)
+	}
+	s.f.mu.Lock()
+	s.f.came = append(s.f.came, arrival{time.Now(), s.release, does != sound})
+	s.f.mu.Unlock()
+	notRun := func(status int) {
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(status)
 	}
+	if does == refuse {
+		s.f.rec.add("refused", "%s at %s of %s: %s", id, s.id, s.release, r.URL.Path)
+		w.Header().Set("X-Server-Load", fmt.Sprintf("0,0,%d", s.slots))
+		notRun(http.StatusServiceUnavailable)
+		return
+	}
 	s.mu.Lock()
 	s.settle()
 	switch want := r.Header.Get("X-Expect-Version"); {
-	case s.crashed:
-		s.mu.Unlock()
-		return
 	case id == "":
 		s.mu.Unlock()
-		refuse(http.StatusBadRequest)
+		notRun(http.StatusBadRequest)
 		return
 	case want != "" && want != strconv.FormatUint(s.version, 10):
 		v := s.version
 		s.mu.Unlock()
 		w.Header().Set("X-Weight-Versions", strconv.FormatUint(v, 10))
-		refuse(http.StatusMisdirectedRequest)
+		notRun(http.StatusMisdirectedRequest)
 		return
 	case s.next > 0, len(s.running) >= s.slots:
 		s.mu.Unlock()
-		refuse(http.StatusServiceUnavailable)
+		notRun(http.StatusServiceUnavailable)
 		return
 	}
 	s.running[id] = r.URL.Path
@@ -287,18 +307,19 @@
 	s.mu.Unlock()
 	s.f.mu.Lock()
 	s.f.runs++
+	s.f.begun = append(s.f.begun, begun{time.Now(), s.id, id})
 	s.f.mu.Unlock()
 	s.f.rec.add("run", "%s at %s: %s for tenant %q, salt %q", id, s.id, r.URL.Path, tenant, salt)
 	time.Sleep(s.work)
 	s.mu.Lock()
 	delete(s.running, id)
-	crashed := s.crashed
 	s.mu.Unlock()
-	if crashed {
-		return
-	}
 	w.Header().Set("X-Response-Seal", "seal."+s.id+"."+id)
 	w.Header().Set("X-Server-Load", load)
+	if does == fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if s.model == "" {
 		_, _ = io.WriteString(w, "answer to "+id)
 		return
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -43,12 +43,6 @@
 	return out
 }
 
-// write is a conditional write that the store has carried out.
-type write struct {
-	node, kind, name string
-	at               time.Time
-}
-
 // store is a stand-in of the platform's store. Each node has an address of its own to it.
 type store struct {
 	rec *recorder
@@ -59,7 +53,6 @@
 	kinds   map[string]map[string]object
 	log     map[string][]object
 	changed chan struct{}
-	writes  []write
 }
 
 func newStore(rec *recorder) *store {
@@ -87,6 +80,20 @@
 	s.commit(kind, o)
 }
 
+// state returns the state in the status of a roll-out to a target; "" if there is none.
+func (s *store) state(service, target string) string {
+	var st struct {
+		State  string `json:"state"`
+		Target string `json:"target"`
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if json.Unmarshal(s.kinds["rollouts"][service].status, &st) != nil || st.Target != target {
+		return ""
+	}
+	return st.State
+}
+
 // remove deletes an object.
 func (s *store) remove(kind, name string) {
 	s.mu.Lock()
@@ -123,34 +130,6 @@
 	return o
 }
 
-// lastWriter returns the node that last wrote an object of the kind under a condition, and when.
-func (s *store) lastWriter(kind string) (string, time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, w := range slices.Backward(s.writes) {
-		if w.kind == kind {
-			return w.node, w.at
-		}
-	}
-	return "", time.Time{}
-}
-
-// sharedKind returns the kind of an object that the nodes write in turn, other than those that
-// the pages name: the one that was written most often under a condition.
-func (s *store) sharedKind() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := make(map[string]int)
-	best := ""
-	for _, w := range s.writes {
-		if n[w.kind+"/"+w.name]++; n[w.kind+"/"+w.name] > n[best] {
-			best = w.kind + "/" + w.name
-		}
-	}
-	kind, _, _ := strings.Cut(best, "/")
-	return kind
-}
-
 func (s *store) serve(node string, w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
 	path := strings.TrimPrefix(r.URL.Path, "/objects/")
@@ -290,9 +269,6 @@
 		}
 	}
 	o := s.commit(kind, next)
-	if r.Method == http.MethodPost || in.Metadata.Revision != nil {
-		s.writes = append(s.writes, write{node, kind, name, o.at})
-	}
 	s.rec.add("store", "%s wrote %s/%s (%s), revision %d", node, kind, name, r.Method, o.revision)
 	reply(w, http.StatusOK, o.wire())
 }
--- a/review/stand3/wall.go
+++ b/review/stand3/wall.go
@@ -7,10 +7,7 @@
 	"time"
 )
 
-func init() {
-	cases["entry"] = entry
-	cases["isolated"] = isolated
-}
+func init() { cases["entry"] = entry }
 
 // prompts sends generations of a tenant that share the first two parts of their prompts with those
 // of the other tenant, until stop is closed.
@@ -26,7 +23,7 @@
 			n := w.nodes[i%len(w.nodes)]
 			q := request{id: newID(), path: "/notes/2f", tenant: tenant, limit: 15 * time.Second, node: n, body: []byte("notes of " + tenant)}
 			q.parts = "5c1e07a2:800,91bd3f06:410," + fmt.Sprintf("%s%x:250", tenant[:1], i)
-			w.send(ch.of(n, false), q)
+			w.send(ch.of(n), q)
 		}
 	})
 }
@@ -78,38 +75,3 @@
 	}
 	return len(r) > 0, s
 }
-
-// isolated lets the operator make a tenant isolated that was not so far.
-func isolated(w *world) (bool, string) {
-	w.store.put("config", "main", w.config())
-	w.startModelServers(2)
-	w.startNodes(3)
-	stop := make(chan struct{})
-	var norte, sur sync.WaitGroup
-	w.prompts("norte", 80*time.Millisecond, stop, &norte)
-	time.Sleep(4 * time.Second)
-	from := time.Now()
-	if w.trouble {
-		w.store.put("config", "main", w.config("norte"))
-		from = time.Now().Add(configDeadline)
-		w.rec.add("operator", "version %d is acknowledged: norte is isolated", w.version)
-	}
-	close(stop)
-	norte.Wait()
-	time.Sleep(configDeadline + time.Second)
-	stop = make(chan struct{})
-	w.prompts("sur", 80*time.Millisecond, stop, &sur)
-	time.Sleep(4 * time.Second)
-	close(stop)
-	sur.Wait()
-	n := 0
-	text := ""
-	for _, r := range w.shared() {
-		if w.trouble && r.at.After(from) {
-			if n++; n == 1 {
-				text = fmt.Sprintf(", first %s of %s used part %s that %s of %s made", r.userRequest, r.user, r.part, r.makerRequest, r.maker)
-			}
-		}
-	}
-	return n > 0, fmt.Sprintf("%d runs; kept parts of the isolated tenant norte were used %d times by sur after config-deadline-ms%s", w.fleet.runs, n, text)
-}
