--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -154,8 +154,11 @@
 	}
 }
 
-// pageItems is the number of objects on a page of a list.
-const pageItems = 500
+// A page of a list has up to pageItems objects, and ends after pageBytes.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 func (s *store) list(w http.ResponseWriter, kind, after string) {
 	s.mu.Lock()
@@ -167,13 +170,14 @@
 		}
 	}
 	slices.Sort(names)
-	items, more := []any{}, false
+	items, more, size := []any{}, false, 0
 	for i, n := range names {
-		if i == pageItems {
+		o := s.kinds[kind][n]
+		if size += len(o.spec) + len(o.status); i == pageItems || i > 0 && size > pageBytes {
 			more = true
 			break
 		}
-		items = append(items, s.kinds[kind][n].wire())
+		items = append(items, o.wire())
 	}
 	reply(w, http.StatusOK, map[string]any{"items": items, "has-more": more, "current-rev": s.rev})
 }
