--- a/review/stand3/rollout.go
+++ b/review/stand3/rollout.go
@@ -117,7 +117,7 @@
 	time.Sleep(time.Until(end.Add(after)))
 	close(stop)
 	wg.Wait()
-	all, bad, answers, late := 0, 0, 0, 0
+	all, bad, wrong, answers, late := 0, 0, 0, 0, 0
 	var limit time.Time
 	w.fleet.mu.Lock()
 	for _, a := range w.fleet.came {
@@ -126,6 +126,9 @@
 			if a.release == "v2" {
 				bad++
 			}
+			if a.bad {
+				wrong++
+			}
 		}
 		if a.release != "v2" {
 			continue
@@ -141,8 +144,8 @@
 	}
 	w.fleet.mu.Unlock()
 	allowed := exposeShare*float64(all) + exposeSlack
-	s := fmt.Sprintf("%q; v2 got %d of %d requests before the time limit (allowed: %.0f), and %d later than rollback-ms after its 50th bad answer; %d of %d requests served, of bookings sent after the time limit %d of %d",
-		state(), bad, all, allowed, late, served.Load(), sent.Load(), lateServed.Load(), lateSent.Load())
+	s := fmt.Sprintf("%q; v2 got %d of %d requests before the time limit (allowed: %.0f), %d of them answered badly, and %d later than rollback-ms after its 50th bad answer; %d of %d requests served, of bookings sent after the time limit %d of %d",
+		state(), bad, all, allowed, wrong, late, served.Load(), sent.Load(), lateServed.Load(), lateSent.Load())
 	if !w.trouble {
 		return state() != "completed", s
 	}
