review: scripts exit with 2 if their load or disruption does not take place

Also if a node ends by itself, and for case 11 if a good version is not rolled out. Case 14 takes away a share of 0.125 (the site's is 0.13), and nodes get ports below those of outgoing connections.

--- a/review/stand3/drain.go
+++ b/review/stand3/drain.go
@@ -19,7 +19,7 @@
 // the size that an object may have, and then a server leave as planned.
 func drain(w *world) (bool, string) {
 	const (
-		servers   = 7
+		servers   = 8 // one of which leaves: a share of 0.125, on the site 0.13
 		odd       = 20
 		valueSize = 1 << 20 // value-bytes
 		callers   = 16
@@ -56,6 +56,7 @@
 		})
 	}
 	time.Sleep(2 * time.Second)
+	begin := time.Now()
 	if w.trouble {
 		text := strings.Repeat("x", valueSize-64)
 		for i := range odd {
@@ -70,15 +71,24 @@
 	time.Sleep(serves + 2*time.Second)
 	close(stop)
 	wg.Wait()
-	late := 0
+	need(failed.Load()*2 < sent.Load(), "%d of %d requests failed", failed.Load(), sent.Load())
+	if w.trouble {
+		need(w.store.seen("servers", begin), "no node was told of the entries of the other writer")
+	}
+	late, early := 0, 0
 	var last time.Duration
 	w.fleet.mu.Lock()
 	for _, b := range w.fleet.begun {
-		if d := b.at.Sub(acked); b.server == leaving.id && d > drainTime {
+		d := b.at.Sub(acked)
+		if b.server == leaving.id && d < 0 {
+			early++
+		}
+		if b.server == leaving.id && d > drainTime {
 			late++
 			last = d
 		}
 	}
 	w.fleet.mu.Unlock()
+	need(early > 0, "no request ran at %s before it left", leaving.id)
 	return late > 0, fmt.Sprintf("%d requests reached the leaving server later than drain-ms after the ack, the last %.1f s after it; %d of %d requests failed", late, last.Seconds(), failed.Load(), sent.Load())
 }
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -61,29 +61,46 @@
 	}
 }
 
-// fail ends all processes and the program.
+// cleanup writes the record and removes the temporary folder, as far as there are any.
+var cleanup = func() {}
+
+// failing lets one goroutine fail at a time.
+var failing sync.Mutex
+
+// fail ends all processes and the program: the case couldn't run.
 func fail(err error) {
+	failing.Lock()
 	fmt.Fprintln(os.Stderr, "stand3:", err)
 	killAll()
+	cleanup()
 	os.Exit(exitNotRun)
 }
 
+// need ends the program if the load or the disruption of the case didn't take place.
+func need(ok bool, format string, args ...any) {
+	if !ok {
+		fail(fmt.Errorf(format, args...))
+	}
+}
+
 // nodes are all nodes, to be ended in any case.
 var (
 	nodesMu sync.Mutex
 	nodes   []*node
 )
 
-// killAll ends all processes.
+// killAll ends all processes and waits for their end.
 func killAll() {
 	nodesMu.Lock()
 	defer nodesMu.Unlock()
 	for _, n := range nodes {
 		n.mu.Lock()
-		if n.cmd != nil && n.cmd.Process != nil {
-			_ = n.cmd.Process.Signal(syscall.SIGKILL)
-		}
+		cmd, done := n.cmd, n.done
 		n.mu.Unlock()
+		if cmd != nil {
+			_ = cmd.Process.Signal(syscall.SIGKILL)
+			<-done
+		}
 	}
 }
 
@@ -121,16 +138,25 @@
 	rec := &recorder{begin: time.Now()}
 	st := newStore(rec)
 	w := &world{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0", store: st, fleet: &fleet{rec: rec, store: st}}
+	cleanup = func() {
+		rec.add("result", "the case couldn't run")
+		_ = rec.write(filepath.Join(os.Args[2], "record.txt"))
+		_ = os.RemoveAll(dir)
+	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() { fail(fmt.Errorf("stopped by the signal %v", <-stop)) }()
 	time.AfterFunc(longest, func() { fail(fmt.Errorf("the case takes too long")) })
 	broken, summary := play(w)
-	rec.add("result", "%s", summary)
-	killAll()
 	for _, n := range w.nodes {
-		<-n.end()
+		select {
+		case <-n.end():
+			fail(fmt.Errorf("node %s has ended by itself", n.name))
+		default:
+		}
 	}
+	rec.add("result", "%s", summary)
+	killAll()
 	must(rec.write(filepath.Join(os.Args[2], "record.txt")))
 	fmt.Println(summary)
 	if os.Getenv("KEEP") == "" {
--- a/review/stand3/node.go
+++ b/review/stand3/node.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -38,26 +40,36 @@
 	done chan struct{}
 }
 
-// freePorts returns n ports that are free, the last two of them adjacent.
+// Ports of nodes lie below those that the kernel gives to outgoing connections.
+const (
+	lowestPort = 12000
+	portSpan   = 18000
+)
+
+// freePorts returns n adjacent ports that are free for TCP and UDP.
 func freePorts(n int) []int {
 	for {
-		var lns []net.Listener
+		first := lowestPort + rand.N(portSpan)
 		var out []int
-		for range n - 1 {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			must(err)
-			lns = append(lns, ln)
-			out = append(out, ln.Addr().(*net.TCPAddr).Port)
-		}
-		next, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(out[len(out)-1]+1))
-		if err == nil {
-			lns = append(lns, next)
-			out = append(out, out[len(out)-1]+1)
+		var open []io.Closer
+		for p := first; p < first+n; p++ {
+			at := "127.0.0.1:" + strconv.Itoa(p)
+			ln, err := net.Listen("tcp", at)
+			if err != nil {
+				break
+			}
+			open = append(open, ln)
+			pc, err := net.ListenPacket("udp", at)
+			if err != nil {
+				break
+			}
+			open = append(open, pc)
+			out = append(out, p)
 		}
-		for _, ln := range lns {
-			_ = ln.Close()
+		for _, c := range open {
+			_ = c.Close()
 		}
-		if err == nil {
+		if len(out) == n {
 			return out
 		}
 	}
--- a/review/stand3/rollout.go
+++ b/review/stand3/rollout.go
@@ -95,6 +95,7 @@
 		}
 	})
 	time.Sleep(time.Until(begin))
+	need(served.Load() > 0 && served.Load()*10 >= sent.Load()*9, "%d of %d requests were served before the roll-out", served.Load(), sent.Load())
 	w.store.put("rollouts", appService, map[string]any{"service": appService, "target": "v2", "duration-s": duration.Seconds()})
 	w.rec.add("operator", "orders a roll-out to v2, for %v", duration)
 	for i := range servers {
@@ -143,11 +144,15 @@
 		}
 	}
 	w.fleet.mu.Unlock()
+	need(state() != "", "no node has taken up the roll-out")
+	need(all > 0 && bad > 0, "no request reached v2")
+	need(!w.trouble || answers > 0, "v2 gave no bad answer")
 	allowed := exposeShare*float64(all) + exposeSlack
 	s := fmt.Sprintf("%q; v2 got %d of %d requests before the time limit (allowed: %.0f), %d of them answered badly, and %d later than rollback-ms after its 50th bad answer; %d of %d requests served, of bookings sent after the time limit %d of %d",
 		state(), bad, all, allowed, wrong, late, served.Load(), sent.Load(), lateServed.Load(), lateSent.Load())
-	if !w.trouble {
-		return state() != "completed", s
+	if !w.trouble { // EXPOSURE says nothing of a good version
+		need(state() == "completed", "the roll-out to a good version is %q", state())
+		return false, s
 	}
 	return float64(bad) > allowed || late > 0, s
 }
--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -93,6 +94,7 @@
 	busyTo  time.Time
 	next    uint64 // version that is being loaded
 	cache   map[string]part
+	byUser  map[string]int // runs by tenant
 }
 
 // startServer starts a server, which writes its entry.
@@ -106,7 +108,7 @@
 	must(err)
 	s := &server{
 		f: f, id: id, service: service, model: model, slots: 6, work: work, born: time.Now().UnixMilli(), addr: ln.Addr().String(), ln: ln, beats: true,
-		state: "ready", release: "v1", running: make(map[string]string), version: 1, cache: make(map[string]part),
+		state: "ready", release: "v1", running: make(map[string]string), version: 1, cache: make(map[string]part), byUser: make(map[string]int),
 	}
 	s.release, s.answer = release, answer
 	if model != "" {
@@ -182,6 +184,13 @@
 	s.beats = on
 }
 
+// ran returns the number of runs by tenant.
+func (s *server) ran() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.byUser)
+}
+
 // settle ends a load that is over. The caller must hold mu.
 func (s *server) settle() {
 	if s.next > 0 && !time.Now().Before(s.busyTo) {
@@ -301,6 +310,7 @@
 	version := s.version
 	tenant := r.Header.Get("X-Tenant")
 	salt := r.Header.Get("X-Cache-Salt")
+	s.byUser[tenant]++
 	if s.model != "" {
 		s.usePrompt(r, id, tenant, salt)
 	}
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -53,10 +53,11 @@
 	kinds   map[string]map[string]object
 	log     map[string][]object
 	changed chan struct{}
+	told    map[string]time.Time // by kind: last answer to a watch that held events
 }
 
 func newStore(rec *recorder) *store {
-	return &store{rec: rec, rev: 1, kinds: make(map[string]map[string]object), log: make(map[string][]object), changed: make(chan struct{})}
+	return &store{rec: rec, rev: 1, kinds: make(map[string]map[string]object), log: make(map[string][]object), told: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // listen opens an address for the calls of a node and returns it.
@@ -80,6 +81,13 @@
 	s.commit(kind, o)
 }
 
+// seen reports whether a node has been told of changes of a kind since a time.
+func (s *store) seen(kind string, since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told[kind].After(since)
+}
+
 // state returns the state in the status of a roll-out to a target; "" if there is none.
 func (s *store) state(service, target string) string {
 	var st struct {
@@ -205,6 +213,9 @@
 			return
 		}
 		if len(events) > 0 {
+			s.mu.Lock()
+			s.told[kind] = time.Now()
+			s.mu.Unlock()
 			reply(w, http.StatusOK, map[string]any{"events": events, "current-rev": rev})
 			return
 		}
--- a/review/stand3/wall.go
+++ b/review/stand3/wall.go
@@ -59,6 +59,8 @@
 		w.prompts("sur", 40*time.Millisecond, stop, &wg)
 	}
 	time.Sleep(4 * time.Second)
+	before := up[0].ran()
+	begin := time.Now()
 	if w.trouble {
 		e := up[0].entry()
 		delete(e, "models")
@@ -68,6 +70,12 @@
 	time.Sleep(5 * time.Second)
 	close(stop)
 	wg.Wait()
+	need(before["norte"] > 0 && before["sur"] > 0, "no requests of both tenants ran at %s", up[0].id)
+	after := up[0].ran()
+	need(after["norte"] > before["norte"] && after["sur"] > before["sur"], "no requests of both tenants ran at %s any more", up[0].id)
+	if w.trouble {
+		need(w.store.seen("servers", begin), "no node has read the entry of the other writer")
+	}
 	r := w.shared()
 	s := fmt.Sprintf("%d runs; isolated tenants used kept parts of one another %d times", w.fleet.runs, len(r))
 	if len(r) > 0 {
